--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios, slopes and reports that measure cicadalever."""
--- /dev/null
+++ b/cicadalever/__init__.py
@@ -0,0 +1,3 @@
+"""Query tier over many shards."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,18 @@
+"""Tests of the failure sentinel."""
+
+import unittest
+
+from cicadalever.outcomes import Failure, FailureCode, is_not_run
+
+
+class TestFailure(unittest.TestCase):
+    """The sentinel value."""
+
+    def test_is_falsy(self):
+        """Guards against a failure being taken for a result."""
+        self.assertFalse(Failure(FailureCode.LOST, "connection reset"))
+
+    def test_uncertain_codes_are_not_reported_as_not_run(self):
+        """Guards against "not run" being said of work that may have run."""
+        for code in (FailureCode.LOST, FailureCode.TIMEOUT, FailureCode.UNKNOWN):
+            self.assertFalse(is_not_run(code), code)
