--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cicadalever."""
