--- /dev/null
+++ b/cicadalever/transport/__init__.py
@@ -0,0 +1,38 @@
+"""Messages between daemons, their codec and the sockets that carry them."""
+
+from ._codec import decode, encode
+from ._messages import (
+    CancelReads,
+    ConfigurationReply,
+    ConfigurationRequest,
+    OnceAnswer,
+    QuarantineNotice,
+    ReadAnswer,
+    ReadAnswers,
+    ReadBatch,
+    ReadRequest,
+    ReplicaNotice,
+    ReplicaRelease,
+    RunOnce,
+    Trial,
+)
+from ._network import PeerNetwork
+
+__all__ = [
+    "CancelReads",
+    "ConfigurationReply",
+    "ConfigurationRequest",
+    "OnceAnswer",
+    "PeerNetwork",
+    "QuarantineNotice",
+    "ReadAnswer",
+    "ReadAnswers",
+    "ReadBatch",
+    "ReadRequest",
+    "ReplicaNotice",
+    "ReplicaRelease",
+    "RunOnce",
+    "Trial",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/cicadalever/transport/_messages.py
@@ -0,0 +1,140 @@
+"""Messages between daemons.
+
+Every message that expects an answer carries the peer address of its sender, so a
+host can answer a sender that its member table does not list yet. Deadlines are
+absolute Unix times in seconds: a message that waited in a socket while the process
+was paused is then seen to be expired.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class Trial(IntEnum):
+    """How a read is run with respect to requests that may crash upstreams."""
+
+    NORMAL = 0
+    CANARY = 1
+    EXCLUSIVE = 2
+
+
+class ReadRequest(NamedTuple):
+    """One shard read inside a ``ReadBatch``; ``read`` is unique in its query."""
+
+    read: int
+    replica: str
+    shard: str
+    trial: int = Trial.NORMAL
+
+
+class ReadBatch(NamedTuple):
+    """All reads that one query sends to one owner at one moment.
+
+    ``parameters`` is the JSON body for the upstream. ``fingerprint`` is the same for
+    requests with the same route, operation and parameters.
+    """
+
+    sender: str
+    query: str
+    request_id: str
+    rank: int
+    deadline_unix: float
+    operation: str
+    snapshot: int
+    fingerprint: int
+    parameters: bytes
+    reads: list[ReadRequest]
+
+
+class ReadAnswer(NamedTuple):
+    """The result of one read; ``code`` is empty when it succeeded.
+
+    ``rows`` is the JSON body of the upstream. ``queued_s`` and ``service_s`` are
+    seconds spent in the owner's queue and in the upstream call. ``pressure`` says
+    that reads wait longer for this replica than they take.
+    """
+
+    read: int
+    code: str
+    reason: str
+    snapshot: int
+    rows: bytes
+    queued_s: float
+    service_s: float
+    pressure: bool
+
+
+class ReadAnswers(NamedTuple):
+    """Results of reads of one query."""
+
+    query: str
+    answers: list[ReadAnswer]
+
+
+class CancelReads(NamedTuple):
+    """The entry no longer needs these reads."""
+
+    sender: str
+    query: str
+    reads: list[int]
+
+
+class RunOnce(NamedTuple):
+    """A non-idempotent request, forwarded to the process that issued its id.
+
+    ``body`` is the caller's request as JSON.
+    """
+
+    sender: str
+    token: str
+    request_id: str
+    deadline_unix: float
+    body: bytes
+
+
+class OnceAnswer(NamedTuple):
+    """The answer to ``RunOnce``; ``body`` is the answer for the caller as JSON."""
+
+    token: str
+    status: int
+    body: bytes
+
+
+class ConfigurationRequest(NamedTuple):
+    """Asks a peer for its configuration if it is newer than ``sequence``."""
+
+    sender: str
+    sequence: int
+
+
+class ConfigurationReply(NamedTuple):
+    """A full document as JSON bytes, with the sequence it was folded up to."""
+
+    sequence: int
+    version: int
+    document: bytes
+
+
+class QuarantineNotice(NamedTuple):
+    """A fingerprint that crashed two upstreams; ``ttl_s`` seconds remain."""
+
+    sender: str
+    fingerprint: int
+    ttl_s: float
+    reason: str
+
+
+class ReplicaNotice(NamedTuple):
+    """The owner of ``replica`` saw it begin or stop draining."""
+
+    sender: str
+    replica: str
+    draining: bool
+    reason: str
+
+
+class ReplicaRelease(NamedTuple):
+    """The sender closed its connections to ``replica``."""
+
+    sender: str
+    replica: str
--- /dev/null
+++ b/cicadalever/transport/_network.py
@@ -0,0 +1,121 @@
+"""Sockets between daemons: one listening socket, one sending socket per peer."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import pynng
+from eventlet.hubs import trampoline
+from loguru import logger
+
+from cicadalever.outcomes import Failure, FailureCode
+
+from ._codec import decode, encode
+
+SEND_BUFFER_MESSAGES = 1024
+RECEIVE_BUFFER_MESSAGES = 4096
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1000
+MESSAGES_PER_TURN = 64
+
+
+class PeerNetwork:
+    """Sends messages to peers by address and hands received ones to a handler.
+
+    Addresses are ``ip:port``. Sending never blocks: a message to a peer that cannot
+    be reached waits in a bounded buffer, and is refused when the buffer is full.
+    Delivery is at most once and not guaranteed.
+    """
+
+    def __init__(
+        self,
+        listen_address: str,
+        handler: Callable[[Any], None],
+        *,
+        source_ip: str | None = None,
+    ):
+        self.listen_address = listen_address
+        self.handler = handler
+        self.source_ip = source_ip
+        self._receiver: pynng.Pull0 | None = None
+        self._senders: dict[str, pynng.Push0] = {}
+        self._sent_bytes: Counter[str] = Counter()
+        self._received_bytes: Counter[str] = Counter()
+
+    @property
+    def sent_bytes(self) -> Counter[str]:
+        """Bytes sent so far by message type name."""
+        return self._sent_bytes
+
+    @property
+    def received_bytes(self) -> Counter[str]:
+        """Bytes received so far by message type name."""
+        return self._received_bytes
+
+    def start(self) -> None:
+        """Listen and start the receive loop."""
+        self._receiver = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER_MESSAGES)
+        self._receiver.listen(f"tcp://{self.listen_address}")
+        eventlet.spawn(self._receive_loop)
+
+    def send(self, address: str, message: Any) -> Failure | None:
+        """Queue ``message`` for the peer at ``address``; never blocks."""
+        frame = encode(message)
+        sender = self._senders.get(address) or self._dial(address)
+        try:
+            sender.send(frame, block=False)
+        except pynng.exceptions.NNGException as error:
+            return Failure(FailureCode.UNREACHABLE, f"peer {address}: {error}")
+        self._sent_bytes[type(message).__name__] += len(frame)
+        return None
+
+    def forget(self, address: str) -> None:
+        """Close the socket to a peer that left and drop what waits in it."""
+        sender = self._senders.pop(address, None)
+        if sender is not None:
+            sender.close()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for address in list(self._senders):
+            self.forget(address)
+        if self._receiver is not None:
+            self._receiver.close()
+            self._receiver = None
+
+    def _dial(self, address: str) -> pynng.Push0:
+        sender = pynng.Push0(
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        source = f"{self.source_ip};" if self.source_ip else ""
+        sender.dial(f"tcp://{source}{address}", block=False)
+        self._senders[address] = sender
+        return sender
+
+    def _receive_loop(self) -> None:
+        receiver = self._receiver
+        handled = 0
+        while self._receiver is not None:
+            try:
+                frame = receiver.recv(block=False)
+            except pynng.TryAgain:
+                handled = 0
+                trampoline(receiver.recv_fd, read=True)
+                continue
+            except pynng.Closed:
+                return
+            self._handle_frame(frame)
+            handled += 1
+            if handled % MESSAGES_PER_TURN == 0:
+                eventlet.sleep(0)
+
+    def _handle_frame(self, frame: bytes) -> None:
+        message = decode(frame)
+        if isinstance(message, Failure):
+            logger.warning("dropped a peer message: {}", message.reason)
+            return
+        self._received_bytes[type(message).__name__] += len(frame)
+        self.handler(message)
