--- /dev/null
+++ b/cicadalever/api/_caller.py
@@ -0,0 +1,294 @@
+"""The caller interface (section 6.5 of the design page)."""
+
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from cicadalever.configuration import Configuration, Route
+from cicadalever.metrics import Metrics
+from cicadalever.once import OnceTable, RequestId
+from loguru import logger
+
+from cicadalever.outcomes import Failure, FailureCode, Outcome
+from cicadalever.queries import (
+    OnceResult,
+    OnceService,
+    QueryAnswer,
+    QueryCoordinator,
+    Work,
+    fingerprint_of,
+)
+from cicadalever.scheduling import Rank
+from cicadalever.transport import OnceAnswer, RunOnce
+
+from ._admin import HealthState, health_response
+from ._http import Environ, Request, Response, Router, error_response, json_response
+from ._request import QueryRequest, check_query_request
+
+MAX_IDS_PER_CALL = 1000
+MAX_IDS_BODY_BYTES = 1024
+_STATUS = {
+    Outcome.COMPLETE: 200,
+    Outcome.PARTIAL: 200,
+    Outcome.NOT_RUN: 503,
+    Outcome.UNKNOWN: 504,
+    Outcome.INVALID: 400,
+}
+_INVALID_STATUS = {
+    FailureCode.NOT_FOUND: 404,
+    FailureCode.DUPLICATE_ID: 409,
+    FailureCode.TOO_LARGE: 413,
+}
+
+
+class CallerApplication:
+    """WSGI application that serves queries."""
+
+    def __init__(
+        self,
+        coordinator: QueryCoordinator,
+        once: OnceService,
+        table: OnceTable,
+        configuration: Callable[[], Configuration | None],
+        health: Callable[[], HealthState],
+        metrics: Metrics,
+        encode: Callable[[str, QueryAnswer, float], OnceResult],
+        *,
+        max_body_bytes: int,
+    ):
+        self.coordinator = coordinator
+        self.once = once
+        self.table = table
+        self.configuration = configuration
+        self.health = health
+        self.metrics = metrics
+        self.encode = encode
+        self.max_body_bytes = max_body_bytes
+        self._in_flight = 0
+        self._router = Router(
+            {
+                ("POST", "/v1/queries"): self._query,
+                ("POST", "/v1/ids"): self._ids,
+                ("GET", "/v1/health"): self._health,
+            }
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests whose answer has not been returned."""
+        return self._in_flight
+
+    def __call__(self, environ: Environ, start_response: Any) -> Any:
+        """Serve one request (PEP 3333)."""
+        self._in_flight += 1
+        try:
+            return self._router(environ, start_response)
+        finally:
+            self._in_flight -= 1
+
+    def run_forwarded(
+        self, message: RunOnce, send: Callable[[str, Any], Failure | None]
+    ) -> None:
+        """Execute a request that another entry forwarded, and answer it."""
+        deadline = time.monotonic() + message.deadline_unix - time.time()
+        result = self._execute_once(message.body, deadline, may_forward=False)
+        send(message.sender, OnceAnswer(message.token, result.status, result.body))
+
+    def _health(self, request: Request) -> Response:
+        return health_response(self.health())
+
+    def _ids(self, request: Request) -> Response:
+        body = request.read_object(MAX_IDS_BODY_BYTES)
+        if isinstance(body, Response):
+            return body
+        count = body.get("count", 1)
+        unknown = set(body) - {"count"}
+        if unknown:
+            return error_response(400, "invalid", f"unknown field {min(unknown)!r}")
+        if type(count) is not int or not 1 <= count <= MAX_IDS_PER_CALL:
+            reason = f"count: {count!r} is not in 1..{MAX_IDS_PER_CALL}"
+            return error_response(400, "invalid", reason)
+        ids = self.table.issue(count, time.monotonic())
+        if isinstance(ids, Failure):
+            return error_response(503, ids.code, ids.reason)
+        return json_response({"ids": [str(request_id) for request_id in ids]})
+
+    def _query(self, request: Request) -> Response:
+        started = time.monotonic()
+        body = request.read_body(self.max_body_bytes)
+        if isinstance(body, Response):
+            return body
+        query = check_query_request(body, self.max_body_bytes)
+        if isinstance(query, Failure):
+            return _respond(
+                self.encode("", _invalid(query), time.monotonic() - started)
+            )
+        route = self._route(query)
+        if isinstance(route, Failure):
+            answer = _unroutable(route)
+            return _respond(self.encode(query["id"], answer, 0.0))
+        deadline = started + self._deadline_s(query, route)
+        if not _is_idempotent(query, route):
+            return _respond(self._execute_once(body, deadline, may_forward=True))
+        work = self._work(query, route, deadline)
+        with logger.contextualize(request_id=query["id"]):
+            answer = self.coordinator.execute(work, _connection_check(request))
+            elapsed_s = time.monotonic() - started
+            self._note_finished(work.rank, answer, elapsed_s)
+            if answer.outcome is not Outcome.COMPLETE:
+                logger.info("answered {}: {}", answer.outcome, answer.failure)
+        return _respond(self.encode(query["id"], answer, elapsed_s))
+
+    def _execute_once(
+        self, body: bytes, deadline: float, *, may_forward: bool
+    ) -> OnceResult:
+        started = time.monotonic()
+        query = check_query_request(body, self.max_body_bytes)
+        if isinstance(query, Failure):
+            return self.encode("", _invalid(query), 0.0)
+        request_id = RequestId.parse(query["id"])
+        if isinstance(request_id, Failure):
+            failure = Failure(
+                FailureCode.INVALID,
+                "a request that is not idempotent needs an id from POST /v1/ids: "
+                + request_id.reason,
+            )
+            return self.encode(query["id"], _invalid(failure), 0.0)
+        if not self.once.is_own(request_id):
+            if may_forward:
+                return self.once.forward(request_id, body, deadline)
+            failure = Failure(FailureCode.UNKNOWN, "this process did not issue the id")
+            answer = QueryAnswer(Outcome.UNKNOWN, failure=failure)
+            return self.encode(query["id"], answer, 0.0)
+        route = self._route(query)
+        if isinstance(route, Failure):
+            return self.encode(query["id"], _unroutable(route), 0.0)
+        work = self._work(query, route, deadline)
+        with logger.contextualize(request_id=query["id"]):
+            result = self.once.execute(request_id, body, work)
+            logger.info("non-idempotent request answered with {}", result.status)
+        outcome = msgspec.json.decode(result.body, type=_OutcomeOnly).outcome
+        self.metrics.query_finished(
+            work.rank, Outcome(outcome), time.monotonic() - started, 1.0
+        )
+        return result
+
+    def _route(self, query: QueryRequest) -> Route | Failure:
+        configuration = self.configuration()
+        if configuration is None:
+            return Failure(FailureCode.UNAVAILABLE, "no configuration is known yet")
+        route = configuration.route(query["route"])
+        if route is None:
+            return Failure(
+                FailureCode.NOT_FOUND, f"route {query['route']!r} does not exist"
+            )
+        kind = query.get("kind")
+        if kind is not None and configuration.kind(kind) is None:
+            return Failure(FailureCode.INVALID, f"kind: {kind!r} does not exist")
+        return route
+
+    def _kind(self, query: QueryRequest, route: Route):
+        return self.configuration().kind(query.get("kind") or route.kind)
+
+    def _deadline_s(self, query: QueryRequest, route: Route) -> float:
+        milliseconds = query.get("deadline_ms") or self._kind(query, route).deadline_ms
+        return milliseconds / 1000
+
+    def _work(self, query: QueryRequest, route: Route, deadline: float) -> Work:
+        parameters = query["parameters"]
+        return Work(
+            query["id"],
+            route,
+            Rank(self._kind(query, route).rank),
+            deadline,
+            _is_idempotent(query, route),
+            msgspec.json.encode(parameters),
+            fingerprint_of(route.name, route.operation, parameters),
+            str(parameters.get("key", query["id"])),
+        )
+
+    def _note_finished(self, rank: Rank, answer: QueryAnswer, elapsed_s: float) -> None:
+        self.metrics.query_finished(
+            rank, answer.outcome, elapsed_s, answer.coverage.fraction
+        )
+        for _ in range(answer.hedges):
+            self.metrics.read_hedged()
+        for _ in range(answer.retries):
+            self.metrics.read_retried()
+
+
+def encode_answer(
+    request_id: str, answer: QueryAnswer, elapsed_s: float, *, host: str = ""
+) -> OnceResult:
+    """Return status and JSON body for an answer."""
+    coverage = answer.coverage
+    value = {
+        "id": request_id,
+        "outcome": answer.outcome,
+        "snapshot": answer.snapshot,
+        "version": answer.version,
+        "coverage": {
+            "total": coverage.total,
+            "covered": coverage.covered,
+            "missing": [shard._asdict() for shard in coverage.missing],
+            "fraction": round(coverage.fraction, 6),
+        },
+        "rows": {shard: msgspec.Raw(rows) for shard, rows in answer.rows.items()},
+        "elapsed_ms": round(elapsed_s * 1000, 3),
+        "host": host,
+    }
+    if answer.failure is not None:
+        value["code"] = answer.failure.code
+        value["reason"] = answer.failure.reason
+    if answer.retry_after_s is not None:
+        value["retry_after_s"] = answer.retry_after_s
+    status = _STATUS[answer.outcome]
+    if answer.outcome is Outcome.INVALID and answer.failure is not None:
+        status = _INVALID_STATUS.get(answer.failure.code, status)
+    return OnceResult(status, msgspec.json.encode(value))
+
+
+class _OutcomeOnly(msgspec.Struct):
+    outcome: str
+
+
+def _is_idempotent(query: QueryRequest, route: Route) -> bool:
+    """Tell whether a request may run twice; by default reads may and runs may not."""
+    stated = query.get("idempotent")
+    return route.operation == "read" if stated is None else stated
+
+
+def _invalid(failure: Failure) -> QueryAnswer:
+    return QueryAnswer(Outcome.INVALID, failure=failure)
+
+
+def _unroutable(failure: Failure) -> QueryAnswer:
+    if failure.code == FailureCode.UNAVAILABLE:
+        return QueryAnswer(Outcome.NOT_RUN, failure=failure, retry_after_s=1.0)
+    return _invalid(failure)
+
+
+def _respond(result: OnceResult) -> Response:
+    return Response(result.status, result.body)
+
+
+def _connection_check(request: Request) -> Callable[[], bool]:
+    """Return a function that tells whether the caller is still connected."""
+    stream = request.environ["wsgi.input"]
+    get_socket = getattr(stream, "get_socket", None)
+    if get_socket is None:
+        return lambda: True
+    connection = get_socket()
+    raw = getattr(connection, "fd", connection)
+
+    def is_connected() -> bool:
+        try:
+            return raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
+    return is_connected
--- /dev/null
+++ b/cicadalever/daemon/__init__.py
@@ -0,0 +1,5 @@
+"""The daemon: composition, loops and shutdown."""
+
+from ._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/cicadalever/daemon/_composition.py
@@ -0,0 +1,242 @@
+"""The composition root: builds all parts of a daemon and connects them."""
+
+import random
+import time
+from functools import partial
+from typing import NamedTuple
+
+from cicadalever.api import AdminApplication, CallerApplication, encode_answer
+from cicadalever.audit import AuditTrail
+from cicadalever.configuration import ConfigurationHistory, HttpPlatformReader
+from cicadalever.membership import (
+    Ack,
+    MemberTable,
+    Ownership,
+    Ping,
+    PingRequest,
+    Prober,
+)
+from cicadalever.metrics import Metrics
+from cicadalever.once import OnceTable
+from cicadalever.owners import OwnerService, OwnerView
+from cicadalever.quarantine import ProvenFingerprints, Quarantine
+from cicadalever.queries import (
+    EntryView,
+    LatencyByIndex,
+    OnceService,
+    QueryCoordinator,
+    QueryPolicy,
+)
+from cicadalever.scheduling import (
+    AdmissionControl,
+    ExtraLoadBudget,
+    Rank,
+    ReplicaSelector,
+)
+from cicadalever.settings import Settings
+from cicadalever.topology import Host
+from cicadalever.transport import PeerNetwork, register
+
+from ._baseline import SelfOwnership, baseline_policy, build_baseline_selector
+from ._configuration import ConfigurationKeeper
+from ._daemon import Daemon
+from ._fleet import Fleet
+from ._server import HttpServer
+from ._views import DaemonViews
+
+PLATFORM_TIMEOUT_S = 2.0
+INITIAL_WINDOW = 32
+MAX_WINDOW = 1024
+MAX_WAITING_QUERIES = 1024
+HEDGE_QUANTILE = 0.95
+EXTRA_LOAD = 0.05
+DEFAULT_FLOORS = {Rank.BATCH: 0.10, Rank.REPORT: 0.05}
+
+for _code, _type in ((21, Ping), (22, Ack), (23, PingRequest)):
+    register(_code, _type)
+
+
+class Parts(NamedTuple):
+    """All parts of a daemon."""
+
+    fleet: Fleet
+    keeper: ConfigurationKeeper
+    owners: OwnerService
+    coordinator: QueryCoordinator
+    once: OnceService
+    caller_application: CallerApplication
+    caller_server: HttpServer | None
+    network: PeerNetwork
+    audit: AuditTrail
+    metrics: Metrics
+    quarantine: Quarantine
+
+
+class _Links:
+    """Resolves the cycles between the daemon and its parts.
+
+    The parts need to send and to handle messages before the daemon exists.
+    """
+
+    def __init__(self):
+        self.daemon: Daemon | None = None
+
+    def send(self, address: str, message):
+        return self.daemon.send(address, message)
+
+    def handle(self, message) -> None:
+        self.daemon.handle(message)
+
+    def health(self):
+        return self.daemon.health()
+
+
+def build_daemon(settings: Settings) -> tuple[Daemon, HttpServer]:
+    """Return a daemon and its administration server, ready to start."""
+    links = _Links()
+    rng = random.Random(settings["random_seed"])
+    host = _build_host(settings)
+    incarnation = time.time_ns() // 1_000_000
+    metrics = Metrics()
+    audit = AuditTrail(host.id, settings["audit_capacity"], time.time)
+    fleet = _build_fleet(settings, host, incarnation, links, audit, rng)
+    keeper = _build_keeper(settings, fleet, links, audit, metrics, rng)
+    quarantine = Quarantine()
+    proven = ProvenFingerprints()
+    owners = _build_owners(
+        settings, fleet, keeper, links, quarantine, proven, audit, metrics
+    )
+    coordinator = _build_coordinator(
+        settings, fleet, keeper, links, quarantine, proven, metrics, rng
+    )
+    table = OnceTable(host.id, incarnation)
+    encode = partial(encode_answer, host=host.id)
+    once = OnceService(
+        table, coordinator, links.send, fleet.address_of, host.address, encode
+    )
+    caller = CallerApplication(
+        coordinator,
+        once,
+        table,
+        lambda: keeper.current,
+        links.health,
+        metrics,
+        encode,
+        max_body_bytes=settings["max_body_bytes"],
+    )
+    is_entry = "entry" in settings["roles"]
+    caller_server = HttpServer(settings["caller_address"], caller) if is_entry else None
+    parts = Parts(
+        fleet,
+        keeper,
+        owners,
+        coordinator,
+        once,
+        caller,
+        caller_server,
+        fleet.network,
+        audit,
+        metrics,
+        quarantine,
+    )
+    daemon = links.daemon = Daemon(settings, parts)
+    fleet.on_change = daemon.fleet_changed
+    fleet.on_host_lost = coordinator.host_lost
+    keeper.on_change = daemon.fleet_changed
+    admin = AdminApplication(DaemonViews(daemon))
+    return daemon, HttpServer(settings["admin_address"], admin)
+
+
+def _build_host(settings: Settings) -> Host:
+    return Host(
+        settings["host_id"],
+        settings["peer_address"],
+        settings["data_centre"],
+        settings["region"],
+        tuple(settings["roles"]),
+    )
+
+
+def _build_fleet(settings, host, incarnation, links, audit, rng) -> Fleet:
+    table = MemberTable(host, incarnation)
+    prober = Prober(table, rng, seeds=settings["seeds"])
+    ownership = Ownership(table)
+    if settings["policy"] == "baseline":
+        ownership = SelfOwnership(table)
+    network = PeerNetwork(host.address, links.handle, source_ip=settings["source_ip"])
+    return Fleet(table, prober, ownership, network, audit)
+
+
+def _build_keeper(settings, fleet, links, audit, metrics, rng) -> ConfigurationKeeper:
+    reader = HttpPlatformReader(
+        settings["platform_url"],
+        source_ip=settings["source_ip"],
+        timeout_s=PLATFORM_TIMEOUT_S,
+    )
+    return ConfigurationKeeper(
+        ConfigurationHistory(), reader, fleet, links.send, audit, metrics, rng
+    )
+
+
+def _build_owners(
+    settings, fleet, keeper, links, quarantine, proven, audit, metrics
+) -> OwnerService:
+    def find_replica(replica_id: str):
+        return keeper.current.replica(replica_id) if keeper.current else None
+
+    def floors():
+        return keeper.current.floors if keeper.current else DEFAULT_FLOORS
+
+    view = OwnerView(
+        fleet.owner_of,
+        fleet.is_fresh,
+        fleet.live_addresses,
+        find_replica,
+        floors,
+        fleet.ownership.quota,
+    )
+    return OwnerService(
+        fleet.own,
+        view,
+        links.send,
+        quarantine,
+        proven,
+        audit,
+        metrics,
+        source_ip=settings["source_ip"],
+        is_baseline=settings["policy"] == "baseline",
+    )
+
+
+def _build_coordinator(
+    settings, fleet, keeper, links, quarantine, proven, metrics, rng
+) -> QueryCoordinator:
+    policy = QueryPolicy()
+    selector = ReplicaSelector(rng, data_centre=settings["data_centre"])
+    if settings["policy"] == "baseline":
+        policy = baseline_policy()
+        selector = build_baseline_selector()
+    return QueryCoordinator(
+        EntryView(
+            lambda: keeper.current,
+            fleet.owner_of,
+            fleet.is_reachable,
+            fleet.own.address,
+        ),
+        links.send,
+        selector,
+        AdmissionControl(
+            initial_window=INITIAL_WINDOW,
+            max_window=MAX_WINDOW,
+            max_queue=MAX_WAITING_QUERIES,
+            rng=rng,
+        ),
+        ExtraLoadBudget(EXTRA_LOAD),
+        LatencyByIndex(HEDGE_QUANTILE),
+        quarantine,
+        proven,
+        metrics,
+        policy=policy,
+        rng=rng,
+        max_answer_bytes=settings["max_answer_bytes"],
+    )
--- /dev/null
+++ b/cicadalever/daemon/_daemon.py
@@ -0,0 +1,228 @@
+"""One daemon: its loops, its message handlers and its shutdown."""
+
+import time
+from functools import singledispatchmethod
+from typing import Any
+
+import eventlet
+from loguru import logger
+
+from cicadalever.api import HealthState
+from cicadalever.audit import AuditKind
+from cicadalever.membership import Ack, Ping, PingRequest
+from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.scheduling import Rank
+from cicadalever.transport import (
+    CancelReads,
+    ConfigurationReply,
+    ConfigurationRequest,
+    OnceAnswer,
+    QuarantineNotice,
+    ReadAnswers,
+    ReadBatch,
+    ReplicaNotice,
+    ReplicaRelease,
+    RunOnce,
+)
+
+TICK_S = 0.02
+# The failure detector expects its tick every 100 ms.
+MEMBERSHIP_TICKS = 5
+SHUTDOWN_TIMEOUT_S = 60.0
+DRAIN_POLL_S = 0.05
+
+
+class Daemon:
+    """Holds the parts that the composition root built and runs them.
+
+    All parts run in green threads of one loop on one thread.
+    """
+
+    def __init__(self, settings, parts):
+        self.settings = settings
+        self.fleet = parts.fleet
+        self.keeper = parts.keeper
+        self.owners = parts.owners
+        self.coordinator = parts.coordinator
+        self.once = parts.once
+        self.caller_application = parts.caller_application
+        self.network = parts.network
+        self.audit = parts.audit
+        self.metrics = parts.metrics
+        self.quarantine = parts.quarantine
+        self.started_at = time.monotonic()
+        self._caller_server = parts.caller_server
+        self._admin_server = None
+        self._draining = False
+        self._stopped = eventlet.event.Event()
+
+    def health(self) -> HealthState:
+        """Return the state that the balancer is told."""
+        if self._draining:
+            return "draining"
+        return "starting" if self.keeper.current is None else "ready"
+
+    def start(self, admin_server) -> None:
+        """Open all sockets and start all loops."""
+        self._admin_server = admin_server
+        self.network.start()
+        admin_server.start()
+        if self._caller_server is not None:
+            self._caller_server.start()
+        self.keeper.start()
+        eventlet.spawn(self._tick_loop)
+        self.audit.record(AuditKind.STARTED, self.keeper.history.version)
+
+    def wait(self) -> None:
+        """Wait until the daemon has shut down."""
+        self._stopped.wait()
+
+    def send(self, address: str, message: Any) -> Failure | None:
+        """Send to a peer; a message to this host is handled directly."""
+        if address == self.fleet.own.address:
+            eventlet.spawn_n(self.handle, message)
+            return None
+        return self.network.send(address, message)
+
+    def begin_drain(self, source: str) -> None:
+        """Leave: finish all requests, then stop."""
+        if self._draining:
+            return
+        self._draining = True
+        self.audit.record(
+            AuditKind.DRAIN_STARTED, self.keeper.history.version, source=source
+        )
+        self.fleet.leave()
+        eventlet.spawn(self._drain)
+
+    def fleet_changed(self) -> None:
+        """Apply a changed view of members or configuration to the owned replicas."""
+        self.owners.view_changed()
+
+    def refresh_metrics(self) -> None:
+        """Set the gauges that are read from state."""
+        metrics = self.metrics
+        admission = self.coordinator.admission
+        for rank in Rank:
+            metrics.admission_changed(
+                rank,
+                admission.windows[rank],
+                admission.running[rank],
+                admission.waiting[rank],
+            )
+        metrics.extra_load_changed(self.coordinator.budget.stock)
+        for replica_id, owned in self.owners.replicas.items():
+            metrics.replica_changed(
+                replica_id,
+                owned.waiting,
+                owned.limit,
+                self.owners.open_connections_of(replica_id),
+            )
+        metrics.members_changed(self.fleet.state_counts())
+        metrics.peer_bytes_counted("sent", self.network.sent_bytes)
+        metrics.peer_bytes_counted("received", self.network.received_bytes)
+        history = self.keeper.history
+        metrics.configuration_changed(history.sequence, history.version)
+        metrics.platform_contacted(self.fleet.platform_age())
+        quarantined = self.quarantine.entries(time.monotonic())
+        metrics.quarantine_changed(sum(entry.quarantined for entry in quarantined))
+
+    @singledispatchmethod
+    def handle(self, message: Any) -> None:
+        """Handle one message from a peer."""
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    @handle.register
+    def _(self, message: ReadBatch) -> None:
+        self.owners.handle_batch(message)
+
+    @handle.register
+    def _(self, message: ReadAnswers) -> None:
+        self.coordinator.receive(message)
+
+    @handle.register
+    def _(self, message: CancelReads) -> None:
+        self.owners.handle_cancel(message)
+
+    @handle.register
+    def _(self, message: RunOnce) -> None:
+        eventlet.spawn_n(self.caller_application.run_forwarded, message, self.send)
+
+    @handle.register
+    def _(self, message: OnceAnswer) -> None:
+        self.once.receive_answer(message)
+
+    @handle.register
+    def _(self, message: ConfigurationRequest) -> None:
+        self.keeper.handle_request(message)
+
+    @handle.register
+    def _(self, message: ConfigurationReply) -> None:
+        self.keeper.handle_reply(message)
+
+    @handle.register
+    def _(self, message: QuarantineNotice) -> None:
+        self.owners.handle_quarantine(message)
+
+    @handle.register
+    def _(self, message: ReplicaNotice) -> None:
+        self.owners.handle_replica_notice(message)
+
+    @handle.register
+    def _(self, message: ReplicaRelease) -> None:
+        self.owners.handle_release(message)
+
+    @handle.register(Ping)
+    @handle.register(Ack)
+    @handle.register(PingRequest)
+    def _(self, message: Any) -> None:
+        self.fleet.receive(message)
+
+    def _tick_loop(self) -> None:
+        ticks = 0
+        due = time.monotonic()
+        was_fresh = True
+        while True:
+            due = max(due + TICK_S, time.monotonic() - TICK_S)
+            eventlet.sleep(max(0.0, due - time.monotonic()))
+            self.metrics.loop_lagged(max(0.0, time.monotonic() - due))
+            ticks += 1
+            if ticks % MEMBERSHIP_TICKS == 0:
+                self.fleet.tick()
+                self.keeper.tick()
+                was_fresh = self._note_freshness(was_fresh)
+            self.owners.tick()
+            self.coordinator.tick()
+
+    def _note_freshness(self, was_fresh: bool) -> bool:
+        is_fresh = self.fleet.is_fresh()
+        if was_fresh and not is_fresh:
+            self.audit.record(AuditKind.VIEW_STALE, self.keeper.history.version)
+            self.owners.refuse_waiting(FailureCode.STALE_VIEW, "the host was paused")
+        return is_fresh
+
+    def _drain(self) -> None:
+        """Serve on while the balancer still sends, then finish and stop."""
+        eventlet.sleep(self.settings["linger_s"])
+        deadline = time.monotonic() + SHUTDOWN_TIMEOUT_S
+        while self._has_work() and time.monotonic() < deadline:
+            eventlet.sleep(DRAIN_POLL_S)
+        if self._caller_server is not None:
+            self._caller_server.stop(SHUTDOWN_TIMEOUT_S)
+        while self._has_work() and time.monotonic() < deadline:
+            eventlet.sleep(DRAIN_POLL_S)
+        self.audit.record(AuditKind.DRAIN_ENDED, self.keeper.history.version)
+        self.audit.record(AuditKind.STOPPED, self.keeper.history.version)
+        logger.info("all requests are finished")
+        self.owners.close()
+        self.network.close()
+        self._stopped.send(None)
+
+    def _has_work(self) -> bool:
+        return bool(
+            self.caller_application.in_flight
+            or self.coordinator.running
+            or self.once.running
+            or self.owners.running
+            or self.owners.waiting
+        )
--- /dev/null
+++ b/cicadalever/daemon/_fleet.py
@@ -0,0 +1,178 @@
+"""The host's view of the fleet: members, owners and reachable peers."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from cicadalever.audit import AuditKind, AuditTrail
+from cicadalever.membership import (
+    MemberState,
+    MemberTable,
+    Ownership,
+    Prober,
+    VersionDigest,
+)
+from cicadalever.outcomes import Failure
+from cicadalever.topology import Host, HostList, Replica
+from cicadalever.transport import PeerNetwork
+
+_KINDS = {
+    MemberState.ALIVE: AuditKind.MEMBER_JOINED,
+    MemberState.SUSPECT: AuditKind.MEMBER_SUSPECT,
+    MemberState.LEAVING: AuditKind.MEMBER_LEFT,
+    MemberState.DEAD: AuditKind.MEMBER_DEAD,
+    MemberState.LEFT: AuditKind.MEMBER_LEFT,
+}
+
+
+class Fleet:
+    """Connects the pure membership logic with the peer sockets.
+
+    ``on_change`` is called after the member table changed, ``on_host_lost`` with the
+    peer address of a host whose connection broke.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        prober: Prober,
+        ownership: Ownership,
+        network: PeerNetwork,
+        audit: AuditTrail,
+    ):
+        self.table = table
+        self.prober = prober
+        self.ownership = ownership
+        self.network = network
+        self.audit = audit
+        self.on_change: Callable[[], None] = _ignore
+        self.on_host_lost: Callable[[str], None] = _ignore
+        self._known_generation = -1
+        self._known_states: dict[str, tuple[str, MemberState, int]] = {}
+        self._platform_contact_at: float | None = None
+
+    @property
+    def own(self) -> Host:
+        """The host that this process is."""
+        return self.table.self_host
+
+    def receive(self, message: Any) -> None:
+        """Handle a membership message."""
+        self._send_all(self.prober.receive(message, time.monotonic()))
+        self._apply_changes()
+
+    def tick(self) -> None:
+        """Run the timers of the failure detector and look at the connections."""
+        for address in self.network.poll_connections():
+            self.on_host_lost(address)
+        self._send_all(self.prober.tick(time.monotonic()))
+        self._apply_changes()
+
+    def announce(self) -> None:
+        """Tell a few peers of a new configuration version."""
+        self._send_all(self.prober.announce(time.monotonic()))
+
+    def leave(self) -> None:
+        """Announce that this host leaves."""
+        self.table.mark_self_leaving()
+        self._send_all(self.prober.announce(time.monotonic()))
+        self._apply_changes()
+
+    def list_hosts(self, hosts: HostList) -> None:
+        """Merge the platform's host list."""
+        self.table.list_hosts(hosts, time.monotonic())
+        self._apply_changes()
+
+    def platform_contacted(self) -> None:
+        """Record that the platform answered."""
+        self._platform_contact_at = time.monotonic()
+
+    def platform_age(self) -> float:
+        """Return the age in seconds of this host's last contact with the platform."""
+        if self._platform_contact_at is None:
+            return float("inf")
+        return time.monotonic() - self._platform_contact_at
+
+    def data_centre_platform_age(self) -> float:
+        """Return the age of the newest contact that the data centre knows of."""
+        age_s = self.prober.platform_contact_age(time.monotonic())
+        return min(self.platform_age(), age_s)
+
+    def set_versions(self, sequence: int, version: int) -> None:
+        """Set the versions in force that the next messages carry.
+
+        The age of the platform contact is that of the data centre, so that it spreads
+        over several hops and not only from the watchers themselves.
+        """
+        age_s = self.data_centre_platform_age()
+        self.prober.set_digest(VersionDigest(sequence, version, age_s))
+
+    def owner_of(self, replica: Replica) -> Host | None:
+        """Return the owner of a replica in this host's view."""
+        return self.ownership.owner_of(replica)
+
+    def is_reachable(self, address: str) -> bool:
+        """Tell whether messages to a peer address can be expected to arrive."""
+        return address == self.own.address or self.network.is_reachable(address)
+
+    def is_fresh(self) -> bool:
+        """Tell whether the view may be acted on."""
+        return self.prober.view_is_fresh(time.monotonic())
+
+    def is_watcher(self) -> bool:
+        """Tell whether this host watches the platform for its data centre."""
+        watchers = self.ownership.watchers(self.own.data_centre)
+        return any(host.id == self.own.id for host in watchers)
+
+    def live_addresses(self) -> list[str]:
+        """Return the peer addresses of all other live hosts."""
+        return [host.address for host in self.table.live() if host.id != self.own.id]
+
+    def address_of(self, host_id: str, incarnation: int) -> str | None:
+        """Return the peer address of a live process, or None."""
+        member = self.table.member(host_id)
+        if member is None or not member.is_live or member.incarnation != incarnation:
+            return None
+        return member.host.address
+
+    def state_counts(self) -> dict[str, int]:
+        """Return the number of members by state."""
+        counts: dict[str, int] = {}
+        for member in self.table.members():
+            name = member.state.name.lower()
+            counts[name] = counts.get(name, 0) + 1
+        return counts
+
+    def _send_all(self, outgoing) -> None:
+        for address, message in outgoing:
+            if address != self.own.address:
+                self._send(address, message)
+
+    def _send(self, address: str, message: Any) -> Failure | None:
+        return self.network.send(address, message)
+
+    def _apply_changes(self) -> None:
+        if self.table.generation == self._known_generation:
+            return
+        self._known_generation = self.table.generation
+        states = {
+            member.host.id: (member.host.address, member.state, member.incarnation)
+            for member in self.table.members()
+        }
+        for host_id, (address, state, incarnation) in states.items():
+            known = self._known_states.get(host_id)
+            if known is None or known[1:] != (state, incarnation):
+                self.audit.record(
+                    _KINDS[state], 0, member=host_id, incarnation=incarnation
+                )
+            if state in (MemberState.DEAD, MemberState.LEFT) and (
+                known is None or known[1] != state
+            ):
+                self.network.forget(address)
+                self.on_host_lost(address)
+        self._known_states = states
+        self.on_change()
+
+
+def _ignore(*_: Any) -> None:
+    """Stand in until the composition root sets a handler."""
--- /dev/null
+++ b/cicadalever/daemon/_main.py
@@ -0,0 +1,75 @@
+"""Command ``cicadaleverd``."""
+
+import sys
+import warnings
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from loguru import logger
+
+from cicadalever.outcomes import Failure
+from cicadalever.settings import Settings, load_settings
+
+EXIT_USAGE = 2
+
+
+def run(
+    settings: Annotated[
+        Path, typer.Option(help="JSON file with the settings of this daemon.")
+    ],
+) -> None:
+    """Run one host of the query tier until SIGTERM or SIGINT."""
+    checked = load_settings(settings)
+    if isinstance(checked, Failure):
+        print(f"cicadaleverd: {checked.reason}", file=sys.stderr)
+        raise typer.Exit(EXIT_USAGE)
+    _patch_blocking_calls()
+    _set_up_logs(checked)
+    _serve(checked)
+
+
+def main() -> None:
+    """Run the command line."""
+    typer.run(run)
+
+
+def _patch_blocking_calls() -> None:
+    """Let library calls that block, such as those of urllib3, yield to the loop."""
+    with warnings.catch_warnings():
+        # Operators cannot act on the deprecation notice of eventlet.
+        warnings.simplefilter("ignore")
+        import eventlet
+    eventlet.monkey_patch()
+
+
+def _set_up_logs(settings: Settings) -> None:
+    logger.remove()
+    logger.add(
+        sys.stderr,
+        level=settings["log_level"],
+        serialize=settings["log_json"],
+        format=("{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {message} {extra}"),
+    )
+    logger.configure(extra={"host": settings["host_id"]})
+
+
+def _serve(settings: Settings) -> None:
+    import signal
+
+    from ._composition import build_daemon
+
+    daemon, admin_server = build_daemon(settings)
+
+    def stop(signum: int, frame: object) -> None:
+        daemon.begin_drain(signal.Signals(signum).name)
+
+    daemon.start(admin_server)
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    logger.info("listening for callers on {}", settings["caller_address"])
+    daemon.wait()
+
+
+if __name__ == "__main__":
+    main()
--- a/cicadalever/outcomes/_failure.py
+++ b/cicadalever/outcomes/_failure.py
@@ -12,6 +12,7 @@
     DRAINING = "draining"
     DUPLICATE_ID = "duplicate_id"
     EXPIRED = "expired"
+    HOST_LOST = "host_lost"
     INVALID = "invalid"
     LOST = "lost"
     NOT_FOUND = "not_found"
--- /dev/null
+++ b/cicadalever/owners/__init__.py
@@ -0,0 +1,7 @@
+"""The owner side: one rank order and one set of connections per replica."""
+
+from ._read import QueuedRead
+from ._replica import OwnedReplica
+from ._service import OwnerService
+
+__all__ = ["OwnedReplica", "OwnerService", "QueuedRead"]
--- /dev/null
+++ b/cicadalever/owners/_read.py
@@ -0,0 +1,36 @@
+"""A read that an owner has accepted into its queue."""
+
+from typing import NamedTuple
+
+from cicadalever.transport import Trial
+
+
+class ReadKey(NamedTuple):
+    """Identity of a read: who asked, for which query, and its number there."""
+
+    sender: str
+    query: str
+    read: int
+
+
+class QueuedRead(NamedTuple):
+    """What the owner needs to run a read and to answer it.
+
+    ``deadline`` is in seconds of the owner's monotonic clock.
+    """
+
+    key: ReadKey
+    request_id: str
+    rank: int
+    deadline: float
+    operation: str
+    snapshot: int
+    shard: str
+    fingerprint: int
+    trial: Trial
+    parameters: bytes
+
+    @property
+    def upstream_request_id(self) -> str:
+        """Id under which the upstream runs the read; unique per attempt."""
+        return f"{self.request_id}/{self.key.query}/{self.key.read}"
--- /dev/null
+++ b/cicadalever/owners/_replica.py
@@ -0,0 +1,241 @@
+"""Aggregate for one owned replica: queue, limit, trials and measured service time."""
+
+from collections import deque
+from collections.abc import Mapping
+
+from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.quarantine import TrialGate
+from cicadalever.scheduling import AdaptiveLimit, Feedback, Rank, RankQueue
+from cicadalever.topology import Replica
+from cicadalever.transport import Trial
+
+from ._read import QueuedRead, ReadKey
+
+INITIAL_SERVICE_TIME_S = 0.005
+SERVICE_TIME_WEIGHT = 0.1
+# Concurrency of a new owner until the former owner released the replica or
+# TAKEOVER_GRACE_S passed: both may hold slots during that time.
+TAKEOVER_LIMIT = 1
+TAKEOVER_GRACE_S = 1.0
+# After a failed connect the replica is tried with one read at a time, not earlier
+# than this, so that a dead upstream does not take a connect timeout per read.
+RECONNECT_DELAY_S = 0.1
+RECONNECT_DELAY_MAX_S = 1.0
+
+_FEEDBACK = {
+    FailureCode.SHED: Feedback.SHED,
+    FailureCode.UNAVAILABLE: Feedback.SHED,
+    FailureCode.TIMEOUT: Feedback.TIMEOUT,
+    FailureCode.LOST: Feedback.LOST,
+    FailureCode.UNREACHABLE: Feedback.LOST,
+}
+
+
+class OwnedReplica:
+    """Decides which read starts next on a replica, and which is refused.
+
+    The rules: at most ``limit`` reads run at once, never more than the slots of the
+    replica; the most urgent rank goes first with floors for the others; a read that
+    cannot meet its deadline is refused before it starts; a suspected request runs
+    alone.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        floors: Mapping[Rank, float],
+        *,
+        now: float,
+        takeover: bool,
+    ):
+        self.replica = replica
+        self._queue = RankQueue(floors)
+        self._limit = AdaptiveLimit(replica.slots, maximum=replica.slots)
+        self._gate = TrialGate()
+        self._held: deque = deque()
+        self._service_time_s = INITIAL_SERVICE_TIME_S
+        self._draining = replica.draining
+        self._full_limit_at = now + TAKEOVER_GRACE_S if takeover else now
+        self._connect_failures = 0
+        self._retry_at = 0.0
+        self._blamed: set[ReadKey] = set()
+
+    @property
+    def draining(self) -> bool:
+        """Whether the replica accepts no new work."""
+        return self._draining
+
+    @property
+    def running(self) -> int:
+        """Number of reads that run."""
+        return self._limit.in_flight
+
+    @property
+    def limit(self) -> int:
+        """Number of reads that may run at once."""
+        return self._limit.limit
+
+    @property
+    def waiting(self) -> int:
+        """Number of reads that wait."""
+        return len(self._queue) + len(self._held)
+
+    @property
+    def queue_lengths(self) -> Mapping[Rank, int]:
+        """Waiting reads by rank."""
+        return self._queue.lengths
+
+    @property
+    def service_time_s(self) -> float:
+        """Moving average of the time that a read takes, in seconds."""
+        return self._service_time_s
+
+    @property
+    def state_name(self) -> str:
+        """State for operators: up, down, draining or taking_over."""
+        if self._draining:
+            return "draining"
+        return "down" if self._connect_failures else "up"
+
+    @property
+    def recent_failures(self) -> int:
+        """Connect failures in a row."""
+        return self._connect_failures
+
+    def running_reads(self):
+        """Return the reads that run now."""
+        return self._gate.running()
+
+    def take_crash(self, key: ReadKey) -> bool:
+        """Tell whether the loss of read ``key`` is a crash not yet accounted for.
+
+        All reads that run when an upstream crashes are lost, one after the other. Only
+        the first loss counts as a crash; the others belong to the same one.
+        """
+        if key in self._blamed:
+            return False
+        self._blamed.update(running.key for running in self._gate.running())
+        return True
+
+    def is_pressed(self) -> bool:
+        """Tell whether reads wait longer for the replica than they take."""
+        return self.waiting > self._limit.limit
+
+    def submit(self, read: QueuedRead, now: float) -> Failure | None:
+        """Accept ``read`` into the queue or say why it is refused."""
+        if self._draining:
+            return Failure(FailureCode.DRAINING, f"{self.replica.id} is draining")
+        if now < self._retry_at:
+            return Failure(
+                FailureCode.UNREACHABLE, f"{self.replica.id} refused connections"
+            )
+        wait_s = 0.0
+        if self.waiting or self._limit.in_flight >= self._limit.limit:
+            wait_s = self._queue.estimate_wait(
+                Rank(read.rank), self._service_time_s, self._limit.limit
+            )
+        if now + wait_s + self._service_time_s > read.deadline:
+            return Failure(
+                FailureCode.DEADLINE,
+                f"{self.replica.id}: estimated wait {wait_s * 1000:.0f} ms passes the"
+                " deadline",
+            )
+        return self._queue.push(
+            read.key, read, rank=Rank(read.rank), deadline=read.deadline, now=now
+        )
+
+    def start_next(self, now: float):
+        """Return the queue entry of the read that starts now, or None."""
+        if now < self._retry_at and self._limit.in_flight:
+            return None
+        if now < self._full_limit_at and self._limit.in_flight >= TAKEOVER_LIMIT:
+            return None
+        if not self._limit.try_acquire():
+            return None
+        entry = self._take_startable(now)
+        if entry is None:
+            self._limit.release(Feedback.IGNORED, now)
+            return None
+        read = entry.item
+        self._gate.started(read.key, read.fingerprint, read.trial)
+        return entry
+
+    def finish(
+        self, read: QueuedRead, result: object, service_s: float, now: float
+    ) -> None:
+        """Record the end of a read that ``start_next`` returned."""
+        self._gate.finished(read.key)
+        self._blamed.discard(read.key)
+        if isinstance(result, Failure):
+            self._limit.release(_FEEDBACK.get(result.code, Feedback.IGNORED), now)
+            self._note_connect(result.code, now)
+            return
+        self._connect_failures = 0
+        self._retry_at = 0.0
+        self._service_time_s += SERVICE_TIME_WEIGHT * (service_s - self._service_time_s)
+        self._limit.release(Feedback.OK, now, service_s)
+
+    def cancel(self, key: ReadKey) -> bool:
+        """Remove a waiting read; tell whether it was waiting."""
+        if self._queue.remove(key) is not None:
+            return True
+        for entry in self._held:
+            if entry.item.key == key:
+                self._held.remove(entry)
+                return True
+        return False
+
+    def take_expired(self, now: float) -> list:
+        """Remove and return the entries whose deadline passed while they waited."""
+        expired = self._queue.take_expired(now)
+        late = [entry for entry in self._held if entry.deadline <= now]
+        for entry in late:
+            self._held.remove(entry)
+        return expired + late
+
+    def drain_queue(self) -> list:
+        """Remove and return all waiting entries."""
+        entries = [*self._held, *self._queue.drain()]
+        self._held.clear()
+        return entries
+
+    def set_draining(self, draining: bool) -> bool:
+        """Set whether the replica drains; tell whether that is a change."""
+        changed = self._draining != draining
+        self._draining = draining
+        return changed
+
+    def release_received(self, now: float) -> None:
+        """Use all slots: the former owner closed its connections."""
+        self._full_limit_at = min(self._full_limit_at, now)
+
+    def _take_startable(self, now: float):
+        exclusive_waits = False
+        for entry in self._held:
+            read = entry.item
+            if entry.deadline > now and self._gate.may_start(
+                read.fingerprint, read.trial
+            ):
+                self._held.remove(entry)
+                return entry
+            exclusive_waits = exclusive_waits or read.trial == Trial.EXCLUSIVE
+        if exclusive_waits:
+            # Nothing overtakes an exclusive trial, else it would never run alone.
+            return None
+        while True:
+            entry = self._queue.pop(now)
+            if entry is None:
+                return None
+            read = entry.item
+            if self._gate.may_start(read.fingerprint, read.trial):
+                return entry
+            self._held.append(entry)
+            if read.trial == Trial.EXCLUSIVE:
+                return None
+
+    def _note_connect(self, code: FailureCode, now: float) -> None:
+        if code not in (FailureCode.UNREACHABLE, FailureCode.LOST):
+            return
+        self._connect_failures += 1
+        delay_s = RECONNECT_DELAY_S * 2 ** min(self._connect_failures - 1, 4)
+        self._retry_at = now + min(delay_s, RECONNECT_DELAY_MAX_S)
--- /dev/null
+++ b/cicadalever/owners/_service.py
@@ -0,0 +1,436 @@
+"""Receives read batches, runs the reads and answers the entries."""
+
+import time
+from collections import defaultdict
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+import eventlet
+from loguru import logger
+
+from cicadalever.audit import AuditKind, AuditTrail
+from cicadalever.metrics import Metrics
+from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.quarantine import ProvenFingerprints, Quarantine
+from cicadalever.scheduling import Rank
+from cicadalever.topology import Host, Replica
+from cicadalever.transport import (
+    CancelReads,
+    QuarantineNotice,
+    ReadAnswer,
+    ReadAnswers,
+    ReadBatch,
+    ReadRequest,
+    ReplicaNotice,
+    ReplicaRelease,
+    Trial,
+)
+from cicadalever.upstreams import ConnectionPool, UpstreamAnswer, UpstreamCall
+
+from ._read import QueuedRead, ReadKey
+from ._replica import OwnedReplica
+
+
+class OwnerView(NamedTuple):
+    """What the service asks of the host's view of the fleet.
+
+    ``owner_of`` gives the owner of a replica. ``is_fresh`` says whether the view may
+    be acted on. ``live_addresses`` gives the peer addresses that hear notices.
+    ``quota`` is the number of connections that this host may open to a replica.
+    """
+
+    owner_of: Callable[[Replica], Host | None]
+    is_fresh: Callable[[], bool]
+    live_addresses: Callable[[], list[str]]
+    find_replica: Callable[[str], Replica | None]
+    floors: Callable[[], Mapping[Rank, float]]
+    quota: Callable[[Replica], int]
+
+
+class OwnerService:
+    """Runs the reads of the replicas that this host owns."""
+
+    def __init__(
+        self,
+        host: Host,
+        view: OwnerView,
+        send: Callable[[str, Any], None],
+        quarantine: Quarantine,
+        proven: ProvenFingerprints,
+        audit: AuditTrail,
+        metrics: Metrics,
+        *,
+        source_ip: str | None = None,
+        is_baseline: bool = False,
+    ):
+        self.host = host
+        self.view = view
+        self.send = send
+        self.quarantine = quarantine
+        self.proven = proven
+        self.audit = audit
+        self.metrics = metrics
+        self.source_ip = source_ip
+        self.is_baseline = is_baseline
+        self._replicas: dict[str, OwnedReplica] = {}
+        self._pools: dict[str, ConnectionPool] = {}
+        self._running: dict[ReadKey, QueuedRead] = {}
+        self._outbox: dict[tuple[str, str], list[ReadAnswer]] = defaultdict(list)
+        self._flush_scheduled = False
+
+    @property
+    def replicas(self) -> Mapping[str, OwnedReplica]:
+        """Replicas that this host runs reads on, by id."""
+        return self._replicas
+
+    @property
+    def running(self) -> int:
+        """Number of reads that run on upstreams."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Number of reads that wait in the queues."""
+        return sum(replica.waiting for replica in self._replicas.values())
+
+    @property
+    def open_connections(self) -> int:
+        """Connections to upstreams that are open."""
+        return sum(pool.open_connections for pool in self._pools.values())
+
+    def open_connections_of(self, replica_id: str) -> int:
+        """Return the number of open connections to one upstream."""
+        pool = self._pools.get(replica_id)
+        return pool.open_connections if pool else 0
+
+    def handle_batch(self, batch: ReadBatch) -> None:
+        """Queue the reads of ``batch``; refuse at once those that cannot run."""
+        now = time.monotonic()
+        deadline = now + batch.deadline_unix - time.time()
+        touched = set()
+        for request in batch.reads:
+            read = _queued_read(batch, request, deadline)
+            owned = self._accept(read, request.replica, now)
+            if isinstance(owned, Failure):
+                self._answer_failure(read, owned)
+                continue
+            touched.add(request.replica)
+        for replica_id in touched:
+            self._pump(self._replicas[replica_id])
+
+    def handle_cancel(self, message: CancelReads) -> None:
+        """Drop waiting reads and stop running ones that nobody needs."""
+        for number in message.reads:
+            key = ReadKey(message.sender, message.query, number)
+            read = self._running.get(key)
+            if read is not None:
+                eventlet.spawn_n(self._cancel_running, key)
+                continue
+            for replica in self._replicas.values():
+                if replica.cancel(key):
+                    break
+
+    def handle_quarantine(self, notice: QuarantineNotice) -> None:
+        """Take over a quarantine that another owner decided."""
+        self.quarantine.import_notice(
+            notice.fingerprint, notice.ttl_s, time.monotonic()
+        )
+        self.proven.discard(notice.fingerprint)
+
+    def handle_replica_notice(self, notice: ReplicaNotice) -> None:
+        """Learn from another host that a replica drains."""
+        owned = self._replicas.get(notice.replica)
+        if owned is not None and notice.draining:
+            self._set_draining(owned, notice.reason)
+
+    def handle_release(self, message: ReplicaRelease) -> None:
+        """Use all slots of a replica that its former owner released."""
+        owned = self._replicas.get(message.replica)
+        if owned is not None:
+            owned.release_received(time.monotonic())
+            self._pump(owned)
+
+    def view_changed(self) -> None:
+        """Give up replicas that another host owns, and apply draining states."""
+        for replica_id, owned in list(self._replicas.items()):
+            replica = self.view.find_replica(replica_id)
+            if replica is None:
+                self._refuse_queue(owned, FailureCode.UNAVAILABLE, "replica removed")
+                self._give_up(replica_id, None)
+                continue
+            if replica.draining:
+                self._set_draining(owned, "configuration")
+            elif owned.replica.draining and owned.draining:
+                owned.set_draining(False)
+            if replica.address != owned.replica.address:
+                self._refuse_queue(owned, FailureCode.UNAVAILABLE, "replica moved")
+                self._give_up(replica_id, None)
+                continue
+            owned.replica = replica
+            owner = self.view.owner_of(replica)
+            if owner is None or owner.id != self.host.id:
+                hint = owner.id if owner else "none"
+                self._refuse_queue(owned, FailureCode.NOT_OWNER, f"owner is {hint}")
+                self._give_up(replica_id, owner)
+
+    def tick(self) -> None:
+        """Answer reads that expired while they waited, and start what may start."""
+        now = time.monotonic()
+        for owned in list(self._replicas.values()):
+            for entry in owned.take_expired(now):
+                self._answer_failure(
+                    entry.item, Failure(FailureCode.DEADLINE, "expired in the queue")
+                )
+            self._pump(owned)
+
+    def refuse_waiting(self, code: FailureCode, reason: str) -> None:
+        """Refuse all reads that have not started."""
+        for owned in self._replicas.values():
+            self._refuse_queue(owned, code, reason)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pools.values():
+            pool.close_idle()
+
+    def _accept(
+        self, read: QueuedRead, replica_id: str, now: float
+    ) -> OwnedReplica | Failure:
+        if read.key in self._running:
+            return Failure(FailureCode.DUPLICATE_ID, "read runs already")
+        blocked = self.quarantine.check(read.fingerprint, now)
+        if blocked is not None:
+            return blocked
+        if read.trial != Trial.EXCLUSIVE and self.quarantine.is_suspect(
+            read.fingerprint, now
+        ):
+            return Failure(FailureCode.SUSPECT, "an upstream was lost to this request")
+        if not self.view.is_fresh():
+            return Failure(FailureCode.STALE_VIEW, f"{self.host.id} was paused")
+        owned = self._owned(replica_id, now)
+        if isinstance(owned, Failure):
+            return owned
+        failure = owned.submit(read, now)
+        return owned if failure is None else failure
+
+    def _owned(self, replica_id: str, now: float) -> OwnedReplica | Failure:
+        replica = self.view.find_replica(replica_id)
+        if replica is None:
+            return Failure(FailureCode.UNAVAILABLE, f"unknown replica {replica_id}")
+        owner = self.view.owner_of(replica)
+        if owner is None or owner.id != self.host.id:
+            hint = owner.id if owner else "none"
+            return Failure(FailureCode.NOT_OWNER, f"owner is {hint}")
+        owned = self._replicas.get(replica_id)
+        if owned is None:
+            quota = max(1, self.view.quota(replica))
+            owned = self._own(replica, quota, now)
+            self._replicas[replica_id] = owned
+            self._pools[replica_id] = ConnectionPool(
+                replica.address, quota, source_ip=self.source_ip
+            )
+            self.audit.record(AuditKind.OWNERSHIP_GAINED, 0, replica=replica_id)
+        return owned
+
+    def _own(self, replica: Replica, quota: int, now: float) -> OwnedReplica:
+        if not self.is_baseline:
+            return OwnedReplica(replica, self.view.floors(), now=now, takeover=True)
+        # The baseline knows no slots; it uses all connections of its share.
+        replica = replica._replace(slots=quota)
+        return OwnedReplica(replica, {}, now=now, takeover=False)
+
+    def _pump(self, owned: OwnedReplica) -> None:
+        if not self.view.is_fresh():
+            return
+        while True:
+            entry = owned.start_next(time.monotonic())
+            if entry is None:
+                return
+            self._running[entry.item.key] = entry.item
+            eventlet.spawn_n(self._run, owned, entry)
+
+    def _run(self, owned: OwnedReplica, entry) -> None:
+        read: QueuedRead = entry.item
+        started = time.monotonic()
+        pool = self._pools.get(owned.replica.id)
+        result = self._call(pool, read, started)
+        now = time.monotonic()
+        if isinstance(result, Failure) and result.code == FailureCode.LOST:
+            if owned.take_crash(read.key):
+                self._blame(owned, now)
+        elif isinstance(result, UpstreamAnswer):
+            self.quarantine.succeeded(read.fingerprint)
+            self.proven.add(read.fingerprint)
+        owned.finish(read, result, now - started, now)
+        self._running.pop(read.key, None)
+        self._answer(owned, read, result, started - entry.queued_at, now - started)
+        if isinstance(result, UpstreamAnswer) and result.draining or isinstance(result, Failure) and result.code == FailureCode.DRAINING:
+            self._set_draining(owned, "upstream")
+        self._pump(owned)
+
+    def _call(
+        self, pool: ConnectionPool | None, read: QueuedRead, now: float
+    ) -> UpstreamAnswer | Failure:
+        connection = pool.take() if pool else None
+        if connection is None:
+            return Failure(FailureCode.OVERLOAD, "no connection is free")
+        try:
+            return connection.call(
+                UpstreamCall(
+                    read.operation,
+                    read.upstream_request_id,
+                    read.shard,
+                    read.snapshot,
+                    read.parameters,
+                    max(read.deadline - now, 0.001),
+                )
+            )
+        finally:
+            pool.give_back(connection)
+
+    def _cancel_running(self, key: ReadKey) -> None:
+        read = self._running.get(key)
+        if read is None:
+            return
+        for owned in self._replicas.values():
+            if any(running.key == key for running in owned.running_reads()):
+                break
+        else:
+            return
+        pool = self._pools.get(owned.replica.id)
+        connection = pool.take() if pool else None
+        if connection is None:
+            return
+        try:
+            connection.cancel(read.upstream_request_id)
+        finally:
+            pool.give_back(connection)
+
+    def _blame(self, owned: OwnedReplica, now: float) -> None:
+        for verdict in self.quarantine.crashed(owned.running_reads(), now):
+            kind = AuditKind.QUARANTINED if verdict.quarantined else AuditKind.SUSPECT
+            self.proven.discard(verdict.fingerprint)
+            self.audit.record(
+                kind,
+                0,
+                fingerprint=f"{verdict.fingerprint:016x}",
+                replica=owned.replica.id,
+            )
+            if verdict.quarantined:
+                notice = QuarantineNotice(
+                    self.host.address,
+                    verdict.fingerprint,
+                    self.quarantine.ttl_s,
+                    f"crashed {owned.replica.id}",
+                )
+                for address in self.view.live_addresses():
+                    self.send(address, notice)
+
+    def _set_draining(self, owned: OwnedReplica, source: str) -> None:
+        if not owned.set_draining(True):
+            return
+        replica_id = owned.replica.id
+        self.audit.record(
+            AuditKind.REPLICA_DRAINING, 0, replica=replica_id, source=source
+        )
+        self._refuse_queue(owned, FailureCode.DRAINING, f"{replica_id} is draining")
+        notice = ReplicaNotice(self.host.address, replica_id, True, source)
+        for address in self.view.live_addresses():
+            self.send(address, notice)
+
+    def _give_up(self, replica_id: str, owner: Host | None) -> None:
+        self._replicas.pop(replica_id)
+        pool = self._pools.pop(replica_id)
+        pool.close_idle()
+        self.audit.record(AuditKind.OWNERSHIP_LOST, 0, replica=replica_id)
+        eventlet.spawn_n(self._release_when_idle, replica_id, pool, owner)
+
+    def _release_when_idle(
+        self, replica_id: str, pool: ConnectionPool, owner: Host | None
+    ) -> None:
+        while pool.open_connections:
+            eventlet.sleep(0.02)
+            pool.close_idle()
+        if owner is not None:
+            self.send(owner.address, ReplicaRelease(self.host.address, replica_id))
+
+    def _refuse_queue(
+        self, owned: OwnedReplica, code: FailureCode, reason: str
+    ) -> None:
+        for entry in owned.drain_queue():
+            self._answer_failure(entry.item, Failure(code, reason))
+
+    def _answer(
+        self,
+        owned: OwnedReplica,
+        read: QueuedRead,
+        result: UpstreamAnswer | Failure,
+        queued_s: float,
+        service_s: float,
+    ) -> None:
+        code = result.code if isinstance(result, Failure) else ""
+        reason = result.reason if isinstance(result, Failure) else ""
+        rows = b"" if isinstance(result, Failure) else result.rows
+        snapshot = read.snapshot if isinstance(result, Failure) else result.snapshot
+        self.metrics.read_finished(code or "ok", queued_s, service_s)
+        self._post(
+            read,
+            ReadAnswer(
+                read.key.read,
+                code,
+                reason,
+                snapshot,
+                rows,
+                queued_s,
+                service_s,
+                owned.is_pressed(),
+            ),
+        )
+
+    def _answer_failure(self, read: QueuedRead, failure: Failure) -> None:
+        pressed = failure.code in (FailureCode.DEADLINE, FailureCode.OVERLOAD)
+        self.metrics.read_finished(failure.code, 0.0, 0.0)
+        self._post(
+            read,
+            ReadAnswer(
+                read.key.read,
+                failure.code,
+                failure.reason,
+                read.snapshot,
+                b"",
+                0.0,
+                0.0,
+                pressed,
+            ),
+        )
+
+    def _post(self, read: QueuedRead, answer: ReadAnswer) -> None:
+        # Answers of one loop turn to one query share a message.
+        self._outbox[(read.key.sender, read.key.query)].append(answer)
+        if not self._flush_scheduled:
+            self._flush_scheduled = True
+            eventlet.spawn_n(self._flush)
+
+    def _flush(self) -> None:
+        self._flush_scheduled = False
+        outbox = self._outbox
+        self._outbox = defaultdict(list)
+        for (sender, query), answers in outbox.items():
+            failure = self.send(sender, ReadAnswers(query, answers))
+            if failure is not None:
+                logger.warning("answer to {} not sent: {}", sender, failure.reason)
+
+
+def _queued_read(batch: ReadBatch, request: ReadRequest, deadline: float) -> QueuedRead:
+    return QueuedRead(
+        ReadKey(batch.sender, batch.query, request.read),
+        batch.request_id,
+        batch.rank,
+        deadline,
+        batch.operation,
+        batch.snapshot,
+        request.shard,
+        batch.fingerprint,
+        Trial(request.trial),
+        batch.parameters,
+    )
--- /dev/null
+++ b/cicadalever/queries/_answer.py
@@ -0,0 +1,29 @@
+"""The answer to a query, before it is written as JSON."""
+
+from typing import NamedTuple
+
+from cicadalever.outcomes import Failure, Outcome
+
+from ._query import Coverage
+
+NO_COVERAGE = Coverage(0, (), ())
+
+
+class QueryAnswer(NamedTuple):
+    """Outcome, coverage and rows of a query.
+
+    ``rows`` maps each covered shard to the JSON bytes that its upstream sent.
+    ``failure`` says why the outcome is not complete. ``retry_after_s`` is set when
+    the request did not run and may be sent again.
+    """
+
+    outcome: Outcome
+    snapshot: int = 0
+    version: int = 0
+    coverage: Coverage = NO_COVERAGE
+    rows: dict[str, bytes] = {}
+    failure: Failure | None = None
+    retry_after_s: float | None = None
+    hedges: int = 0
+    retries: int = 0
+    refused_by_owner: bool = False
--- /dev/null
+++ b/cicadalever/queries/_gather.py
@@ -0,0 +1,404 @@
+"""One fan-out of a query: sends its reads and collects the answers."""
+
+import heapq
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from eventlet.queue import Empty, LightQueue
+
+from cicadalever.configuration import Configuration
+from cicadalever.outcomes import Failure, FailureCode, is_not_run
+from cicadalever.quarantine import canary_order
+from cicadalever.scheduling import Rank
+from cicadalever.topology import Replica
+from cicadalever.transport import (
+    CancelReads,
+    ReadAnswer,
+    ReadBatch,
+    ReadRequest,
+    Trial,
+)
+
+from ._query import Query, ShardRead
+
+MAX_TRIES = 8
+RETRY_DELAY_S = 0.01
+RETRY_DELAY_MAX_S = 0.5
+# An interactive query does not wait longer for a shard without a reachable replica:
+# during a partition a partial answer now is worth more than one at the deadline.
+MAX_INTERACTIVE_POSTPONEMENTS = 3
+POSTPONE_DELAY_S = 0.02
+# The caller's connection is looked at this often while a query waits.
+CONNECTION_CHECK_S = 0.1
+
+_RESTART_CODES = frozenset({FailureCode.SNAPSHOT_GONE})
+_REFUSAL_CODES = frozenset({FailureCode.DEADLINE, FailureCode.OVERLOAD})
+_FINAL_CODES = frozenset({FailureCode.QUARANTINED, FailureCode.INVALID})
+
+
+class PlannedRead(NamedTuple):
+    """A read that is to be sent."""
+
+    shard: str
+    trial: Trial
+    replica: Replica
+
+
+class Gather:
+    """Drives one ``Query`` until it is complete, hopeless or out of time."""
+
+    def __init__(
+        self,
+        coordinator,
+        work,
+        query: Query,
+        configuration: Configuration,
+        mailbox: LightQueue,
+    ):
+        self.coordinator = coordinator
+        self.work = work
+        self.query = query
+        self.configuration = configuration
+        self.mailbox = mailbox
+        self.hedges = 0
+        self.retries = 0
+        self.restart_wanted = False
+        self.refused_by_owner = False
+        self._hedge_at: list[tuple[float, int]] = []
+        self._retry_at: list[tuple[float, str, Trial]] = []
+        self._unsent: list[str] = []
+        self._gone: set[str] = set()
+        self._postponements: Counter[str] = Counter()
+
+    def run(self, is_caller_connected: Callable[[], bool], may_restart: bool) -> None:
+        """Send all reads and wait for the answers, at most until the deadline."""
+        self._send_first_wave()
+        while not self._is_finished():
+            now = time.monotonic()
+            if now >= self.work.deadline:
+                break
+            try:
+                answers = self.mailbox.get(timeout=self._wait_time(now))
+            except Empty:
+                answers = ()
+                if self.work.idempotent and not is_caller_connected():
+                    break
+            self._receive(answers)
+            if may_restart and self._is_snapshot_gone():
+                self.restart_wanted = True
+                break
+            self._send_due(time.monotonic())
+        self._cancel_outstanding()
+
+    def _is_finished(self) -> bool:
+        if self.query.is_complete:
+            return True
+        return not (self.query.outstanding or self._retry_at or self._unsent)
+
+    def _wait_time(self, now: float) -> float:
+        wake_at = min(self.work.deadline, now + CONNECTION_CHECK_S)
+        if self._hedge_at:
+            wake_at = min(wake_at, self._hedge_at[0][0])
+        if self._retry_at:
+            wake_at = min(wake_at, self._retry_at[0][0])
+        return max(wake_at - now, 0.0005)
+
+    def _send_first_wave(self) -> None:
+        shards = list(self.query.shards)
+        if self._needs_canary(shards):
+            canary = shards[self.work.fingerprint % len(shards)]
+            self._unsent = [shard for shard in shards if shard != canary]
+            self._send([self._plan_trial(canary, Trial.CANARY)])
+            return
+        self._send_normal(shards)
+
+    def _needs_canary(self, shards: list[str]) -> bool:
+        coordinator = self.coordinator
+        return (
+            coordinator.policy.canary
+            and len(shards) > 1
+            and self.work.fingerprint not in coordinator.proven
+        )
+
+    def _send_normal(self, shards: list[str]) -> None:
+        plans = [self._plan(shard) for shard in shards]
+        self.coordinator.budget.earn(len(plans), time.monotonic())
+        self._send(plans)
+
+    def _plan(self, shard: str) -> PlannedRead | None:
+        """Choose a replica for a read, preferring one that was not tried."""
+        coordinator = self.coordinator
+        candidates = self._usable_replicas(shard)
+        if not candidates:
+            self._postpone(shard, Trial.NORMAL)
+            return None
+        now = time.monotonic()
+        tried = self.query.tried_replicas(shard)
+        replica = coordinator.selector.choose(candidates, now, exclude=tried)
+        if replica is None:
+            replica = coordinator.selector.choose(candidates, now)
+        return PlannedRead(shard, Trial.NORMAL, replica)
+
+    def _plan_trial(self, shard: str, trial: Trial) -> PlannedRead | None:
+        """Choose the replica that the fingerprint names for a trial.
+
+        All copies of a request meet at the same two replicas, so that it costs no
+        more than these two if it crashes them.
+        """
+        replicas = self._usable_replicas(shard)
+        if not replicas:
+            self._postpone(shard, trial)
+            return None
+        order = canary_order(self.work.fingerprint, replicas)
+        position = 0 if trial == Trial.CANARY else 1 % len(order)
+        return PlannedRead(shard, trial, order[position])
+
+    def _postpone(self, shard: str, trial: Trial) -> None:
+        """Look again later for a replica whose owner can be reached."""
+        self.query.fail_shard(
+            shard,
+            Failure(FailureCode.UNREACHABLE, "no replica with a reachable owner"),
+        )
+        count = self._postponements[shard]
+        interactive = self.work.rank == Rank.INTERACTIVE
+        if interactive and count >= MAX_INTERACTIVE_POSTPONEMENTS:
+            return
+        self._postponements[shard] += 1
+        delay_s = min(POSTPONE_DELAY_S * 2**count, RETRY_DELAY_MAX_S)
+        heapq.heappush(self._retry_at, (time.monotonic() + delay_s, shard, trial))
+
+    def _usable_replicas(self, shard: str) -> list[Replica]:
+        coordinator = self.coordinator
+        service = self.query.shards[shard]
+        usable = []
+        for replica in self.configuration.replicas_of(service):
+            if replica.draining:
+                continue
+            owner = coordinator.view.owner_of(replica)
+            if owner is not None and coordinator.view.is_reachable(owner.address):
+                usable.append(replica)
+        return usable
+
+    def _send(self, plans: list[PlannedRead | None]) -> None:
+        coordinator = self.coordinator
+        now = time.monotonic()
+        by_owner: dict[str, list[ReadRequest]] = defaultdict(list)
+        for plan in plans:
+            if plan is None:
+                continue
+            owner = coordinator.view.owner_of(plan.replica)
+            read = self.query.start_read(
+                plan.shard, plan.replica.id, owner.address, plan.trial, now
+            )
+            coordinator.selector.started(plan.replica.id, now)
+            by_owner[owner.address].append(
+                ReadRequest(read.number, plan.replica.id, plan.shard, plan.trial)
+            )
+            self._schedule_hedge(read)
+        for address, reads in by_owner.items():
+            failure = coordinator.send(address, self._batch(reads))
+            if failure is not None:
+                self.mailbox.put([_synthetic_answer(read, failure) for read in reads])
+
+    def _batch(self, reads: list[ReadRequest]) -> ReadBatch:
+        work = self.work
+        return ReadBatch(
+            self.coordinator.view.self_address,
+            self.query.query_id,
+            work.request_id,
+            int(work.rank),
+            time.time() + work.deadline - time.monotonic(),
+            work.route.operation,
+            self.query.snapshot,
+            work.fingerprint,
+            work.parameters,
+            reads,
+        )
+
+    def _schedule_hedge(self, read: ShardRead) -> None:
+        if not (self.coordinator.policy.hedging and self.work.idempotent):
+            return
+        if self.query.tries(read.shard) > 1:
+            return
+        delay_s = self.coordinator.latencies.hedge_delay(read.shard, read.started)
+        heapq.heappush(self._hedge_at, (read.started + delay_s, read.number))
+
+    def _receive(self, answers) -> None:
+        now = time.monotonic()
+        for answer in answers:
+            if answer.pressure:
+                self.coordinator.budget.note_pressure(now)
+            accepted = self.query.accept(answer)
+            if accepted is None:
+                continue
+            read, failure = accepted
+            latency_s = now - read.started
+            self.coordinator.selector.finished(
+                read.replica,
+                None if failure is not None else latency_s,
+                failure is None,
+                now,
+            )
+            if failure is None:
+                self._accept_rows(read, latency_s, now)
+            else:
+                self._handle_failure(read, failure, now)
+
+    def _accept_rows(self, read: ShardRead, latency_s: float, now: float) -> None:
+        self.coordinator.latencies.add(read.shard, latency_s, now)
+        for rival in self.query.rivals_of(read.shard):
+            self._cancel_rival(rival, now)
+        if self._unsent:
+            self.coordinator.proven.add(self.work.fingerprint)
+            unsent, self._unsent = self._unsent, []
+            self._send_normal(unsent)
+
+    def _cancel_rival(self, rival: ShardRead, now: float) -> None:
+        failure = Failure(FailureCode.CANCELLED, "another replica answered first")
+        self.query.give_up(rival, failure)
+        # A cancelled read says nothing about its replica: one read in a hundred being
+        # slow must not turn the load away from it.
+        self.coordinator.selector.finished(rival.replica, None, True, now)
+        self.coordinator.send(
+            rival.owner,
+            CancelReads(
+                self.coordinator.view.self_address,
+                self.query.query_id,
+                [rival.number],
+            ),
+        )
+
+    def _handle_failure(self, read: ShardRead, failure: Failure, now: float) -> None:
+        if failure.code in _REFUSAL_CODES:
+            self.refused_by_owner = True
+        if failure.code in _RESTART_CODES:
+            self._note_gone(read)
+        if failure.code in _FINAL_CODES:
+            self._stop_sending()
+            return
+        if not self.query.is_open(read.shard) or not self._may_retry(failure, now):
+            self._fail_canary(read, failure)
+            return
+        self.retries += 1
+        trial = Trial.NORMAL
+        if read.trial != Trial.NORMAL or failure.code == FailureCode.SUSPECT:
+            trial = Trial.EXCLUSIVE
+        heapq.heappush(
+            self._retry_at, (now + self._retry_delay(read.shard), read.shard, trial)
+        )
+
+    def _may_retry(self, failure: Failure, now: float) -> bool:
+        coordinator = self.coordinator
+        if is_not_run(failure.code):
+            return True
+        if not self.work.idempotent:
+            return False
+        if failure.code == FailureCode.HOST_LOST:
+            # The loss of a host fails many reads at once, more than the budget holds.
+            return True
+        return not coordinator.policy.budgeted_retries or coordinator.budget.try_spend(
+            now
+        )
+
+    def _retry_delay(self, shard: str) -> float:
+        tries = self.query.tries(shard)
+        replicas = self.configuration.replicas_of(self.query.shards[shard])
+        if tries < len(replicas):
+            return 0.0
+        delay_s = RETRY_DELAY_S * 2 ** (tries - len(replicas))
+        jitter = 0.5 + self.coordinator.rng.random()
+        return min(delay_s, RETRY_DELAY_MAX_S) * jitter
+
+    def _note_gone(self, read: ShardRead) -> None:
+        service = self.query.shards[read.shard]
+        replicas = {replica.id for replica in self.configuration.replicas_of(service)}
+        if replicas <= self.query.tried_replicas(read.shard):
+            self._gone.add(read.shard)
+
+    def _is_snapshot_gone(self) -> bool:
+        if not self._gone:
+            return False
+        newest = self.coordinator.view.configuration().newest_snapshot()
+        return newest.id > self.query.snapshot
+
+    def _fail_canary(self, read: ShardRead, failure: Failure) -> None:
+        """Give the whole query up when its trial failed for good."""
+        if self._unsent and not self.query.outstanding and not self._retry_at:
+            self._stop_sending_because(failure)
+
+    def _stop_sending_because(self, failure: Failure) -> None:
+        for shard in self._unsent:
+            self.query.fail_shard(shard, failure)
+        self._unsent = []
+
+    def _stop_sending(self) -> None:
+        self._retry_at.clear()
+        self._hedge_at.clear()
+        failure = Failure(FailureCode.QUARANTINED, "the request is quarantined")
+        self._stop_sending_because(failure)
+
+    def _send_due(self, now: float) -> None:
+        plans = []
+        while self._retry_at and self._retry_at[0][0] <= now:
+            _, shard, trial = heapq.heappop(self._retry_at)
+            if not self.query.is_open(shard):
+                continue
+            if self.query.tries(shard) >= MAX_TRIES:
+                self._fail_canary(None, self.query.failure_of(shard))
+                continue
+            plans.append(
+                self._plan(shard)
+                if trial == Trial.NORMAL
+                else self._plan_trial(shard, trial)
+            )
+        while self._hedge_at and self._hedge_at[0][0] <= now:
+            _, number = heapq.heappop(self._hedge_at)
+            plans.append(self._plan_hedge(number, now))
+        if plans:
+            self._send(plans)
+        if self._unsent and not self.query.outstanding and not self._retry_at:
+            self._stop_sending_because(
+                Failure(FailureCode.UNREACHABLE, "no replica for the first read")
+            )
+
+    def _plan_hedge(self, number: int, now: float) -> PlannedRead | None:
+        read = self.query.outstanding.get(number)
+        if read is None or self.query.is_covered(read.shard):
+            return None
+        if len(self._usable_replicas(read.shard)) < 2:
+            return None
+        if read.trial != Trial.NORMAL:
+            plan = self._plan_trial(read.shard, Trial.EXCLUSIVE)
+        else:
+            plan = self._plan(read.shard)
+        if plan is None or plan.replica.id == read.replica:
+            return None
+        if not self.coordinator.budget.try_spend(now):
+            return None
+        self.hedges += 1
+        return plan
+
+    def _cancel_outstanding(self) -> None:
+        if not self.work.idempotent:
+            return
+        by_owner: dict[str, list[int]] = defaultdict(list)
+        for read in self.query.outstanding.values():
+            by_owner[read.owner].append(read.number)
+            self.coordinator.selector.finished(
+                read.replica, None, False, time.monotonic()
+            )
+        for address, numbers in by_owner.items():
+            self.coordinator.send(
+                address,
+                CancelReads(
+                    self.coordinator.view.self_address, self.query.query_id, numbers
+                ),
+            )
+
+
+def _synthetic_answer(request: ReadRequest, failure: Failure) -> ReadAnswer:
+    return ReadAnswer(
+        request.read, failure.code, failure.reason, 0, b"", 0.0, 0.0, False
+    )
--- /dev/null
+++ b/cicadalever/queries/_query.py
@@ -0,0 +1,180 @@
+"""Aggregate for one query: its pinned snapshot, its reads and its coverage."""
+
+from typing import NamedTuple
+
+from cicadalever.outcomes import Failure, FailureCode, is_not_run
+from cicadalever.transport import ReadAnswer, Trial
+
+
+class ShardRead(NamedTuple):
+    """One read that was sent; ``started`` is in monotonic seconds."""
+
+    number: int
+    shard: str
+    replica: str
+    owner: str
+    started: float
+    trial: Trial
+
+
+class MissingShard(NamedTuple):
+    """A shard that the answer does not cover, and why."""
+
+    shard: str
+    code: str
+    reason: str
+
+
+class Coverage(NamedTuple):
+    """Which shards of the pinned map the answer covers."""
+
+    total: int
+    covered: tuple[str, ...]
+    missing: tuple[MissingShard, ...]
+
+    @property
+    def fraction(self) -> float:
+        """Covered shards as a fraction of all; 1.0 for an empty map."""
+        return len(self.covered) / self.total if self.total else 1.0
+
+
+class Query:
+    """State of one query against one pinned snapshot.
+
+    The shard map is fixed when the query begins. Rows are accepted only for a read
+    that this query sent, only once per shard, and only from the pinned snapshot.
+    """
+
+    def __init__(self, query_id: str, snapshot: int, shards: dict[str, str]):
+        self.query_id = query_id
+        self.snapshot = snapshot
+        self.shards = shards
+        self._rows: dict[str, bytes] = {}
+        self._failures: dict[str, Failure] = {}
+        self._outstanding: dict[int, ShardRead] = {}
+        self._tries: dict[str, int] = dict.fromkeys(shards, 0)
+        self._tried: dict[str, set[str]] = {}
+        self._pending: dict[str, int] = dict.fromkeys(shards, 0)
+        self._next_number = 0
+        self._may_have_run = False
+
+    @property
+    def outstanding(self) -> dict[int, ShardRead]:
+        """Reads without an answer, by number."""
+        return self._outstanding
+
+    @property
+    def rows(self) -> dict[str, bytes]:
+        """JSON rows of the covered shards."""
+        return self._rows
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every shard of the pinned map is covered."""
+        return len(self._rows) == len(self.shards)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any read of this query ran or may have run on an upstream."""
+        return self._may_have_run or bool(self._rows) or bool(self._outstanding)
+
+    def tries(self, shard: str) -> int:
+        """Return how many reads were sent for ``shard``."""
+        return self._tries[shard]
+
+    def tried_replicas(self, shard: str) -> set[str]:
+        """Return the replicas to which reads of ``shard`` were sent."""
+        return self._tried.get(shard, set())
+
+    def is_open(self, shard: str) -> bool:
+        """Tell whether ``shard`` has neither rows nor a read on the way."""
+        return shard not in self._rows and not self._pending[shard]
+
+    def is_covered(self, shard: str) -> bool:
+        """Tell whether rows of ``shard`` are there."""
+        return shard in self._rows
+
+    def start_read(
+        self, shard: str, replica: str, owner: str, trial: Trial, now: float
+    ) -> ShardRead:
+        """Register a read that is about to be sent."""
+        read = ShardRead(self._next_number, shard, replica, owner, now, trial)
+        self._next_number += 1
+        self._outstanding[read.number] = read
+        self._tries[shard] += 1
+        self._pending[shard] += 1
+        self._tried.setdefault(shard, set()).add(replica)
+        return read
+
+    def accept(self, answer: ReadAnswer) -> tuple[ShardRead, Failure | None] | None:
+        """Take in an answer; return its read and its failure.
+
+        Returns None for an answer to a read that is no longer outstanding.
+        """
+        read = self._outstanding.pop(answer.read, None)
+        if read is None:
+            return None
+        self._pending[read.shard] -= 1
+        failure = self._failure_of(answer)
+        if failure is None:
+            self._may_have_run = True
+            self._rows.setdefault(read.shard, answer.rows)
+            return read, None
+        self.fail(read, failure)
+        return read, failure
+
+    def give_up(self, read: ShardRead, failure: Failure) -> None:
+        """Stop waiting for a read; its late answer will be dropped."""
+        if self._outstanding.pop(read.number, None) is not None:
+            self._pending[read.shard] -= 1
+        self.fail(read, failure)
+
+    def fail(self, read: ShardRead, failure: Failure) -> None:
+        """Record why a read gave no rows."""
+        self._failures[read.shard] = failure
+        if not is_not_run(failure.code):
+            self._may_have_run = True
+
+    def rivals_of(self, shard: str) -> list[ShardRead]:
+        """Return reads of a covered shard that are still on the way."""
+        if not self._pending[shard]:
+            return []
+        return [read for read in self._outstanding.values() if read.shard == shard]
+
+    def drop_rows(self, shard: str, failure: Failure) -> None:
+        """Leave a shard out of the answer."""
+        del self._rows[shard]
+        self._may_have_run = True
+        self._failures[shard] = failure
+
+    def fail_shard(self, shard: str, failure: Failure) -> None:
+        """Record why no read could be sent for a shard."""
+        self._failures[shard] = failure
+
+    def failure_of(self, shard: str) -> Failure | None:
+        """Return the last failure of a shard."""
+        return self._failures.get(shard)
+
+    def coverage(self) -> Coverage:
+        """Count the coverage against the pinned shard map."""
+        covered = tuple(shard for shard in self.shards if shard in self._rows)
+        missing = tuple(
+            self._missing(shard) for shard in self.shards if shard not in self._rows
+        )
+        return Coverage(len(self.shards), covered, missing)
+
+    def _missing(self, shard: str) -> MissingShard:
+        failure = self._failures.get(shard)
+        if failure is None:
+            failure = Failure(FailureCode.DEADLINE, "no answer before the deadline")
+        return MissingShard(shard, str(failure.code), failure.reason)
+
+    def _failure_of(self, answer: ReadAnswer) -> Failure | None:
+        if answer.code:
+            return Failure(FailureCode(answer.code), answer.reason)
+        if answer.snapshot != self.snapshot:
+            return Failure(
+                FailureCode.UNKNOWN,
+                f"rows of snapshot {answer.snapshot}, wanted {self.snapshot}",
+            )
+        return None
--- a/cicadalever/transport/__init__.py
+++ b/cicadalever/transport/__init__.py
@@ -1,6 +1,6 @@
 """Messages between daemons, their codec and the sockets that carry them."""
 
-from ._codec import decode, encode
+from ._codec import decode, encode, register
 from ._messages import (
     CancelReads,
     ConfigurationReply,
@@ -35,4 +35,5 @@
     "Trial",
     "decode",
     "encode",
+    "register",
 ]
--- a/cicadalever/transport/_messages.py
+++ b/cicadalever/transport/_messages.py
@@ -108,10 +108,13 @@
 
 
 class ConfigurationReply(NamedTuple):
-    """A full document as JSON bytes, with the sequence it was folded up to."""
+    """A newer configuration, as log entries or as a full document, both JSON.
 
-    sequence: int
-    version: int
+    ``entries`` holds the log entries that follow the requested sequence, if the
+    sender still has them; else ``document`` holds the full document.
+    """
+
+    entries: list[bytes]
     document: bytes
 
 
--- a/cicadalever/transport/_network.py
+++ b/cicadalever/transport/_network.py
@@ -1,5 +1,6 @@
 """Sockets between daemons: one listening socket, one sending socket per peer."""
 
+import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,8 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
 MESSAGES_PER_TURN = 64
+# Time in seconds that a connection may take to be set up or set up again.
+CONNECT_GRACE_S = 0.3
 
 
 class PeerNetwork:
@@ -40,6 +43,7 @@
         self.source_ip = source_ip
         self._receiver: pynng.Pull0 | None = None
         self._senders: dict[str, pynng.Push0] = {}
+        self._disconnected_since: dict[str, float] = {}
         self._sent_bytes: Counter[str] = Counter()
         self._received_bytes: Counter[str] = Counter()
 
@@ -70,9 +74,31 @@
         self._sent_bytes[type(message).__name__] += len(frame)
         return None
 
+    def is_reachable(self, address: str) -> bool:
+        """Tell whether messages to ``address`` can be expected to arrive.
+
+        False when the connection has been down for ``CONNECT_GRACE_S``. A peer that
+        was never dialled counts as reachable.
+        """
+        since = self._disconnected_since.get(address)
+        return since is None or time.monotonic() - since < CONNECT_GRACE_S
+
+    def poll_connections(self) -> list[str]:
+        """Look at all connections; return the addresses that were just lost."""
+        lost = []
+        now = time.monotonic()
+        for address, sender in self._senders.items():
+            if sender.pipes:
+                self._disconnected_since.pop(address, None)
+            elif address not in self._disconnected_since:
+                self._disconnected_since[address] = now
+                lost.append(address)
+        return lost
+
     def forget(self, address: str) -> None:
         """Close the socket to a peer that left and drop what waits in it."""
         sender = self._senders.pop(address, None)
+        self._disconnected_since.pop(address, None)
         if sender is not None:
             sender.close()
 
@@ -93,6 +119,7 @@
         source = f"{self.source_ip};" if self.source_ip else ""
         sender.dial(f"tcp://{source}{address}", block=False)
         self._senders[address] = sender
+        self._disconnected_since[address] = time.monotonic()
         return sender
 
     def _receive_loop(self) -> None:
--- /dev/null
+++ b/cicadalever/upstreams/_connection.py
@@ -0,0 +1,162 @@
+"""One kept-open HTTP connection to an upstream."""
+
+import http.client
+import socket
+from typing import NamedTuple
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from cicadalever.outcomes import Failure, FailureCode
+
+CONNECT_TIMEOUT_S = 1.0
+# The upstream enforces the deadline too; the margin lets its answer arrive first.
+DEADLINE_MARGIN_S = 0.05
+CANCEL_TIMEOUT_S = 1.0
+
+_HEADER_NOT_RUN = "X-Not-Run"
+_NOT_RUN_CODES = {
+    "shed": FailureCode.SHED,
+    "draining": FailureCode.DRAINING,
+    "cold": FailureCode.UNAVAILABLE,
+    "deadline": FailureCode.DEADLINE,
+    "snapshot": FailureCode.SNAPSHOT_GONE,
+    "cancelled": FailureCode.CANCELLED,
+}
+_LIBRARY_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+)
+
+
+class UpstreamCall(NamedTuple):
+    """One request to an upstream; ``remaining_s`` is the time to its deadline."""
+
+    operation: str
+    request_id: str
+    shard: str
+    snapshot: int
+    parameters: bytes
+    remaining_s: float
+
+
+class UpstreamAnswer(NamedTuple):
+    """A successful answer: the JSON rows and the snapshot they were read from."""
+
+    rows: bytes
+    snapshot: int
+    draining: bool
+
+
+class UpstreamConnection:
+    """A connection that is opened at the first call and kept open.
+
+    Failures tell whether the request can have run: ``unreachable`` says that it was
+    never sent; ``lost`` and ``timeout`` say that it may have run.
+    """
+
+    def __init__(self, address: str, *, source_ip: str | None = None):
+        self.address = address
+        self.source_ip = source_ip
+        self._connection: HTTPConnection | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is established as far as is known."""
+        return self._connection is not None
+
+    def call(self, call: UpstreamCall) -> UpstreamAnswer | Failure:
+        """Send one request and wait for its answer."""
+        if self._connection is not None and self._is_closed_by_upstream():
+            # An idle connection that the upstream closed must not be taken for a
+            # request that was lost while it ran.
+            self.close()
+        if self._connection is None:
+            failure = self._connect(call.remaining_s)
+            if failure is not None:
+                return failure
+        self._connection.sock.settimeout(call.remaining_s + DEADLINE_MARGIN_S)
+        try:
+            response = self._exchange(call)
+            body = response.data
+        except (TimeoutError, urllib3.exceptions.TimeoutError):
+            self.close()
+            return Failure(FailureCode.TIMEOUT, f"no answer from {self.address}")
+        except _LIBRARY_ERRORS as error:
+            self.close()
+            return Failure(FailureCode.LOST, f"{self.address}: {error}")
+        if response.headers.get("Connection", "").lower() == "close":
+            self.close()
+        return _read_response(response, body, self.address)
+
+    def cancel(self, request_id: str) -> None:
+        """Ask the upstream to stop a request; a failure is ignored."""
+        if self._connection is None and self._connect(CANCEL_TIMEOUT_S) is not None:
+            return
+        self._connection.sock.settimeout(CANCEL_TIMEOUT_S)
+        try:
+            self._connection.request("DELETE", f"/v1/requests/{request_id}")
+            _ = self._connection.getresponse().data
+        except _LIBRARY_ERRORS:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection; the next call opens a new one."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _connect(self, remaining_s: float) -> Failure | None:
+        host, _, port = self.address.rpartition(":")
+        source = (self.source_ip, 0) if self.source_ip else None
+        connection = HTTPConnection(
+            host,
+            int(port),
+            timeout=min(CONNECT_TIMEOUT_S, max(remaining_s, 0.001)),
+            source_address=source,
+        )
+        try:
+            connection.connect()
+        except _LIBRARY_ERRORS as error:
+            connection.close()
+            return Failure(FailureCode.UNREACHABLE, f"connect {self.address}: {error}")
+        self._connection = connection
+        return None
+
+    def _is_closed_by_upstream(self) -> bool:
+        raw = self._connection.sock
+        raw.setblocking(False)
+        try:
+            return raw.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            raw.setblocking(True)
+
+    def _exchange(self, call: UpstreamCall):
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": call.request_id,
+            "X-Shard": call.shard,
+            "X-Snapshot": str(call.snapshot),
+            "X-Deadline-Ms": str(max(1, int(call.remaining_s * 1000))),
+        }
+        path = f"/v1/{call.operation}"
+        self._connection.request("POST", path, body=call.parameters, headers=headers)
+        return self._connection.getresponse()
+
+
+def _read_response(response, body: bytes, address: str) -> UpstreamAnswer | Failure:
+    if response.status == 200:
+        try:
+            snapshot = int(response.headers.get("X-Snapshot", ""))
+        except ValueError:
+            return Failure(FailureCode.UNKNOWN, f"{address}: no X-Snapshot in answer")
+        return UpstreamAnswer(body, snapshot, response.headers.get("X-Draining") == "1")
+    code = _NOT_RUN_CODES.get(response.headers.get(_HEADER_NOT_RUN, ""))
+    if code is None:
+        return Failure(FailureCode.UNKNOWN, f"{address}: status {response.status}")
+    return Failure(code, f"{address}: {code}")
--- /dev/null
+++ b/cicadalever/upstreams/_pool.py
@@ -0,0 +1,43 @@
+"""Bounded set of connections to one upstream."""
+
+from ._connection import UpstreamConnection
+
+
+class ConnectionPool:
+    """Keeps at most ``quota`` connections to one upstream.
+
+    ``take`` returns None when all are in use. The most recently used idle connection
+    is taken first, so that connections that are not needed are closed by ``trim``.
+    """
+
+    def __init__(self, address: str, quota: int, *, source_ip: str | None = None):
+        self.address = address
+        self.quota = quota
+        self.source_ip = source_ip
+        self._idle: list[UpstreamConnection] = []
+        self._in_use = 0
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open or about to be opened."""
+        return self._in_use + sum(connection.is_open for connection in self._idle)
+
+    def take(self) -> UpstreamConnection | None:
+        """Return a connection for exclusive use."""
+        if self._in_use >= self.quota:
+            return None
+        self._in_use += 1
+        if self._idle:
+            return self._idle.pop()
+        return UpstreamConnection(self.address, source_ip=self.source_ip)
+
+    def give_back(self, connection: UpstreamConnection) -> None:
+        """Return a connection after use."""
+        self._in_use -= 1
+        self._idle.append(connection)
+
+    def close_idle(self) -> None:
+        """Close all connections that are not in use."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
