Add rank queue, limits, admission and replica selection

Change: RankQueue, AdaptiveLimit, AdmissionControl, LatencyQuantile, ExtraLoadBudget and ReplicaSelector in cicadalever.scheduling, as pure logic. In the test model of a fleet, completed work stays above 0.9 of capacity at 2 and 10 times the load it can take.

--- /dev/null
+++ b/cicadalever/scheduling/_admission.py
@@ -0,0 +1,179 @@
+"""Admission of whole queries at the entry."""
+
+from collections.abc import Hashable
+from enum import StrEnum
+from random import Random
+
+from cicadalever.outcomes import Failure, FailureCode
+
+from ._queue import RankQueue
+from ._rank import Rank
+
+DECREASE_FACTOR = 0.8
+MIN_WINDOW = 1.0
+ELAPSED_WEIGHT = 0.1
+
+# Queries that owners refuse at once finish within a millisecond. Without a lower
+# bound for the round-trip they would close the window before any query completes.
+MIN_ROUND_TRIP_S = 0.01
+
+# Share of the queries that are admitted although they are expected to be late. If
+# none were, an estimate above every deadline would never be corrected.
+PROBE_PROBABILITY = 0.05
+
+
+class Decision(StrEnum):
+    """What happens to an offered query that is not refused."""
+
+    ADMIT = "admit"
+    WAIT = "wait"
+
+
+class _RankState:
+    """Window, running queries and waiting queries of one rank."""
+
+    __slots__ = ("decreased_at", "expected_s", "queue", "running", "window")
+
+    def __init__(self, window: float, max_queue: int):
+        self.window = window
+        self.queue = RankQueue({}, max_queue)
+        self.running = 0
+        self.expected_s = 0.0
+        self.decreased_at = float("-inf")
+
+    def has_room(self) -> bool:
+        return self.running + 1 <= self.window
+
+    def expected_wait_s(self) -> float:
+        """Return the seconds that a query added to the queue now would wait."""
+        return (len(self.queue) + 1) * self.expected_s / self.window
+
+    def latest_start(self, now: float) -> float:
+        """Return the deadline up to which a waiting query is not worth starting.
+
+        When nothing runs, only a passed deadline counts, since the expected time
+        cannot be measured again otherwise.
+        """
+        return now + self.expected_s if self.running else now
+
+
+class AdmissionControl:
+    """A window of running queries and a bounded queue for each rank.
+
+    ``initial_window`` and ``max_window`` count queries, at least 1. At most
+    ``max_queue`` queries of each rank wait. A window falls by a fifth, at most once
+    per round-trip, when owners refused reads of a query that was admitted after the
+    last fall. It grows by one per window of other queries while it is fully used.
+
+    The caller runs an admitted query and then calls ``finish``. It calls
+    ``next_ready`` after each ``finish`` and on its tick.
+    """
+
+    def __init__(
+        self, *, initial_window: float, max_window: float, max_queue: int, rng: Random
+    ):
+        if not MIN_WINDOW <= initial_window <= max_window:
+            raise ValueError(
+                f"windows must be {MIN_WINDOW} <= initial_window <= max_window,"
+                f" got {initial_window}, {max_window}"
+            )
+        self.initial_window = initial_window
+        self.max_window = max_window
+        self.max_queue = max_queue
+        self.rng = rng
+        self._states = [_RankState(float(initial_window), max_queue) for _ in Rank]
+
+    @property
+    def windows(self) -> dict[Rank, float]:
+        """The number of queries of each rank that may run at once."""
+        return {rank: self._states[rank].window for rank in Rank}
+
+    @property
+    def running(self) -> dict[Rank, int]:
+        """The number of admitted queries of each rank that have not finished."""
+        return {rank: self._states[rank].running for rank in Rank}
+
+    @property
+    def waiting(self) -> dict[Rank, int]:
+        """The number of queries of each rank that wait."""
+        return {rank: len(self._states[rank].queue) for rank in Rank}
+
+    def offer(
+        self, key: Hashable, rank: Rank, deadline: float, now: float
+    ) -> Decision | Failure:
+        """Admit a query, let it wait, or refuse it as not run.
+
+        The codes are ``DEADLINE`` (the query cannot finish in time even without a
+        wait) and ``OVERLOAD`` (the wait is too long or the queue is full). A key that
+        waits already is a ``DUPLICATE_ID``.
+        """
+        state = self._states[rank]
+        if deadline <= now:
+            return Failure(FailureCode.DEADLINE, "deadline has passed")
+        if state.has_room() and not state.queue:
+            return self._admit(state, deadline, now)
+        wait_s = state.expected_wait_s()
+        if now + wait_s + state.expected_s > deadline:
+            reason = f"expected wait is {wait_s:.3f} s"
+            return Failure(FailureCode.OVERLOAD, reason)
+        refusal = state.queue.push(key, None, rank=rank, deadline=deadline, now=now)
+        return Decision.WAIT if refusal is None else refusal
+
+    def finish(
+        self, rank: Rank, *, refused: bool, elapsed_s: float, now: float
+    ) -> None:
+        """Count an admitted query as finished and adapt the window of its rank.
+
+        ``refused`` says that owners refused reads of the query for overload or
+        deadline. ``elapsed_s`` is the time in seconds since it was admitted.
+        """
+        state = self._states[rank]
+        if state.running == 0:
+            raise RuntimeError(f"finish without an admitted query of rank {rank.name}")
+        fully_used = not state.has_room()
+        state.running -= 1
+        if refused:
+            self._decrease(state, elapsed_s, now)
+            return
+        if not state.expected_s:
+            state.expected_s = elapsed_s
+        state.expected_s += ELAPSED_WEIGHT * (elapsed_s - state.expected_s)
+        if fully_used:
+            state.window = min(self.max_window, state.window + 1.0 / state.window)
+
+    def next_ready(self, now: float) -> list[tuple[Hashable, Decision | Failure]]:
+        """Return the waiting queries that are now admitted or refused."""
+        ready = []
+        for state in self._states:
+            if not state.queue:
+                continue
+            latest = state.latest_start(now)
+            for entry in state.queue.take_expired(latest):
+                reason = f"waited {now - entry.queued_at:.3f} s"
+                ready.append((entry.key, Failure(FailureCode.DEADLINE, reason)))
+            while state.queue and state.has_room():
+                state.running += 1
+                ready.append((state.queue.pop(latest).key, Decision.ADMIT))
+        return ready
+
+    def cancel(self, key: Hashable) -> bool:
+        """Remove a waiting query; return False when it does not wait."""
+        return any(state.queue.remove(key) for state in self._states)
+
+    def _admit(
+        self, state: _RankState, deadline: float, now: float
+    ) -> Decision | Failure:
+        is_late = now + state.expected_s > deadline and state.running > 0
+        if is_late and self.rng.random() >= PROBE_PROBABILITY:
+            reason = f"a query takes {state.expected_s:.3f} s"
+            return Failure(FailureCode.DEADLINE, reason)
+        state.running += 1
+        return Decision.ADMIT
+
+    def _decrease(self, state: _RankState, elapsed_s: float, now: float) -> None:
+        started_at = now - elapsed_s
+        round_trip_s = max(state.expected_s, MIN_ROUND_TRIP_S)
+        if started_at < state.decreased_at or now < state.decreased_at + round_trip_s:
+            return
+        state.window = max(MIN_WINDOW, state.window * DECREASE_FACTOR)
+        state.decreased_at = now
--- /dev/null
+++ b/tests/test_scheduling.py
@@ -0,0 +1,329 @@
+"""Tests of the rank queue, the limits, the budget and the choice of replicas."""
+
+import unittest
+from collections import Counter
+from heapq import heappop, heappush
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadalever import scheduling
+from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.scheduling import Decision, Feedback, Rank, RankQueue
+from cicadalever.topology import Replica
+
+FLOORS = {Rank.BATCH: 0.10, Rank.REPORT: 0.05}
+FIXED = settings(derandomize=True, deadline=None, max_examples=200, database=None)
+
+
+def push(queue, key, rank, deadline=9e9, now=0):
+    """Push ``now`` as the item and return the refusal, if any."""
+    return queue.push(key, now, rank=Rank(rank), deadline=deadline, now=now)
+
+
+class TestRankQueue(unittest.TestCase):
+    """Order, floors and expiry."""
+
+    @FIXED
+    @given(st.lists(st.sampled_from([(0,), (1,), (0, 1), (2,), ()]), max_size=300))
+    def test_floor_holds_in_every_window(self, arrivals):
+        """Guards against a flood of urgent work starving a rank that waits."""
+        queue = RankQueue(FLOORS)
+        served = []
+        for number in range(400):
+            push(queue, number, Rank.REPORT)
+        for step, ranks in enumerate(arrivals + [(0, 1)] * 100):
+            for rank in ranks:
+                push(queue, (rank, step), rank)
+            served.append(queue.pop(0).rank)
+        for start in range(len(served) - 99):
+            window = Counter(served[start : start + 100])
+            self.assertGreaterEqual(window[Rank.REPORT], 3)
+        self.assertGreaterEqual(Counter(served[-100:])[Rank.BATCH], 8)
+
+    def test_urgent_first_apart_from_floors(self):
+        """Guards against floors taking more than their share."""
+        queue = RankQueue(FLOORS)
+        for number in range(3000):
+            push(queue, number, number % 3)
+        served = Counter(queue.pop(0).rank for _ in range(1000))
+        for rank, expected in ((0, 850), (1, 100), (2, 50)):
+            self.assertAlmostEqual(served[rank], expected, delta=1)
+
+    @FIXED
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 6), st.integers(0, 4), st.integers(-1, 20)),
+            max_size=400,
+        )
+    )
+    def test_every_entry_leaves_exactly_once(self, steps):
+        """Guards against lost or doubled reads and against running late ones."""
+        queue = RankQueue(FLOORS, max_length=3)
+        waiting = {}
+        for now, (action, key, life) in enumerate(steps):
+            left = []
+            if action < 3:
+                if push(queue, key, action, now + life, now) is None:
+                    waiting[now] = now + life
+            elif action == 3:
+                left = [entry for entry in [queue.pop(now)] if entry]
+                self.assertTrue(all(entry.deadline > now for entry in left))
+            elif action == 4:
+                left = [entry for entry in [queue.remove(key)] if entry]
+            elif action == 5:
+                left = queue.take_expired(now)
+                self.assertTrue(all(entry.deadline <= now for entry in left))
+            elif life == 0:
+                left = queue.drain()
+            for entry in left:
+                self.assertEqual(waiting.pop(entry.item), entry.deadline)
+            if action == 5:
+                self.assertTrue(all(deadline > now for deadline in waiting.values()))
+                self.assertEqual(len(queue), len(waiting))
+        self.assertEqual({entry.item for entry in queue.drain()}, set(waiting))
+
+    def test_deadline_heap_stays_bounded(self):
+        """Guards against memory growing with reads that left long ago."""
+        queue = RankQueue(FLOORS)
+        for number in range(2000):
+            push(queue, number, Rank.BATCH)
+            queue.pop(0) if number % 2 else queue.remove(number)
+        self.assertLess(len(queue._deadlines), 200)
+
+    def test_refusals_and_estimate(self):
+        """Guards against one full rank refusing others and against wrong waits."""
+        queue = RankQueue(FLOORS, max_length=20)
+        for number in range(20):
+            push(queue, number, Rank.REPORT)
+        self.assertEqual(push(queue, "x", Rank.REPORT).code, FailureCode.OVERLOAD)
+        self.assertEqual(push(queue, 3, Rank.BATCH).code, FailureCode.DUPLICATE_ID)
+        self.assertIsNone(push(queue, "x", Rank.BATCH))
+        self.assertEqual(queue.estimate_wait(Rank.INTERACTIVE, 0.1, 2), 0)
+        self.assertAlmostEqual(queue.estimate_wait(Rank.REPORT, 0.1, 2), 21 * 0.05)
+
+
+class TestAdaptiveLimit(unittest.TestCase):
+    """Falls and rises."""
+
+    def test_burst_of_shed_answers_counts_once(self):
+        """Guards against one burst closing the limit."""
+        limit = scheduling.AdaptiveLimit(10, maximum=10)
+        while limit.try_acquire():
+            pass
+        for expected in [7] * 10 + [4]:
+            limit.in_flight or limit.try_acquire()
+            limit.release(Feedback.SHED, 1.0)
+            self.assertEqual(limit.limit, expected)
+
+    def test_one_fall_per_service_time(self):
+        """Guards against shed answers that return faster than reads run."""
+        limit = scheduling.AdaptiveLimit(10, maximum=10)
+        limit.try_acquire()
+        limit.release(Feedback.OK, 0.0, 1.0)
+        for step in range(100):
+            limit.try_acquire()
+            limit.release(Feedback.SHED, step / 101)
+        self.assertEqual(limit.limit, 7)
+
+    def test_recovers_but_stays_in_bounds(self):
+        """Guards against a limit that stays at its minimum after an overload."""
+        limit = scheduling.AdaptiveLimit(4, maximum=4)
+        for feedback, expected in (("timeout", 1), ("lost", 1), ("ok", 4)):
+            for _ in range(60):
+                limit.try_acquire()
+                limit.release(Feedback(feedback), 1.0)
+                while feedback == "ok" and limit.try_acquire():
+                    pass
+            self.assertEqual(limit.limit, expected)
+
+
+def make_control(initial, maximum, max_queue, seed=1):
+    """Return an admission control."""
+    return scheduling.AdmissionControl(
+        initial_window=initial,
+        max_window=maximum,
+        max_queue=max_queue,
+        rng=Random(seed),
+    )
+
+
+def flood(overload: int, initial_window: int, seed: int) -> tuple[float, float]:
+    """Return the completed share of capacity and the least window after 2 s.
+
+    A fleet runs 40 queries of 20 to 80 ms at once and refuses one that would wait
+    longer than 25 ms there. Deadlines are 500 ms.
+    """
+    control = make_control(initial_window, 500, 64, seed)
+    rank, free, events = Rank.INTERACTIVE, [0.0] * 40, [(0.0, 0, "arrive", None)]
+    completed, least = 0, float("inf")
+
+    def send(key, now):
+        start = max(now, free[0])
+        refused = start - now > 0.025
+        done = now + 0.001 if refused else start + control.rng.uniform(0.02, 0.08)
+        if not refused:
+            heappop(free)
+            heappush(free, done)
+        heappush(events, (done, key, "finish", (now, refused)))
+
+    while events[0][0] < 8.0:
+        now, key, kind, detail = heappop(events)
+        if kind == "arrive":
+            gap = control.rng.expovariate(overload * 800)
+            heappush(events, (now + gap, key + 1, "arrive", None))
+            if control.offer(key, rank, now + 0.5, now) is Decision.ADMIT:
+                send(key, now)
+            continue
+        started, refused = detail
+        control.finish(rank, refused=refused, elapsed_s=now - started, now=now)
+        if now > 2:
+            completed += not refused
+            least = min(least, control.windows[rank])
+        for ready, decision in control.next_ready(now):
+            if decision is Decision.ADMIT:
+                send(ready, now)
+    return completed / (800 * 6), least
+
+
+class TestAdmissionControl(unittest.TestCase):
+    """Windows under load."""
+
+    def test_flood_neither_collapses_nor_wastes(self):
+        """Guards against completed work falling when offered work rises."""
+        for overload, initial_window in ((2, 5), (10, 5), (10, 500)):
+            share, least = flood(overload, initial_window, 1)
+            self.assertGreater(share, 0.9, (overload, initial_window))
+            self.assertGreater(least, 25, (overload, initial_window))
+
+    def test_one_fall_per_round_trip(self):
+        """Guards against one burst of refusals closing the window."""
+        control = make_control(100, 100, 3)
+        for key in range(90):
+            control.offer(key, Rank.BATCH, 9.0, 0.0)
+        for now, elapsed_s in ((1.0, 1.0), (1.005, 0.001), (2.0, 2.0)) * 30:
+            control.finish(Rank.BATCH, refused=True, elapsed_s=elapsed_s, now=now)
+        self.assertEqual(control.windows, {0: 100, 1: 80, 2: 100})
+
+    def test_grows_by_one_per_round_trip_while_used(self):
+        """Guards against a window that overshoots, or grows while nobody needs it."""
+        control = make_control(4, 9, 9)
+        for key, expected in enumerate((4, 4, 4, 4.25)):
+            for other in range(key + 1):
+                control.offer((key, other), Rank.BATCH, 9.0, 0.0)
+            for _ in range(key + 1):
+                control.finish(Rank.BATCH, refused=False, elapsed_s=0.1, now=0.1)
+            self.assertEqual(control.windows[Rank.BATCH], expected)
+
+    def test_waits_then_admits_refuses_or_cancels(self):
+        """Guards against queries that wait for ever or run too late."""
+        control = make_control(1, 1, 3)
+        rank = Rank.REPORT
+        self.assertIs(control.offer("a", rank, 9.0, 0.0), Decision.ADMIT)
+        for key, deadline in (("b", 1.5), ("c", 9.0), ("d", 9.0)):
+            self.assertIs(control.offer(key, rank, deadline, 0.0), Decision.WAIT)
+        full = control.offer("e", rank, 9.0, 0.0)
+        self.assertEqual(full.code, FailureCode.OVERLOAD)
+        self.assertEqual((control.cancel("d"), control.cancel("d")), (True, False))
+        control.finish(rank, refused=False, elapsed_s=2.0, now=2.0)
+        ready = dict(control.next_ready(2.0))
+        self.assertEqual(ready["b"].code, FailureCode.DEADLINE)
+        self.assertIs(ready["c"], Decision.ADMIT)
+        late = control.offer("f", rank, 5.0, 2.0)
+        self.assertEqual(late.code, FailureCode.OVERLOAD)
+
+    def test_estimate_above_every_deadline_is_measured_again(self):
+        """Guards against refusing everything because of one slow period."""
+        control = make_control(9, 9, 9)
+        rank, refused = Rank.BATCH, 0
+        control.offer("first", rank, 99.0, 0.0)
+        control.finish(rank, refused=False, elapsed_s=50.0, now=0.0)
+        control.offer("runs on", rank, 99.0, 0.0)
+        for key in range(2000):
+            if isinstance(control.offer(key, rank, 1.0, 0.0), Failure):
+                refused += 1
+            else:
+                control.finish(rank, refused=False, elapsed_s=0.1, now=0.0)
+        self.assertTrue(100 < refused < 1500, refused)
+
+
+class TestLatencyQuantile(unittest.TestCase):
+    """Accuracy and the sliding window."""
+
+    def test_quantile_of_recent_samples_only(self):
+        """Guards against hedge delays from a slow period that is over."""
+        quantile = scheduling.LatencyQuantile(0.95, window_s=60, min_samples=50)
+        for number in range(1, 1001):
+            quantile.add(number / 1000, 0.0)
+        self.assertAlmostEqual(quantile.value(1.0), 0.95, delta=0.02)
+        for number in range(120):
+            quantile.add(0.001, 40.0 + number / 2)
+        self.assertAlmostEqual(quantile.value(100.0), 0.001, delta=1e-4)
+        self.assertIsNone(quantile.value(200.0))
+
+
+class TestExtraLoadBudget(unittest.TestCase):
+    """The bound on extra reads."""
+
+    @FIXED
+    @given(st.lists(st.tuples(st.integers(0, 200), st.booleans())))
+    def test_extra_reads_stay_below_ratio(self, steps):
+        """Guards against hedges and retries that add load to an overload."""
+        budget = scheduling.ExtraLoadBudget(0.05, max_stock=20)
+        now, earned, spent, calm_from = 0.0, 0.0, 0, 0.0
+        for reads, pressure in steps:
+            now += 0.3
+            if pressure:
+                budget.note_pressure(now)
+                calm_from = now + 1.0
+            budget.earn(reads, now)
+            earned += reads * 0.05 if now >= calm_from else 0.0
+            while budget.try_spend(now):
+                spent += 1
+        self.assertLessEqual(spent, earned + 1e-6)
+
+
+class TestReplicaSelector(unittest.TestCase):
+    """Preferences of the choice."""
+
+    def setUp(self):
+        self.selector = scheduling.ReplicaSelector(Random(1), data_centre="x")
+
+    def shares(self, data_centres, now=0.0, exclude=(), draining=()):
+        replicas = [
+            Replica(f"r{number}", "s", "", data_centre, 2, 12, number in draining)
+            for number, data_centre in enumerate(data_centres)
+        ]
+        chosen = [self.selector.choose(replicas, now, exclude) for _ in range(300)]
+        return Counter(replica and replica.id for replica in chosen)
+
+    def observe(self, replica_id, latency_s, ok=True):
+        for _ in range(20):
+            self.selector.started(replica_id, 0.0)
+            self.selector.finished(replica_id, latency_s, ok, 0.0)
+
+    def test_prefers_idle_fast_and_healthy(self):
+        """Guards against reads that pile up on a slow, busy or failing replica."""
+        for latency_s, ok in ((0.2, True), (0.001, False)):
+            self.setUp()
+            self.observe("r0", latency_s, ok)
+            self.observe("r1", 0.01)
+            self.assertEqual(self.shares("xx"), {"r1": 300})
+            later = self.shares("xx", 120.0)
+            self.assertGreater(later["r0"], 100, "never measured again")
+        self.setUp()
+        self.selector.started("r1", 0.0)
+        self.assertEqual(self.shares("xx"), {"r0": 300})
+
+    def test_same_data_centre_unless_clearly_slower(self):
+        """Guards against cross-site reads, and against keeping a slow local one."""
+        self.assertEqual(set(self.shares("xyyx")), {"r0", "r3"})
+        for replica_id, latency_s in zip("0312", (0.1, 0.1, 0.01, 0.01), strict=True):
+            self.observe("r" + replica_id, latency_s)
+        self.assertEqual(set(self.shares("xyyx")), {"r1", "r2"})
+
+    def test_never_draining_or_excluded(self):
+        """Guards against new work for a leaving replica."""
+        self.assertEqual(self.shares("xxx", 0, ["r1"], [0]), {"r2": 300})
+        self.assertEqual(self.shares("xxx", 0, ["r1", "r2"], [0]), {None: 300})
