--- /dev/null
+++ b/cicadalever/metrics/_metrics.py
@@ -0,0 +1,299 @@
+"""Metrics of one daemon, named after the events that change them.
+
+Labelled children are bound once, because looking one up by its label values costs
+more than changing it.
+"""
+
+from collections import Counter as Totals
+from collections.abc import Mapping
+from typing import Literal
+
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+
+from cicadalever.outcomes import FailureCode, Outcome
+from cicadalever.scheduling import Rank
+
+CONTENT_TYPE = CONTENT_TYPE_LATEST
+PREFIX = "cicadalever_"
+
+# Seconds. Lookups are measured against 73 ms; reports may take minutes.
+QUERY_BUCKETS = (
+    *(0.005, 0.01, 0.02, 0.03, 0.05, 0.073, 0.1, 0.15, 0.2, 0.3, 0.5),
+    *(1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0),
+)
+READ_BUCKETS = (
+    *(0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.2, 0.5),
+    *(1.0, 2.0, 5.0, 10.0, 60.0),
+)
+LAG_BUCKETS = (0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0)
+COVERAGE_BUCKETS = (0.0, 0.5, 0.9, 0.95, 0.99, 0.999, 1.0)
+
+OK = "ok"
+NO_RANK = "none"
+Direction = Literal["sent", "received"]
+
+
+class Metrics:
+    """Counts, gauges and histograms in a registry of their own.
+
+    Times are seconds. Ranks are ``Rank`` values; a request that was refused before
+    its rank was known has the rank None.
+
+    >>> metrics = Metrics()
+    >>> metrics.query_finished(Rank.BATCH, Outcome.COMPLETE, 0.02, 1.0)
+    >>> b'queries_total{outcome="complete",rank="batch"} 1.0' in metrics.render()
+    True
+    """
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        ProcessCollector(registry=self._registry)
+        self._create_query_metrics()
+        self._create_read_metrics()
+        self._create_replica_metrics()
+        self._create_fleet_metrics()
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format named by ``CONTENT_TYPE``."""
+        return generate_latest(self._registry)
+
+    def query_finished(
+        self,
+        rank: Rank | None,
+        outcome: Outcome,
+        seconds: float,
+        coverage: float | None,
+    ) -> None:
+        """Count a caller query; ``coverage`` is 0 to 1, None if nothing was read."""
+        self._queries[rank, outcome].inc()
+        if rank is None:
+            return
+        self._query_seconds[rank].observe(seconds)
+        if coverage is not None:
+            self._query_coverage[rank].observe(coverage)
+
+    def admission_changed(
+        self, rank: Rank, window: float, running: int, waiting: int
+    ) -> None:
+        """Set the admission window and the queries running and waiting in it."""
+        self._windows[rank].set(window)
+        self._running[rank].set(running)
+        self._waiting[rank].set(waiting)
+
+    def read_finished(
+        self, code: FailureCode | str, queued_s: float, service_s: float
+    ) -> None:
+        """Count a read on its owner; ``code`` is empty when it succeeded.
+
+        A read that was refused before it started has ``service_s`` 0, which is not
+        observed.
+        """
+        self._reads[code or OK].inc()
+        self._queue_seconds.observe(queued_s)
+        if service_s > 0:
+            self._service_seconds.observe(service_s)
+
+    def read_hedged(self) -> None:
+        """Count a read that was sent to a second replica while the first ran."""
+        self._hedges.inc()
+
+    def read_retried(self) -> None:
+        """Count a read that was sent again after a failure or refusal."""
+        self._retries.inc()
+
+    def extra_load_changed(self, stock: float) -> None:
+        """Set how many extra reads the budget allows now."""
+        self._stock.set(stock)
+
+    def replica_changed(
+        self, replica_id: str, queued: int, limit: int, connections: int
+    ) -> None:
+        """Set queue length, limit and open connections of an owned replica."""
+        gauges = self._replicas.get(replica_id)
+        if gauges is None:
+            gauges = tuple(family.labels(replica_id) for family in self._families)
+            self._replicas[replica_id] = gauges
+            self._owned.set(len(self._replicas))
+        for gauge, value in zip(gauges, (queued, limit, connections), strict=True):
+            gauge.set(value)
+
+    def replica_released(self, replica_id: str) -> None:
+        """Drop the series of a replica that this host owns no longer."""
+        if self._replicas.pop(replica_id, None) is None:
+            return
+        for family in self._families:
+            family.remove(replica_id)
+        self._owned.set(len(self._replicas))
+
+    def members_changed(self, counts: Mapping[str, int]) -> None:
+        """Set the number of members by state; a state not given becomes 0."""
+        for state in self._member_states - counts.keys():
+            self._members.labels(state).set(0)
+        for state, count in counts.items():
+            self._members.labels(state).set(count)
+        self._member_states |= counts.keys()
+
+    def peer_bytes_counted(
+        self, direction: Direction, totals: Mapping[str, int]
+    ) -> None:
+        """Take over the bytes counted so far by message type.
+
+        The totals only grow, as those of ``PeerNetwork`` do.
+        """
+        for message_type, total in totals.items():
+            key = message_type, direction
+            self._peer_bytes.labels(*key).inc(total - self._peer_totals[key])
+            self._peer_totals[key] = total
+
+    def configuration_changed(self, sequence: int, version: int) -> None:
+        """Set the log sequence and the version in force."""
+        self._sequence.set(sequence)
+        self._version.set(version)
+
+    def platform_contacted(self, age_s: float) -> None:
+        """Set the time since the last contact with the platform."""
+        self._platform_age.set(age_s)
+
+    def quarantine_changed(self, fingerprints: int) -> None:
+        """Set the number of quarantined fingerprints."""
+        self._quarantined.set(fingerprints)
+
+    def audit_recorded(self, kind: str) -> None:
+        """Count an audit event."""
+        self._audit.labels(kind).inc()
+
+    def loop_lagged(self, seconds: float) -> None:
+        """Observe how late a timer of the event loop fired."""
+        self._lag.observe(seconds)
+
+    def _create_query_metrics(self) -> None:
+        queries = self._counter(
+            "queries", "Caller queries by rank and outcome.", "rank", "outcome"
+        )
+        self._queries = {
+            (rank, outcome): queries.labels(_rank_name(rank), outcome.value)
+            for rank in (*Rank, None)
+            for outcome in Outcome
+        }
+        self._query_seconds = _by_rank(
+            self._histogram(
+                "query_seconds",
+                "Time from the arrival of a caller query to its answer.",
+                QUERY_BUCKETS,
+                "rank",
+            )
+        )
+        self._query_coverage = _by_rank(
+            self._histogram(
+                "query_coverage_ratio",
+                "Covered shards divided by all shards of a query.",
+                COVERAGE_BUCKETS,
+                "rank",
+            )
+        )
+        self._windows = _by_rank(
+            self._gauge(
+                "admission_window_queries", "Queries that may run at once.", "rank"
+            )
+        )
+        self._running = _by_rank(
+            self._gauge("queries_running", "Caller queries running now.", "rank")
+        )
+        self._waiting = _by_rank(
+            self._gauge(
+                "queries_waiting", "Caller queries waiting for admission.", "rank"
+            )
+        )
+
+    def _create_read_metrics(self) -> None:
+        reads = self._counter("reads", "Reads on this owner by result code.", "code")
+        codes = (OK, *FailureCode)
+        self._reads = {code: reads.labels(str(code)) for code in codes}
+        self._queue_seconds = self._histogram(
+            "read_queue_seconds", "Time of a read in the owner's queue.", READ_BUCKETS
+        )
+        self._service_seconds = self._histogram(
+            "read_service_seconds", "Time of a read at its upstream.", READ_BUCKETS
+        )
+        self._hedges = self._counter(
+            "hedges", "Reads sent to a second replica while the first ran."
+        )
+        self._retries = self._counter(
+            "retries", "Reads sent again after a failure or refusal."
+        )
+        self._stock = self._gauge(
+            "extra_load_stock_reads", "Extra reads that the budget allows now."
+        )
+
+    def _create_replica_metrics(self) -> None:
+        self._families = (
+            self._gauge(
+                "replica_queue_reads", "Reads queued for an owned replica.", "replica"
+            ),
+            self._gauge(
+                "replica_limit_reads",
+                "Reads that may run at once on an owned replica.",
+                "replica",
+            ),
+            self._gauge(
+                "replica_connections", "Connections open to a replica.", "replica"
+            ),
+        )
+        self._replicas: dict[str, tuple[Gauge, ...]] = {}
+        self._owned = self._gauge("owned_replicas", "Replicas that this host owns.")
+
+    def _create_fleet_metrics(self) -> None:
+        self._members = self._gauge("members", "Known members by state.", "state")
+        self._member_states: set[str] = set()
+        self._peer_bytes = self._counter(
+            "peer_bytes",
+            "Bytes of messages between daemons, by message type and direction.",
+            "type",
+            "direction",
+        )
+        self._peer_totals: Totals[tuple[str, str]] = Totals()
+        self._sequence = self._gauge(
+            "configuration_sequence", "Last sequence of the log that was applied."
+        )
+        self._version = self._gauge(
+            "configuration_version", "Configuration version in force."
+        )
+        self._platform_age = self._gauge(
+            "platform_contact_age_seconds", "Time since the last platform contact."
+        )
+        self._quarantined = self._gauge(
+            "quarantined_fingerprints", "Fingerprints that are refused."
+        )
+        self._audit = self._counter("audit_events", "Audit events by kind.", "kind")
+        self._lag = self._histogram(
+            "event_loop_lag_seconds", "Lateness of the loop's timer.", LAG_BUCKETS
+        )
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(PREFIX + name, text, labels, registry=self._registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(PREFIX + name, text, labels, registry=self._registry)
+
+    def _histogram(
+        self, name: str, text: str, buckets: tuple[float, ...], *labels: str
+    ) -> Histogram:
+        return Histogram(
+            PREFIX + name, text, labels, buckets=buckets, registry=self._registry
+        )
+
+
+def _rank_name(rank: Rank | None) -> str:
+    return NO_RANK if rank is None else rank.name.lower()
+
+
+def _by_rank(family: Gauge | Histogram) -> dict[Rank, Gauge | Histogram]:
+    return {rank: family.labels(_rank_name(rank)) for rank in Rank}
