--- /dev/null
+++ b/cicadalever/cli/_ask.py
@@ -0,0 +1,206 @@
+"""Sends a caller's request, and sends it again when that is safe and wanted."""
+
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from cicadalever.outcomes import Outcome
+
+from ._client import Client, NoAnswer, Reply
+from ._exit import OUTCOME_CODES, ExitCode
+from ._tables import Column, align, printable, render_table, show, show_json
+
+# A host that cannot be reached names no time to wait.
+DEFAULT_RETRY_S = 1.0
+# Bounds on the time that a host names: no busy loop, no wait that looks like a hang.
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 60.0
+
+ROW_COLUMNS = (Column("SHARD", "shard"), Column("ROW", "row", show_json))
+
+
+class AskPlan(NamedTuple):
+    """How to send a request.
+
+    ``body`` lacks the id. ``request_id`` is given when a request is sent again with
+    the id of an earlier attempt. Without ``wait`` there is one attempt; with it, no
+    attempt begins ``give_up_s`` seconds or more after the first.
+    """
+
+    entry: str
+    body: dict[str, Any]
+    once: bool = False
+    request_id: str | None = None
+    wait: bool = False
+    give_up_s: float = 3600.0
+
+
+class Asker:
+    """Runs an ``AskPlan``.
+
+    ``announce_id`` is called with each new id before the request is sent with it, so
+    that the operator knows the id even if this process ends.
+    """
+
+    def __init__(
+        self,
+        client: Client,
+        plan: AskPlan,
+        *,
+        announce_id: Callable[[str], None],
+        note: Callable[[str], None],
+        clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], None] = time.sleep,
+    ):
+        self.client = client
+        self.plan = plan
+        self.announce_id = announce_id
+        self.note = note
+        self.clock = clock
+        self.sleep = sleep
+        self._request_id = plan.request_id
+        self._may_have_run = False
+        self._was_lost = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a request that must run only once was sent and not answered."""
+        return self._may_have_run
+
+    def ask(self) -> Reply | NoAnswer:
+        """Return the answer of the last attempt."""
+        end = self.clock() + self.plan.give_up_s
+        while True:
+            answer = self._attempt()
+            if not self.plan.wait or not self._is_worth_resending(answer):
+                return answer
+            delay = retry_delay(answer)
+            if self.clock() + delay >= end:
+                self.note(f"gave up after {self.plan.give_up_s:g} s")
+                return answer
+            reason = answer.reason
+            self.note(f"{answer.address}: {reason}; sending again in {delay:g} s")
+            self.sleep(delay)
+
+    def _attempt(self) -> Reply | NoAnswer:
+        if not self.plan.once:
+            return self.client.post(self.plan.entry, "/v1/queries", self.plan.body)
+        if self._request_id is None:
+            failure = self._take_id()
+            if failure is not None:
+                return failure
+        body = {"id": self._request_id, "idempotent": False, **self.plan.body}
+        self._may_have_run = True
+        answer = self.client.post(self.plan.entry, "/v1/queries", body)
+        self._may_have_run = exit_code(answer, once=True) == ExitCode.UNKNOWN
+        self._was_lost = self._was_lost or isinstance(answer, NoAnswer)
+        if self._is_refusal(answer) and self._may_take_new_id():
+            # The issuing process repeats its verdict on a known id, and the refused
+            # request certainly did not run, so the next attempt takes a new id.
+            self._request_id = None
+        return answer
+
+    def _may_take_new_id(self) -> bool:
+        # An earlier attempt without an answer may have run. The same id then stays
+        # the only protection against a second run.
+        return self.plan.request_id is None and not self._was_lost
+
+    def _take_id(self) -> Reply | NoAnswer | None:
+        answer = self.client.post(self.plan.entry, "/v1/ids", {"count": 1})
+        if isinstance(answer, NoAnswer):
+            # The request itself was not sent, whatever became of the id.
+            return answer._replace(reason=f"no id: {answer.reason}", sent=False)
+        if answer.status >= 500:
+            reason = f"no id: {answer.reason}"
+            refusal = {**answer.value, "outcome": Outcome.NOT_RUN, "reason": reason}
+            refusal.pop("error", None)
+            return answer._replace(value=refusal)
+        ids = answer.value.get("ids")
+        if answer.status != 200:
+            return answer
+        if not isinstance(ids, list) or not ids or not isinstance(ids[0], str):
+            return NoAnswer(answer.address, "no id in the answer of /v1/ids", False)
+        self._request_id = ids[0]
+        self.announce_id(ids[0])
+        return None
+
+    def _is_worth_resending(self, answer: Reply | NoAnswer) -> bool:
+        if self._is_refusal(answer):
+            return self.plan.request_id is None
+        code = exit_code(answer, once=self.plan.once)
+        return isinstance(answer, NoAnswer) or code == ExitCode.UNREACHABLE
+
+    @staticmethod
+    def _is_refusal(answer: Reply | NoAnswer) -> bool:
+        return bool(answer) and answer.value.get("outcome") == Outcome.NOT_RUN
+
+
+def retry_delay(answer: Reply | NoAnswer) -> float:
+    """Return how many seconds to wait before the next attempt."""
+    named = answer.value.get("retry_after_s") if answer else None
+    if isinstance(named, bool) or not isinstance(named, int | float):
+        return DEFAULT_RETRY_S
+    return min(max(named, MIN_RETRY_S), MAX_RETRY_S)
+
+
+def exit_code(answer: Reply | NoAnswer, *, once: bool) -> ExitCode:
+    """Return what the answer means to a script.
+
+    An answer without a known outcome leaves open what became of the request, which
+    matters only if it must run once.
+    """
+    if isinstance(answer, NoAnswer):
+        return ExitCode.UNKNOWN if once and answer.sent else ExitCode.UNREACHABLE
+    outcome = answer.value.get("outcome")
+    if isinstance(outcome, str) and outcome in OUTCOME_CODES:
+        return OUTCOME_CODES[Outcome(outcome)]
+    if 400 <= answer.status < 500:
+        return ExitCode.INVALID
+    return ExitCode.UNKNOWN if once else ExitCode.UNREACHABLE
+
+
+def render_answer(value: dict[str, Any]) -> list[str]:
+    """Return the rows of an answer, then what it says about itself."""
+    rows = value.get("rows")
+    shards = sorted(rows.items()) if isinstance(rows, dict) else []
+    table = [
+        {"shard": shard, "row": row}
+        for shard, shard_rows in shards
+        for row in (shard_rows if isinstance(shard_rows, list) else [shard_rows])
+    ]
+    lines = render_table(ROW_COLUMNS, table) + [""] if table else []
+    return lines + align(_summary(value))
+
+
+def _summary(value: dict[str, Any]) -> list[list[str]]:
+    lines = [["outcome", show(value.get("outcome"))]]
+    if value.get("reason"):
+        lines.append(["reason", show(value["reason"])])
+    lines += _coverage(value.get("coverage"))
+    lines += [
+        ["snapshot", show(value.get("snapshot"))],
+        ["version", show(value.get("version"))],
+        ["latency", f"{show(value.get('elapsed_ms'))} ms"],
+        ["host", show(value.get("host"))],
+        ["id", show(value.get("id"))],
+    ]
+    if value.get("retry_after_s") is not None:
+        lines.append(["retry after", f"{show(value['retry_after_s'])} s"])
+    return lines
+
+
+def _coverage(coverage: Any) -> list[list[str]]:
+    if not isinstance(coverage, dict):
+        return []
+    covered = coverage.get("covered")
+    count = len(covered) if isinstance(covered, list) else covered
+    lines = [["coverage", f"{show(count)}/{show(coverage.get('total'))}"]]
+    missing = coverage.get("missing")
+    for item in missing if isinstance(missing, list) else []:
+        if not isinstance(item, dict):
+            item = {"shard": item}
+        shard, code, reason = (
+            show(item.get(field)) for field in ("shard", "code", "reason")
+        )
+        lines.append(["missing", printable(f"{shard}  {code}: {reason}")])
+    return lines
--- /dev/null
+++ b/cicadalever/cli/_audit.py
@@ -0,0 +1,123 @@
+"""Reads the audit trail of one host, page by page."""
+
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from ._client import Client, NoAnswer, Reply
+from ._tables import show
+
+PAGE_EVENTS = 1000
+
+
+class AuditReader:
+    """Yields the events of a host's audit trail after a sequence, oldest first."""
+
+    def __init__(
+        self,
+        client: Client,
+        address: str,
+        *,
+        after: int = 0,
+        kind: str | None = None,
+        note: Callable[[str], None],
+        sleep: Callable[[float], None] = time.sleep,
+    ):
+        self.client = client
+        self.address = address
+        self.kind = kind
+        self.note = note
+        self.sleep = sleep
+        self._after = after
+        self._incarnation: int | None = None
+
+    def read_available(self) -> list[dict[str, Any]] | NoAnswer:
+        """Return all events that the host holds now."""
+        events: list[dict[str, Any]] = []
+        while True:
+            page = self._read_page()
+            if isinstance(page, NoAnswer):
+                return page
+            events += page
+            if len(page) < PAGE_EVENTS:
+                return events
+
+    def follow(self, interval_s: float) -> Iterator[dict[str, Any]]:
+        """Yield events for ever; a host that does not answer is asked again."""
+        reachable = True
+        while True:
+            events = self.read_available()
+            if isinstance(events, NoAnswer):
+                if reachable:
+                    self.note(f"{events}; trying again every {interval_s:g} s")
+                reachable = False
+            else:
+                reachable = True
+                yield from events
+            self.sleep(interval_s)
+
+    def _read_page(self) -> list[dict[str, Any]] | NoAnswer:
+        reply = self._get()
+        if isinstance(reply, Reply) and self._has_restarted(reply.value):
+            self.note(f"{self.address}: the host restarted; its audit trail is new")
+            self._after = 0
+            reply = self._get()
+        if isinstance(reply, NoAnswer):
+            return reply
+        events = reply.value.get("events")
+        if reply.status != 200 or not _are_events(events):
+            return NoAnswer(self.address, f"no audit events: {reply.reason}", True)
+        self._incarnation = reply.value.get("incarnation")
+        self._note_gap(events)
+        self._advance(events, reply.value.get("last_sequence"))
+        return events
+
+    def _get(self) -> Reply | NoAnswer:
+        return self.client.get(
+            self.address,
+            "/v1/audit",
+            after=self._after,
+            kind=self.kind,
+            limit=PAGE_EVENTS,
+        )
+
+    def _has_restarted(self, value: dict[str, Any]) -> bool:
+        known = self._incarnation is not None
+        return known and value.get("incarnation") != self._incarnation
+
+    def _note_gap(self, events: list[dict[str, Any]]) -> None:
+        # With a filter, a gap between sequences says nothing.
+        if self.kind is None and events and self._after > 0:
+            lost = events[0]["sequence"] - self._after - 1
+            if lost > 0:
+                self.note(f"{lost} events were overwritten before they were read")
+
+    def _advance(self, events: list[dict[str, Any]], last: Any) -> None:
+        if events:
+            self._after = events[-1]["sequence"]
+        # A page that is not full covers everything up to the newest event.
+        if len(events) < PAGE_EVENTS and isinstance(last, int):
+            self._after = max(self._after, last)
+
+
+def render_event(event: dict[str, Any]) -> str:
+    """Return an event as one line: UTC time, sequence, version, kind, details."""
+    seconds = event.get("time_unix")
+    moment = ""
+    if isinstance(seconds, int | float):
+        moment = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
+        moment += f".{int(seconds * 1000) % 1000:03d}Z"
+    details = event.get("details")
+    pairs = details.items() if isinstance(details, dict) else ()
+    fields = [show(event.get(name)) for name in ("sequence", "version", "kind")]
+    text = " ".join(f"{show(name)}={show(value)}" for name, value in pairs)
+    return "  ".join(
+        [show(moment), fields[0].rjust(6), f"v{fields[1]}", fields[2], text]
+    )
+
+
+def _are_events(events: Any) -> bool:
+    return isinstance(events, list) and all(
+        isinstance(event, dict) and isinstance(event.get("sequence"), int)
+        for event in events
+    )
--- /dev/null
+++ b/cicadalever/cli/_client.py
@@ -0,0 +1,122 @@
+"""HTTP calls to a host; every error becomes a value."""
+
+import json
+import re
+from typing import Any, NamedTuple
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+
+CONNECT_TIMEOUT_S = 3.0
+READ_TIMEOUT_S = 10.0
+ADDRESS = re.compile(r"(?:\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9.-]+):([0-9]{1,5})")
+MAX_PORT = 65535
+
+
+class Reply(NamedTuple):
+    """An HTTP answer whose body is a JSON object."""
+
+    address: str
+    status: int
+    value: dict[str, Any]
+
+    @property
+    def reason(self) -> str:
+        """The reason that the host gave, or the status alone."""
+        error = self.value.get("error")
+        source = error if isinstance(error, dict) else self.value
+        return str(source.get("reason") or f"status {self.status}")
+
+
+class NoAnswer(NamedTuple):
+    """A call without a usable answer; falsy.
+
+    ``sent`` is False only if the connection could not be opened, so that the request
+    certainly did not reach the host.
+    """
+
+    address: str
+    reason: str
+    sent: bool
+
+    def __bool__(self) -> bool:
+        """Return False, so that callers can write ``if not reply``."""
+        return False
+
+    def __str__(self) -> str:
+        """Return one line that names the address and what happened."""
+        return f"{self.address}: {self.reason}"
+
+
+def is_address(text: str) -> bool:
+    """Tell whether ``text`` has the form ``ip:port``."""
+    match = ADDRESS.fullmatch(text)
+    return match is not None and 0 < int(match.group(1)) <= MAX_PORT
+
+
+class Client:
+    """Calls hosts by address; sends each request exactly once.
+
+    urllib3 resends some requests after a lost connection by default. That is off: a
+    request that may have run is sent again only by the commands, which know whether
+    it is safe.
+    """
+
+    def __init__(self, *, read_timeout_s: float = READ_TIMEOUT_S):
+        self.read_timeout_s = read_timeout_s
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def get(self, address: str, path: str, **query: Any) -> Reply | NoAnswer:
+        """Return the answer to a GET; parameters that are None are left out."""
+        fields = {
+            name: str(value) for name, value in query.items() if value is not None
+        }
+        return self._call("GET", address, path, fields=fields)
+
+    def post(self, address: str, path: str, value: object) -> Reply | NoAnswer:
+        """Return the answer to a POST of ``value`` as JSON."""
+        headers = {"Content-Type": "application/json"}
+        body = json.dumps(value).encode()
+        return self._call("POST", address, path, body=body, headers=headers)
+
+    def _call(
+        self, method: str, address: str, path: str, **options: Any
+    ) -> Reply | NoAnswer:
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=self.read_timeout_s)
+        try:
+            response = self._pool.request(
+                method,
+                f"http://{address}{path}",
+                timeout=timeout,
+                redirect=False,
+                **options,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return NoAnswer(address, f"cannot connect: {_cause(error)}", False)
+        except ReadTimeoutError:
+            reason = f"no answer within {self.read_timeout_s:g} s"
+            return NoAnswer(address, reason, True)
+        except (HTTPError, OSError, ValueError) as error:
+            return NoAnswer(address, f"connection lost: {_cause(error)}", True)
+        return _decode(address, response)
+
+
+def _decode(address: str, response: urllib3.BaseHTTPResponse) -> Reply | NoAnswer:
+    try:
+        value = json.loads(response.data)
+    except (ValueError, RecursionError):
+        value = None
+    if not isinstance(value, dict):
+        reason = f"status {response.status} with a body that is not a JSON object"
+        return NoAnswer(address, reason, True)
+    return Reply(address, response.status, value)
+
+
+def _cause(error: Exception) -> str:
+    text = str(error).rsplit(": ", 1)[-1]
+    return text.strip("()'\" ") or type(error).__name__
