Add stand-ins for upstreams and the platform

Cause: tests and benchmarks need the systems around the product at their interfaces. Change: a small keep-alive HTTP server on green sockets, upstreams with slots, drain, crash and a ledger, and a platform with an ordered log and a lagging host list.

--- /dev/null
+++ b/standins/_http.py
@@ -0,0 +1,258 @@
+"""A small keep-alive HTTP/1.1 server on green sockets.
+
+A WSGI server costs several hundred microseconds a request; this loop costs a fraction
+of it, since it parses only what the stand-ins need: a method, a target, headers and a
+body with a content length.
+"""
+
+import struct
+from collections.abc import Callable
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl, urlsplit
+
+import msgspec
+
+from ._green import eventlet
+from ._wait import Wait, Wake
+
+# The loop waits by itself, so it needs sockets that eventlet has not patched.
+socket = eventlet.patcher.original("socket")
+
+RECEIVE_BYTES = 65536
+MAX_HEAD_BYTES = 65536
+MAX_BODY_BYTES = 16 << 20
+LISTEN_BACKLOG = 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    409: b"Conflict",
+    410: b"Gone",
+    499: b"Cancelled",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class ConnectionEnd(Exception):  # noqa: N818 - control flow of this module, no error
+    """The connection was closed by the client or aborted by the stand-in."""
+
+
+class Request(NamedTuple):
+    """One HTTP request; header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """Path of the target without its query."""
+        return urlsplit(self.target.decode("latin-1")).path
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Query parameters of the target."""
+        return dict(parse_qsl(urlsplit(self.target.decode("latin-1")).query))
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def parse_head(head: bytes) -> tuple[bytes, bytes, dict[bytes, bytes]]:
+    """Return method, target and headers of a request head."""
+    lines = head.split(b"\r\n")
+    method, target, _ = lines[0].split(b" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(b":")
+        headers[name.lower()] = value.strip()
+    return method, target, headers
+
+
+class Connection:
+    """One accepted connection, served by one green thread."""
+
+    __slots__ = ("peer", "wait", "_socket", "_buffer", "_is_aborted")
+
+    def __init__(self, accepted: socket.socket, peer: tuple[str, int]):
+        self.peer = peer
+        self.wait = Wait(accepted.fileno())
+        self._socket = accepted
+        self._buffer = b""
+        self._is_aborted = False
+
+    def read_request(self) -> Request:
+        """Return the next request; raises ``ConnectionEnd`` at the end."""
+        while (end := self._buffer.find(b"\r\n\r\n")) < 0:
+            if len(self._buffer) > MAX_HEAD_BYTES:
+                raise ConnectionEnd
+            self._buffer += self._receive()
+        try:
+            method, target, headers = parse_head(self._buffer[:end])
+            length = int(headers.get(b"content-length", 0))
+        except ValueError as error:
+            raise ConnectionEnd from error
+        if not 0 <= length <= MAX_BODY_BYTES:
+            raise ConnectionEnd
+        stop = end + 4 + length
+        while len(self._buffer) < stop:
+            self._buffer += self._receive()
+        body = self._buffer[end + 4 : stop]
+        self._buffer = self._buffer[stop:]
+        return Request(method, target, headers, body)
+
+    def send(self, status: int, body: bytes, headers: bytes = b"") -> None:
+        """Send one answer; ``headers`` holds extra lines, each ending in CRLF."""
+        self.send_bytes(
+            b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\n%b\r\n%b"
+            % (status, REASONS.get(status, b"Other"), len(body), headers, body)
+        )
+
+    def send_json(self, status: int, value: Any) -> None:
+        """Send one answer whose body is ``value`` as JSON."""
+        self.send(status, msgspec.json.encode(value))
+
+    def send_bytes(self, data: bytes) -> None:
+        """Send all of ``data``."""
+        while data:
+            try:
+                sent = self._socket.send(data)
+            except BlockingIOError:
+                self._check(self.wait.park(read=False, write=True))
+                continue
+            except OSError as error:
+                raise ConnectionEnd from error
+            data = data[sent:]
+
+    def sleep(self, seconds: float) -> None:
+        """Wait; raises ``ConnectionEnd`` when the connection is aborted."""
+        self._check(self.wait.park(seconds, read=False))
+
+    def is_closed_by_client(self) -> bool:
+        """Tell whether the client closed or reset the connection."""
+        try:
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def abort(self) -> None:
+        """Make the serving green thread reset the connection."""
+        self._is_aborted = True
+        self.wait.notify(Wake.ABORTED)
+
+    def close(self) -> None:
+        """Close the socket, with a reset after ``abort``."""
+        if self._is_aborted:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._socket.close()
+
+    def _receive(self) -> bytes:
+        while True:
+            self._check(self.wait.park())
+            try:
+                data = self._socket.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise ConnectionEnd from error
+            if not data:
+                raise ConnectionEnd
+            return data
+
+    def _check(self, wake: Wake) -> None:
+        if wake is Wake.ABORTED or self._is_aborted:
+            raise ConnectionEnd
+
+
+class HttpServer:
+    """Listens on one address and hands each request to ``handler``.
+
+    ``handler(connection, request)`` sends the answer itself. ``admit(connection)``
+    runs for every new connection and returns whether it may stay; ``released`` runs
+    once for each admitted connection that ended.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handler: Callable[[Connection, Request], None],
+        *,
+        admit: Callable[[Connection], bool] | None = None,
+        released: Callable[[Connection], None] | None = None,
+    ):
+        self.address = address
+        self.handler = handler
+        self.admit = admit
+        self.released = released
+        self._wait: Wait | None = None
+        self._acceptor = None
+        self._connections: set[Connection] = set()
+
+    def start(self) -> None:
+        """Listen and start to accept connections."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(split_address(self.address))
+        listener.listen(LISTEN_BACKLOG)
+        listener.setblocking(False)
+        self._wait = Wait(listener.fileno())
+        self._acceptor = eventlet.spawn(self._accept_loop, listener, self._wait)
+
+    def stop(self) -> None:
+        """Refuse new connections; returns when the port is closed."""
+        acceptor, self._acceptor = self._acceptor, None
+        if acceptor is None:
+            return
+        self._wait.notify(Wake.ABORTED)
+        acceptor.wait()
+
+    def abort_connections(self) -> None:
+        """Reset all connections."""
+        for connection in list(self._connections):
+            connection.abort()
+
+    def _accept_loop(self, listener: socket.socket, wait: Wait) -> None:
+        try:
+            while wait.park() is not Wake.ABORTED:
+                self._accept_pending(listener)
+        finally:
+            listener.close()
+
+    def _accept_pending(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                accepted, peer = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError:
+                # The process ran out of descriptors or the client left already.
+                return
+            accepted.setblocking(False)
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            eventlet.spawn_n(self._serve, Connection(accepted, peer))
+
+    def _serve(self, connection: Connection) -> None:
+        try:
+            if self.admit is not None and not self.admit(connection):
+                return
+            self._connections.add(connection)
+            try:
+                while True:
+                    self.handler(connection, connection.read_request())
+            except ConnectionEnd:
+                pass
+            finally:
+                self._connections.discard(connection)
+                if self.released is not None:
+                    self.released(connection)
+        finally:
+            connection.close()
--- /dev/null
+++ b/standins/_wait.py
@@ -0,0 +1,81 @@
+"""A wait that ends by a readable socket, a timeout or another green thread."""
+
+from enum import Enum, auto
+
+import greenlet
+
+from ._green import eventlet
+
+
+class Wake(Enum):
+    """What ended a wait."""
+
+    READABLE = auto()
+    WRITABLE = auto()
+    TIMEOUT = auto()
+    NOTIFIED = auto()
+    ABORTED = auto()
+
+
+class Wait:
+    """Parks the current green thread on one file descriptor.
+
+    One call registers the descriptor, an optional timer and ``notify`` together, so
+    that a request can sleep its service time and still see that its client left.
+    Only the first wake of a wait counts; later ones are ignored.
+    """
+
+    __slots__ = ("_fileno", "_greenlet", "_is_parked")
+
+    def __init__(self, fileno: int):
+        self._fileno = fileno
+        self._greenlet = None
+        self._is_parked = False
+
+    def park(
+        self, seconds: float | None = None, *, read: bool = True, write: bool = False
+    ) -> Wake:
+        """Wait at most ``seconds`` (None: without limit) and say what ended it."""
+        hub = eventlet.hubs.get_hub()
+        self._greenlet = greenlet.getcurrent()
+        self._is_parked = True
+        timer = listener = None
+        if seconds is not None:
+            timer = hub.schedule_call_global(seconds, self._deliver, Wake.TIMEOUT)
+        if write:
+            listener = self._listen(hub, hub.WRITE, self._on_writable)
+        elif read:
+            listener = self._listen(hub, hub.READ, self._on_readable)
+        try:
+            return hub.switch()
+        finally:
+            self._is_parked = False
+            if listener is not None:
+                hub.remove(listener)
+            if timer is not None:
+                timer.cancel()
+
+    def notify(self, wake: Wake = Wake.NOTIFIED) -> None:
+        """End the wait from another green thread; no effect when nothing waits."""
+        hub = eventlet.hubs.get_hub()
+        hub.schedule_call_global(0, self._deliver, wake)
+
+    def _listen(self, hub, event, callback):
+        return hub.add(event, self._fileno, callback, self._on_error, self._on_closed)
+
+    def _on_readable(self, _fileno) -> None:
+        self._deliver(Wake.READABLE)
+
+    def _on_writable(self, _fileno) -> None:
+        self._deliver(Wake.WRITABLE)
+
+    def _on_error(self, *_error) -> None:
+        self._deliver(Wake.ABORTED)
+
+    def _on_closed(self) -> None:
+        self._deliver(Wake.ABORTED)
+
+    def _deliver(self, wake: Wake) -> None:
+        if self._is_parked:
+            self._is_parked = False
+            self._greenlet.switch(wake)
--- /dev/null
+++ b/standins/platform/_log.py
@@ -0,0 +1,92 @@
+"""The ordered log of patches with periodic full documents."""
+
+from typing import NamedTuple
+
+from ._fold import Fold
+
+
+class FullDocument(NamedTuple):
+    """The document after the log entries up to ``sequence``."""
+
+    sequence: int
+    version: int
+    document: dict
+
+
+class PatchLog:
+    """Appends patches, folds them and keeps a full document every ``full_every``.
+
+    Readers see the log as it was at ``freeze``, while appends go on, until ``thaw``.
+    """
+
+    def __init__(self, document: dict, version: int, full_every: int, fold: Fold):
+        self.full_every = full_every
+        self.fold = fold
+        self._head = FullDocument(0, version, document)
+        self._full = self._head
+        self._patches: list[dict] = []
+        self._compacted = 0
+        self._frozen: tuple[int, FullDocument] | None = None
+
+    @property
+    def sequence(self) -> int:
+        """Sequence of the last entry."""
+        return self._head.sequence
+
+    @property
+    def version(self) -> int:
+        """Version after the last entry."""
+        return self._head.version
+
+    @property
+    def visible_sequence(self) -> int:
+        """Sequence of the last entry that readers see."""
+        return self._frozen[0] if self._frozen else self.sequence
+
+    @property
+    def visible_full(self) -> FullDocument:
+        """Last full document that readers see."""
+        return self._frozen[1] if self._frozen else self._full
+
+    def append(self, patch: dict) -> tuple[int, bool]:
+        """Add an entry; return its sequence and whether the fold accepted it."""
+        document, version, accepted = self.fold(
+            self._head.document, self._head.version, patch
+        )
+        self._head = FullDocument(self.sequence + 1, version, document)
+        self._patches.append(patch)
+        if self.sequence % self.full_every == 0:
+            self._full = self._head
+        return self.sequence, accepted
+
+    def read(self, after: int) -> list[dict] | None:
+        """Return the visible entries above ``after``; None when compacted away."""
+        if after < self._compacted:
+            return None
+        patches = self._patches[
+            after - self._compacted : self.visible_sequence - self._compacted
+        ]
+        return [
+            {"sequence": sequence, "patch": patch}
+            for sequence, patch in enumerate(patches, start=after + 1)
+        ]
+
+    def compact(self) -> None:
+        """Make a full document of the visible end and forget the entries up to it.
+
+        While frozen, only entries up to the visible full document are forgotten.
+        """
+        if self._frozen is None:
+            self._full = self._head
+        through = self.visible_full.sequence
+        del self._patches[: through - self._compacted]
+        self._compacted = through
+
+    def freeze(self) -> None:
+        """Keep what readers see at the present sequence."""
+        if self._frozen is None:
+            self._frozen = (self.sequence, self._full)
+
+    def thaw(self) -> None:
+        """Let readers see everything again."""
+        self._frozen = None
