Add deployment settings, process control and the fault proxy

Cause: scenarios need whole deployments whose data centres can be cut off from each other. Change: settings of both deployments, start and stop of child processes, a small HTTP client, and a TCP proxy with rules per pair of groups.

--- a/standins/_command.py
+++ b/standins/_command.py
@@ -6,8 +6,7 @@
 from pathlib import Path
 
 from ._green import eventlet
-
-READY_LINE = "ready"
+from .process import READY_LINE
 
 
 def run(start: Callable[[dict], None]) -> None:
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ._address import split_address
 from ._green import eventlet
 from ._wait import Wait, Wake
 
@@ -58,12 +59,6 @@
         return dict(parse_qsl(urlsplit(self.target.decode("latin-1")).query))
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``ip:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def parse_head(head: bytes) -> tuple[bytes, bytes, dict[bytes, bytes]]:
     """Return method, target and headers of a request head."""
     lines = head.split(b"\r\n")
--- /dev/null
+++ b/standins/proxy/_link.py
@@ -0,0 +1,230 @@
+"""One proxied connection and its two directions."""
+
+import errno
+import struct
+import time
+from collections import deque
+
+from standins._address import split_address
+from standins._green import eventlet
+from standins._wait import Wait, Wake
+
+from ._rules import Pair
+
+# The pumps wait by themselves, so they need sockets that eventlet has not patched.
+socket = eventlet.patcher.original("socket")
+
+RECEIVE_BYTES = 65536
+MAX_QUEUED_BYTES = 4 << 20
+FULL_QUEUE_POLL_S = 0.005
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class LinkEnd(Exception):  # noqa: N818 - control flow of this module, no error
+    """The link was reset."""
+
+
+class Link:
+    """A client connection and the connection to the target that continues it."""
+
+    def __init__(self, client: socket.socket, target: str, pair: Pair):
+        self.client = client
+        self.target = target
+        self.pair = pair
+        self._server: socket.socket | None = None
+        self._directions: list[Direction] = []
+        self._client_wait = Wait(client.fileno())
+        self._is_reset = False
+
+    @property
+    def is_reset(self) -> bool:
+        """Whether both connections end with a reset."""
+        return self._is_reset
+
+    def run(self) -> None:
+        """Connect to the target and forward until both sides have ended."""
+        self.pair.links.add(self)
+        try:
+            if self._may_open() and self._connect():
+                self.pair.opened += 1
+                self._forward()
+        finally:
+            self.pair.links.discard(self)
+            self._close()
+
+    def reset(self) -> None:
+        """End both connections with a reset."""
+        if self._is_reset:
+            return
+        self._is_reset = True
+        self.pair.resets += 1
+        self._notify(Wake.ABORTED)
+
+    def follow_rule(self) -> None:
+        """Act on a change of the pair's rule."""
+        if self.pair.rule.existing == "reset" and self._server is not None:
+            self.reset()
+        else:
+            self._notify(Wake.NOTIFIED)
+
+    def _notify(self, wake: Wake) -> None:
+        self._client_wait.notify(wake)
+        for direction in self._directions:
+            direction.notify(wake)
+
+    def _may_open(self) -> bool:
+        """Hold a connection while new ones are black-holed; False when it ends."""
+        reads = True
+        while self.pair.rule.new == "black_hole":
+            wake = self._client_wait.park(read=reads)
+            if wake is Wake.ABORTED or (wake is Wake.READABLE and self._client_left()):
+                return False
+            # Bytes that the client sent early would wake this wait again at once.
+            reads = reads and wake is not Wake.READABLE
+        if self.pair.rule.new == "refuse":
+            self.pair.refused += 1
+            self._is_reset = True
+            return False
+        return True
+
+    def _client_left(self) -> bool:
+        try:
+            return not self.client.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def _connect(self) -> bool:
+        server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        server.setblocking(False)
+        server.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._server = server
+        code = server.connect_ex(split_address(self.target))
+        if code == errno.EINPROGRESS:
+            Wait(server.fileno()).park(read=False, write=True)
+            code = server.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._is_reset = True
+        return not self._is_reset
+
+    def _forward(self) -> None:
+        forward = Direction(self, self.client, self._server, True)
+        backward = Direction(self, self._server, self.client, False)
+        self._directions = [forward, backward]
+        other = eventlet.spawn(backward.run)
+        forward.run()
+        other.wait()
+
+    def _close(self) -> None:
+        for end in (self.client, self._server):
+            if end is None:
+                continue
+            if self._is_reset:
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            end.close()
+
+
+class Direction:
+    """Copies bytes from one socket to the other, delayed when the rule says so."""
+
+    def __init__(
+        self, link: Link, source: socket.socket, sink: socket.socket, is_forward: bool
+    ):
+        self.link = link
+        self.source = source
+        self.sink = sink
+        self.is_forward = is_forward
+        self._read_wait = Wait(source.fileno())
+        self._write_wait = Wait(sink.fileno())
+        self._queue: deque[tuple[float, bytes]] = deque()
+        self._queued_bytes = 0
+        self._last_due = 0.0
+        self._sender = None
+
+    def notify(self, wake: Wake) -> None:
+        """End the waits of this direction."""
+        self._read_wait.notify(wake)
+        self._write_wait.notify(wake)
+
+    def run(self) -> None:
+        """Copy until the source ends, or until the link is reset."""
+        try:
+            while self._copy_chunk():
+                pass
+            if self._sender is not None:
+                self._sender.wait()
+        except LinkEnd:
+            pass
+        except OSError:
+            self.link.reset()
+
+    def _copy_chunk(self) -> bool:
+        self._check(self._read_wait.park())
+        self._hold(self._read_wait)
+        try:
+            data = self.source.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return True
+        pair = self.link.pair
+        if data and pair.is_lost():
+            self.link.reset()
+            return False
+        now = time.monotonic()
+        due = pair.due_at(now, len(data), self.is_forward)
+        if due <= now and not self._queue:
+            self._send(data)
+        else:
+            self._enqueue(due, data)
+        return bool(data)
+
+    def _enqueue(self, due: float, data: bytes) -> None:
+        self._last_due = max(self._last_due, due)
+        self._queue.append((self._last_due, data))
+        self._queued_bytes += len(data)
+        if self._sender is None:
+            self._sender = eventlet.spawn(self._send_queue)
+        while self._queued_bytes > MAX_QUEUED_BYTES:
+            self._check(self._read_wait.park(FULL_QUEUE_POLL_S, read=False))
+
+    def _send_queue(self) -> None:
+        try:
+            while self._queue:
+                due, data = self._queue[0]
+                while (delay_s := due - time.monotonic()) > 0:
+                    self._check(self._write_wait.park(delay_s, read=False))
+                self._hold(self._write_wait)
+                self._send(data)
+                self._queue.popleft()
+                self._queued_bytes -= len(data)
+        except LinkEnd:
+            pass
+        except OSError:
+            self.link.reset()
+        finally:
+            self._sender = None
+
+    def _send(self, data: bytes) -> None:
+        """Send all bytes; none stands for the end of the source."""
+        if not data:
+            self.sink.shutdown(socket.SHUT_WR)
+            return
+        self.link.pair.forwarded_bytes += len(data)
+        while data:
+            try:
+                sent = self.sink.send(data)
+            except BlockingIOError:
+                # The reader of this direction waits on the source, so it needs a
+                # wait of its own on the sink.
+                self._check(self._write_wait.park(read=False, write=True))
+                continue
+            data = data[sent:]
+
+    def _hold(self, wait: Wait) -> None:
+        """Wait while the pair is stalled."""
+        while self.link.pair.rule.existing == "stall":
+            self._check(wait.park(read=False))
+
+    def _check(self, wake: Wake) -> None:
+        if wake is Wake.ABORTED or self.link.is_reset:
+            raise LinkEnd
