Add settings, caller request schema and shared value reader

Cause: the daemon and the caller API need checked input whose refusal names every wrong parameter with its path, allowed range and value.

--- /dev/null
+++ b/cicadalever/settings/_settings.py
@@ -0,0 +1,132 @@
+"""Schema and reader of the settings file."""
+
+from os import PathLike
+from typing import Annotated, Any, Literal, NotRequired
+
+from pydantic import AfterValidator, Field, with_config
+from typing_extensions import TypedDict
+
+from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.validation import (
+    MAX_INTEGER,
+    STRICT,
+    Address,
+    IpNumber,
+    Name,
+    Reader,
+    address_key,
+    check_address,
+)
+
+MAX_FILE_BYTES = 1_000_000
+URL_SCHEME = "http://"
+OWN_ADDRESSES = ("caller_address", "admin_address", "peer_address")
+
+
+def check_url(url: str) -> str:
+    """Return ``url`` if it is ``http://`` and an address; else raise ValueError."""
+    if not url.startswith(URL_SCHEME):
+        raise ValueError("does not start with http://")
+    check_address(url.removeprefix(URL_SCHEME))
+    return url
+
+
+def check_unique(items: list[str]) -> list[str]:
+    """Return ``items`` if none occurs twice; else raise ValueError."""
+    if len(set(items)) < len(items):
+        raise ValueError("contains an item twice")
+    return items
+
+
+Role = Literal["entry", "owner"]
+Bytes = {"unit": "bytes"}
+Seconds = {"unit": "s"}
+
+
+@with_config(STRICT)
+class Settings(TypedDict):
+    """Settings of one daemon.
+
+    ``check_settings`` fills in the default of every field that is not required, so
+    checked settings have all fields. Addresses are ``ip:port``.
+    """
+
+    host_id: Name
+    data_centre: Name
+    region: Name
+    roles: NotRequired[
+        Annotated[
+            list[Role],
+            AfterValidator(check_unique),
+            Field(min_length=1, default_factory=lambda: ["entry", "owner"]),
+        ]
+    ]
+    caller_address: Address
+    admin_address: Address
+    peer_address: Address
+    source_ip: NotRequired[Annotated[IpNumber | None, Field(default=None)]]
+    platform_url: Annotated[str, AfterValidator(check_url)]
+    seeds: NotRequired[
+        Annotated[list[Address], Field(max_length=64, default_factory=list)]
+    ]
+    policy: NotRequired[
+        Annotated[Literal["current", "baseline"], Field(default="current")]
+    ]
+    linger_s: NotRequired[
+        Annotated[float, Field(ge=0, le=600, default=5.0, json_schema_extra=Seconds)]
+    ]
+    max_body_bytes: NotRequired[
+        Annotated[
+            int,
+            Field(ge=1024, le=2**24, default=2**20, json_schema_extra=Bytes),
+        ]
+    ]
+    max_answer_bytes: NotRequired[
+        Annotated[
+            int,
+            Field(ge=1024, le=2**30, default=2**26, json_schema_extra=Bytes),
+        ]
+    ]
+    audit_capacity: NotRequired[
+        Annotated[int, Field(ge=1, le=1_000_000, default=10_000)]
+    ]
+    log_json: NotRequired[Annotated[bool, Field(default=False)]]
+    log_level: NotRequired[
+        Annotated[
+            Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL"],
+            Field(default="INFO"),
+        ]
+    ]
+    random_seed: NotRequired[
+        Annotated[
+            Annotated[int, Field(ge=0, le=MAX_INTEGER)] | None, Field(default=None)
+        ]
+    ]
+
+
+_reader: Reader[Settings] = Reader(Settings, "settings")
+
+
+def check_settings(value: Any) -> Settings | Failure:
+    """Return complete settings, or a failure that names every wrong parameter."""
+    return _check_addresses(_reader.check(value))
+
+
+def load_settings(path: str | PathLike[str]) -> Settings | Failure:
+    """Read and check the settings in a JSON file."""
+    try:
+        with open(path, "rb") as file:
+            body = file.read(MAX_FILE_BYTES + 1)
+    except (OSError, ValueError) as error:
+        return Failure(FailureCode.INVALID, f"settings file {path}: {error}")
+    return _check_addresses(_reader.read(body, MAX_FILE_BYTES))
+
+
+def _check_addresses(settings: Settings | Failure) -> Settings | Failure:
+    if isinstance(settings, Failure):
+        return settings
+    keys = {address_key(settings[name]) for name in OWN_ADDRESSES}
+    if len(keys) < len(OWN_ADDRESSES):
+        given = ", ".join(f"{name} {settings[name]}" for name in OWN_ADDRESSES)
+        return Failure(FailureCode.INVALID, f"two addresses are the same: {given}")
+    return settings
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,190 @@
+"""Tests of the settings, of the caller's request and of the shared reader."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadalever.api import check_query_request
+from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.settings import Settings, check_settings, load_settings
+from cicadalever.validation import address_key, format_value
+
+MINIMAL = {
+    "host_id": "h1",
+    "data_centre": "dc1",
+    "region": "south",
+    "caller_address": "127.0.0.1:8080",
+    "admin_address": "127.0.0.1:8081",
+    "peer_address": "[::1]:8082",
+    "platform_url": "http://127.0.0.1:7000",
+}
+WRONG_ADDRESSES = [
+    "localhost:80",
+    "::1:80",
+    "[::1%eth0]:80",
+    "[127.0.0.1]:80",
+    "1.2.3:80",
+    "1.2.3.04:80",
+    "1.2.3.4",
+    "1.2.3.4:0",
+    "1.2.3.4:080",
+    "1.2.3.4:65536",
+    "1.2.3.4:-1",
+]
+REQUEST = {"id": "r 1", "route": "lookup", "parameters": {"key": "x"}}
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+class TestCheckSettings(unittest.TestCase):
+    """Checks of the settings."""
+
+    def reason(self, **changes) -> str:
+        """Return the reason for refusing the minimal settings with changes."""
+        failure = check_settings(MINIMAL | changes)
+        self.assertIsInstance(failure, Failure, failure)
+        self.assertEqual(failure.code, FailureCode.INVALID)
+        return failure.reason
+
+    def test_minimal_settings_become_complete(self):
+        """Guards against a daemon that finds a setting missing when it runs."""
+        checked = check_settings(MINIMAL)
+        self.assertEqual(set(checked), set(Settings.__annotations__))
+        self.assertEqual(checked["roles"], ["entry", "owner"])
+        self.assertEqual(check_settings(checked), checked)
+
+    def test_every_wrong_parameter_is_named(self):
+        """Guards against an operator who has to correct one fault per start."""
+        reason = self.reason(linger_s=700, audit_capacity="many", lingers=1)
+        self.assertEqual(
+            reason.split("; "),
+            [
+                "audit_capacity: 'many' is not an integer in 1..1000000",
+                "linger_s: 700 is not in 0..600 s",
+                "lingers: unknown field, given 1",
+            ],
+        )
+
+    def test_wrong_values_are_refused_with_path_and_value(self):
+        """Guards against values that are converted or let through silently."""
+        cases = (
+            ("log_json", "true", "log_json: 'true' is not true or false"),
+            ("policy", "new", "policy: 'new' is not 'current' or 'baseline'"),
+            ("roles", ["entry", "x"], "roles.1: 'x' is not"),
+            ("roles", ["entry", "entry"], "contains an item twice"),
+            ("host_id", "a.b", "host_id: 'a.b' does not match ^[a-z0-9]"),
+            ("random_seed", -1, "random_seed: -1 is not in 0..9007199254740991"),
+            ("linger_s", float("nan"), "linger_s: nan is not in 0..600 s"),
+            ("max_body_bytes", 2.0, "2.0 is not an integer in 1024..16777216 bytes"),
+            ("max_body_bytes", True, "True is not an integer"),
+            ("max_body_bytes", 10**5000, "an integer with too many digits is not in"),
+            ("source_ip", "localhost", "'localhost' is not an IPv4 or IPv6 number"),
+            ("platform_url", "http://platform:80", "is not IPv4:port"),
+            ("platform_url", "127.0.0.1:80", "does not start with http://"),
+            ("seeds", ["127.0.0.1"], "seeds.0: '127.0.0.1' is not IPv4:port"),
+            ("admin_address", "127.0.0.1:8080", "two addresses are the same"),
+        )
+        for field, value, expected in cases:
+            with self.subTest(field=field, value=format_value(value)):
+                self.assertIn(expected, self.reason(**{field: value}))
+
+    def test_missing_parameter(self):
+        """Guards against a start without an identity."""
+        value = {key: MINIMAL[key] for key in MINIMAL if key != "host_id"}
+        self.assertEqual(check_settings(value).reason, "host_id: is missing")
+
+    @settings(derandomize=True, deadline=None)
+    @given(JSON_VALUES, st.sampled_from(sorted(Settings.__annotations__)))
+    def test_no_value_raises(self, value, field):
+        """Guards against an exception for a value that JSON allows."""
+        self.assertIsInstance(check_settings(value), Failure)
+        checked = check_settings(MINIMAL | {field: value})
+        self.assertIsInstance(checked, dict | Failure)
+
+
+class TestLoadSettings(unittest.TestCase):
+    """Reading of the settings file."""
+
+    def load(self, body: bytes) -> Settings | Failure:
+        """Return what the reader makes of a file with ``body``."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory, "settings.json")
+            path.write_bytes(body)
+            return load_settings(path)
+
+    def test_file_gives_the_checked_settings(self):
+        """Guards against a reader and a check that differ."""
+        body = json.dumps(MINIMAL).encode()
+        self.assertEqual(self.load(body), check_settings(MINIMAL))
+
+    def test_unreadable_files_are_failures(self):
+        """Guards against a traceback instead of a reason at start."""
+        self.assertIn("No such file", load_settings("/nonexistent/x").reason)
+        self.assertIn("is not JSON", self.load(b"{").reason)
+        self.assertIn("is not JSON", self.load(b"\xff").reason)
+        self.assertIn("recursion limit", self.load(b"[" * 5000).reason)
+        self.assertEqual(self.load(b" " * 1_000_001).code, FailureCode.TOO_LARGE)
+
+
+class TestAddressKey(unittest.TestCase):
+    """Addresses as IP number and port."""
+
+    def test_only_numbers_with_ports(self):
+        """Guards against names, zones and ambiguous spellings of an address."""
+        for text in WRONG_ADDRESSES:
+            with self.subTest(text=text):
+                self.assertIsNone(address_key(text))
+        self.assertIsNone(address_key("1.2.3.4:80\n"))
+        self.assertEqual(address_key("1.2.3.4:80"), (b"\1\2\3\4", 80))
+
+
+class TestCheckQueryRequest(unittest.TestCase):
+    """Checks of a caller's request."""
+
+    def check(self, **changes):
+        """Return the result for the example request with changes."""
+        return check_query_request(json.dumps(REQUEST | changes).encode(), 10_000)
+
+    def test_idempotent_is_the_default(self):
+        """Guards against a request whose repetition rule is undefined."""
+        self.assertEqual(self.check(), REQUEST | {"idempotent": True})
+
+    def test_wrong_requests_are_refused(self):
+        """Guards against a request that reaches upstreams unchecked."""
+        cases = (
+            ({"id": ""}, "id: ''"),
+            ({"id": "x" * 129}, "at most 128"),
+            ({"id": "a\nb"}, "not printable"),
+            ({"deadline_ms": 0}, "deadline_ms: 0 is not in 1..3600000 ms"),
+            ({"parameters": []}, "parameters: [] is not an object"),
+            ({"rank": "report"}, "rank: unknown field"),
+        )
+        for changes, expected in cases:
+            with self.subTest(changes=str(changes)[:40]):
+                self.assertIn(expected, self.check(**changes).reason)
+
+    def test_number_beyond_the_range_of_floats(self):
+        """Guards against infinity, which no JSON body can carry to an upstream."""
+        body = json.dumps(REQUEST).replace('"x"', "1e400").encode()
+        self.assertIn("JSON cannot represent", check_query_request(body, 999).reason)
+
+    def test_large_body(self):
+        """Guards against parsing a body beyond the limit."""
+        failure = check_query_request(b" " * 11, 10)
+        self.assertEqual(failure.code, FailureCode.TOO_LARGE)
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=40) | JSON_VALUES.map(lambda v: json.dumps(v).encode()))
+    def test_no_body_raises(self, body):
+        """Guards against an exception for a body that a caller can send."""
+        self.assertIsInstance(check_query_request(body, 10_000), Failure)
