--- a/cicadalever/api/__init__.py
+++ b/cicadalever/api/__init__.py
@@ -15,6 +15,7 @@
     VerdictView,
     VersionsView,
 )
+from ._caller import CallerApplication, encode_answer
 from ._http import (
     Handler,
     Request,
@@ -23,16 +24,19 @@
     error_response,
     json_response,
 )
+from ._request import QueryRequest, check_query_request
 
 __all__ = [
     "AdminApplication",
     "AdminViews",
     "AuditEventView",
     "AuditView",
+    "CallerApplication",
     "Handler",
     "MemberView",
     "PatchVerdict",
     "QuarantineView",
+    "QueryRequest",
     "RankCounts",
     "Request",
     "Response",
@@ -42,6 +46,8 @@
     "UpstreamView",
     "VerdictView",
     "VersionsView",
+    "check_query_request",
+    "encode_answer",
     "error_response",
     "json_response",
 ]
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -264,7 +264,7 @@
         owned.finish(read, result, now - started, now)
         self._running.pop(read.key, None)
         self._answer(owned, read, result, started - entry.queued_at, now - started)
-        if isinstance(result, UpstreamAnswer) and result.draining or isinstance(result, Failure) and result.code == FailureCode.DRAINING:
+        if _shows_draining(result):
             self._set_draining(owned, "upstream")
         self._pump(owned)
 
@@ -434,3 +434,9 @@
         Trial(request.trial),
         batch.parameters,
     )
+
+
+def _shows_draining(result: UpstreamAnswer | Failure) -> bool:
+    if isinstance(result, Failure):
+        return result.code == FailureCode.DRAINING
+    return result.draining
