--- a/cicadalever/cli/_ask.py
+++ b/cicadalever/cli/_ask.py
@@ -1,6 +1,7 @@
 """Sends a caller's request, and sends it again when that is safe and wanted."""
 
 import time
+import uuid
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -84,7 +85,9 @@
 
     def _attempt(self) -> Reply | NoAnswer:
         if not self.plan.once:
-            return self.client.post(self.plan.entry, "/v1/queries", self.plan.body)
+            # A read may be repeated, so it needs no issued id, only a distinct one.
+            body = {"id": uuid.uuid4().hex, **self.plan.body}
+            return self.client.post(self.plan.entry, "/v1/queries", body)
         if self._request_id is None:
             failure = self._take_id()
             if failure is not None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,8 +12,11 @@
 from unittest.mock import patch
 from urllib.parse import urlsplit
 
+import jsonpatch
 from typer.testing import CliRunner
 
+from cicadalever import api
+from cicadalever.cli import _app
 from cicadalever.cli._app import app
 from cicadalever.cli._ask import Asker, AskPlan, retry_delay
 from cicadalever.cli._audit import AuditReader
@@ -21,6 +24,7 @@
 from cicadalever.cli._tables import Column, render_table
 from cicadalever.outcomes import Failure, FailureCode
 
+EXAMPLES = Path(__file__).parents[1] / "examples"
 CLOSED = "127.0.0.1:1"
 LOST = object()
 COMPLETE = {
@@ -160,8 +164,11 @@
         """Guards against lost options and changed types of parameters."""
         self.host.script("/v1/queries", (200, COMPLETE))
         self.ask(0, "--param", "sku=007", "--param", "n:=5", "--deadline-ms", "90")
-        body = {"route": "r", "parameters": {"sku": "007", "n": 5}, "deadline_ms": 90}
-        self.assertEqual(self.host.bodies("/v1/queries"), [body])
+        (body,) = self.host.bodies("/v1/queries")
+        self.assertRegex(body.pop("id"), "^[0-9a-f]{32}$")
+        parameters = {"sku": "007", "n": 5}
+        expected = {"route": "r", "parameters": parameters, "deadline_ms": 90}
+        self.assertEqual(body, expected)
 
     def test_output(self):
         """Guards against an answer shown without coverage, snapshot or version."""
@@ -280,7 +287,7 @@
         self.assertIn("3/0/-", result.stdout)
         self.assertIn(f"{CLOSED}: cannot connect", result.stderr)
         rows = json.loads(self.run_cli(5, "status", "--json", env=env).stdout)
-        self.assertEqual([row["address"] for row in rows], env_addresses(env))
+        self.assertEqual([row["address"] for row in rows], [self.host.address, CLOSED])
 
     def test_versions_show_who_lags(self):
         """Guards against a lagging host that looks up to date."""
@@ -370,6 +377,13 @@
         for text in ("127.0.0.1", ":80", "a:0", "a:b", "a:80/x", "a@b:80"):
             self.assertFalse(is_address(text), text)
 
+    def test_columns_are_fields_of_the_views(self):
+        """Guards against a column that is always empty."""
+        for name in ("Status", "Member", "Route", "Upstream", "Quarantine", "Verdict"):
+            fields = getattr(api, f"{name}View").__annotations__
+            for column in getattr(_app, f"{name.upper()}_COLUMNS"):
+                self.assertIn(column.field, fields, name)
+
     def test_table_cells_stay_on_their_line(self):
         """Guards against a value that breaks the columns of a table."""
         rows = [{"a": "x\ny", "b": None}]
@@ -426,6 +440,22 @@
         self.assertIsInstance(reader.read_available(), NoAnswer)
 
 
-def env_addresses(env):
-    """Return the admin addresses of an environment."""
-    return env["CICADALEVER_ADMIN"].split()
+class TestExamples(CliTestCase):
+    """The files of the examples directory."""
+
+    def test_patch_applies_to_the_example_configuration(self):
+        """Guards against a sample that operators copy and see refused."""
+        document, patch_file = (
+            json.loads(Path(EXAMPLES, name).read_text())
+            for name in ("semenanjung/configuration.json", "patch.json")
+        )
+        result = jsonpatch.apply_patch(document, patch_file["operations"])
+        self.assertNotEqual(result, document)
+
+    def test_ask_lookup(self):
+        """Guards against an example that does not speak the callers' protocol."""
+        self.host.script("/v1/queries", (200, COMPLETE))
+        script = EXAMPLES / "ask_lookup.py"
+        command = [sys.executable, script, self.host.address, "A7"]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        self.assertEqual((done.returncode, done.stdout[:8]), (0, "shop/s00"))
