--- a/cicadalever/api/_caller.py
+++ b/cicadalever/api/_caller.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 import msgspec
+from loguru import logger
+
 from cicadalever.configuration import Configuration, Route
 from cicadalever.metrics import Metrics
 from cicadalever.once import OnceTable, RequestId
-from loguru import logger
-
 from cicadalever.outcomes import Failure, FailureCode, Outcome
 from cicadalever.queries import (
     OnceResult,
@@ -187,7 +187,23 @@
         kind = query.get("kind")
         if kind is not None and configuration.kind(kind) is None:
             return Failure(FailureCode.INVALID, f"kind: {kind!r} does not exist")
-        return route
+        refusal = self._check_rank(query, route)
+        return route if refusal is None else refusal
+
+    def _check_rank(self, query: QueryRequest, route: Route) -> Failure | None:
+        kind = self._kind(query, route)
+        if "rank" in query and Rank.from_name(query["rank"]) < kind.rank:
+            limit = Rank(kind.rank).name.lower()
+            reason = (
+                f"rank: {query['rank']!r} is more urgent than {limit!r} of its kind"
+            )
+            return Failure(FailureCode.INVALID, reason)
+        return None
+
+    def _rank(self, query: QueryRequest, route: Route) -> Rank:
+        if "rank" in query:
+            return Rank.from_name(query["rank"])
+        return Rank(self._kind(query, route).rank)
 
     def _kind(self, query: QueryRequest, route: Route):
         return self.configuration().kind(query.get("kind") or route.kind)
@@ -201,7 +217,7 @@
         return Work(
             query["id"],
             route,
-            Rank(self._kind(query, route).rank),
+            self._rank(query, route),
             deadline,
             _is_idempotent(query, route),
             msgspec.json.encode(parameters),
--- a/cicadalever/api/_request.py
+++ b/cicadalever/api/_request.py
@@ -1,7 +1,7 @@
 """Schema of a caller's request."""
 
 import json
-from typing import Annotated, Any, NotRequired
+from typing import Annotated, Any, Literal, NotRequired
 
 from pydantic import AfterValidator, Field, with_config
 from typing_extensions import TypedDict
@@ -35,7 +35,8 @@
     """A caller's query.
 
     ``kind`` and ``deadline_ms`` default to those of the route. ``idempotent`` defaults
-    to true for a route that reads and to false for one that runs.
+    to true for a route that reads and to false for one that runs. ``rank`` may make a
+    request less urgent than its kind, not more.
     """
 
     id: Annotated[
@@ -43,6 +44,7 @@
     ]
     route: Name
     kind: NotRequired[Name]
+    rank: NotRequired[Literal["interactive", "batch", "report"]]
     deadline_ms: NotRequired[DeadlineMs]
     idempotent: NotRequired[bool]
     parameters: Annotated[dict[str, Any], AfterValidator(check_finite)]
