Add quarantine of requests that crash upstreams

Change: Quarantine, ProvenFingerprints, canary_order and TrialGate in cicadalever.quarantine, as pure logic.

--- /dev/null
+++ b/cicadalever/quarantine/__init__.py
@@ -0,0 +1,21 @@
+"""Protection of upstreams from requests that crash them.
+
+A request is known by its fingerprint, an unsigned 64-bit hash of its route, operation
+and parameters.
+"""
+
+from ._canary import canary_order
+from ._gate import RunningRead, TrialGate
+from ._proven import ProvenFingerprints
+from ._quarantine import FingerprintState, Quarantine, QuarantineEntry, Verdict
+
+__all__ = [
+    "FingerprintState",
+    "ProvenFingerprints",
+    "Quarantine",
+    "QuarantineEntry",
+    "RunningRead",
+    "TrialGate",
+    "Verdict",
+    "canary_order",
+]
--- /dev/null
+++ b/cicadalever/quarantine/_proven.py
@@ -0,0 +1,38 @@
+"""Fingerprints whose requests were seen to succeed."""
+
+from collections import OrderedDict
+
+
+class ProvenFingerprints:
+    """A set of at most ``capacity`` fingerprints; the least recently used leave first.
+
+    A membership test that finds its fingerprint counts as a use.
+    """
+
+    def __init__(self, capacity: int = 10_000):
+        if capacity < 1:
+            raise ValueError(f"capacity must be at least 1, got {capacity}")
+        self.capacity = capacity
+        self._fingerprints: OrderedDict[int, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of remembered fingerprints."""
+        return len(self._fingerprints)
+
+    def __contains__(self, fingerprint: int) -> bool:
+        """Tell whether ``fingerprint`` is proven."""
+        if fingerprint not in self._fingerprints:
+            return False
+        self._fingerprints.move_to_end(fingerprint)
+        return True
+
+    def add(self, fingerprint: int) -> None:
+        """Remember that a request with ``fingerprint`` succeeded."""
+        self._fingerprints[fingerprint] = None
+        self._fingerprints.move_to_end(fingerprint)
+        if len(self._fingerprints) > self.capacity:
+            self._fingerprints.popitem(last=False)
+
+    def discard(self, fingerprint: int) -> None:
+        """Forget ``fingerprint``, for example because it became a suspect."""
+        self._fingerprints.pop(fingerprint, None)
--- /dev/null
+++ b/cicadalever/quarantine/_quarantine.py
@@ -0,0 +1,172 @@
+"""Suspect and quarantined fingerprints."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.transport import Trial
+
+from ._gate import RunningRead
+
+# Bounds the memory of each of the two tables. A crash adds at most as many suspects
+# as a replica has slots, so the bound is far above what crashes of a fleet produce.
+MAX_FINGERPRINTS = 10_000
+
+
+class FingerprintState(StrEnum):
+    """What is held against a fingerprint."""
+
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+class Verdict(NamedTuple):
+    """The state that a crash gave a fingerprint."""
+
+    fingerprint: int
+    state: FingerprintState
+    reason: str
+
+
+class QuarantineEntry(NamedTuple):
+    """A fingerprint with the seconds until its state expires."""
+
+    fingerprint: int
+    state: FingerprintState
+    remaining_s: float
+    reason: str
+
+
+class _Record(NamedTuple):
+    expires_at: float
+    reason: str
+
+
+class Quarantine:
+    """Suspects and quarantines of one owner, or the quarantines an entry knows.
+
+    Both states expire ``ttl_s`` seconds after they were given. When a table is full,
+    the fingerprint that was added first is forgotten.
+
+    >>> quarantine = Quarantine()
+    >>> quarantine.crashed([RunningRead(7, Trial.CANARY)], 0.0)[0].state
+    <FingerprintState.SUSPECT: 'suspect'>
+    >>> quarantine.crashed([RunningRead(7, Trial.EXCLUSIVE)], 1.0)[0].state
+    <FingerprintState.QUARANTINED: 'quarantined'>
+    >>> quarantine.check(7, 2.0).code
+    <FailureCode.QUARANTINED: 'quarantined'>
+    """
+
+    def __init__(self, ttl_s: float = 600.0):
+        if ttl_s <= 0:
+            raise ValueError(f"ttl_s must be above 0, got {ttl_s}")
+        self.ttl_s = ttl_s
+        self._suspects: OrderedDict[int, _Record] = OrderedDict()
+        self._quarantined: OrderedDict[int, _Record] = OrderedDict()
+
+    def check(self, fingerprint: int, now: float) -> Failure | None:
+        """Return a ``QUARANTINED`` failure while ``fingerprint`` must not run."""
+        record = _find(self._quarantined, fingerprint, now)
+        if record is None:
+            return None
+        return Failure(FailureCode.QUARANTINED, record.reason)
+
+    def is_suspect(self, fingerprint: int, now: float) -> bool:
+        """Tell whether ``fingerprint`` may run only as an exclusive trial."""
+        return _find(self._suspects, fingerprint, now) is not None
+
+    def crashed(self, running: Sequence[RunningRead], now: float) -> list[Verdict]:
+        """Judge the reads that ran on a replica when its connections broke.
+
+        It is called once per crash with all of them. A fingerprint is quarantined if
+        it ran as an exclusive trial, or if it was a suspect and nothing else ran. The
+        others become suspects. A fingerprint in quarantine gets no new verdict.
+        """
+        exclusive = {
+            read.fingerprint for read in running if read.trial == Trial.EXCLUSIVE
+        }
+        fingerprints = dict.fromkeys(read.fingerprint for read in running)
+        is_alone = len(fingerprints) == 1
+        verdicts = []
+        for fingerprint in fingerprints:
+            if self.check(fingerprint, now) is not None:
+                continue
+            if fingerprint in exclusive:
+                reason = "an upstream crashed during its exclusive trial"
+                verdicts.append(self._quarantine(fingerprint, reason, now))
+            elif is_alone and self.is_suspect(fingerprint, now):
+                reason = "an upstream crashed while only this suspect ran"
+                verdicts.append(self._quarantine(fingerprint, reason, now))
+            else:
+                verdicts.append(self._suspect(fingerprint, now))
+        return verdicts
+
+    def succeeded(self, fingerprint: int) -> None:
+        """Clear a suspicion; a quarantine stays."""
+        self._suspects.pop(fingerprint, None)
+
+    def import_notice(
+        self,
+        fingerprint: int,
+        ttl_s: float,
+        now: float,
+        reason: str = "quarantined by another host",
+    ) -> bool:
+        """Take over a quarantine with ``ttl_s`` seconds left from another host.
+
+        A quarantine is never shortened, and never lasts longer than the own ``ttl_s``,
+        whatever a peer sends. Return False when the notice changed nothing.
+        """
+        expires_at = now + min(ttl_s, self.ttl_s)
+        known = _find(self._quarantined, fingerprint, now)
+        if expires_at <= now or (known and known.expires_at >= expires_at):
+            return False
+        self._suspects.pop(fingerprint, None)
+        _store(self._quarantined, fingerprint, _Record(expires_at, reason), now)
+        return True
+
+    def entries(self, now: float) -> list[QuarantineEntry]:
+        """Return the quarantined and the suspect fingerprints, oldest first."""
+        return [
+            QuarantineEntry(fingerprint, state, record.expires_at - now, record.reason)
+            for state, table in (
+                (FingerprintState.QUARANTINED, self._quarantined),
+                (FingerprintState.SUSPECT, self._suspects),
+            )
+            for fingerprint, record in table.items()
+            if record.expires_at > now
+        ]
+
+    def _quarantine(self, fingerprint: int, reason: str, now: float) -> Verdict:
+        self._suspects.pop(fingerprint, None)
+        record = _Record(now + self.ttl_s, reason)
+        _store(self._quarantined, fingerprint, record, now)
+        return Verdict(fingerprint, FingerprintState.QUARANTINED, reason)
+
+    def _suspect(self, fingerprint: int, now: float) -> Verdict:
+        reason = "an upstream crashed while it ran"
+        _store(self._suspects, fingerprint, _Record(now + self.ttl_s, reason), now)
+        return Verdict(fingerprint, FingerprintState.SUSPECT, reason)
+
+
+def _find(
+    table: OrderedDict[int, _Record], fingerprint: int, now: float
+) -> _Record | None:
+    """Return the record of ``fingerprint`` unless it expired."""
+    record = table.get(fingerprint)
+    if record is None or record.expires_at > now:
+        return record
+    del table[fingerprint]
+    return None
+
+
+def _store(
+    table: OrderedDict[int, _Record], fingerprint: int, record: _Record, now: float
+) -> None:
+    """Store a record as the newest; drop expired ones, or the oldest if full."""
+    table[fingerprint] = record
+    table.move_to_end(fingerprint)
+    while len(table) > MAX_FINGERPRINTS or next(iter(table.values())).expires_at <= now:
+        table.popitem(last=False)
