Adapt owners to the quarantine package

Cause: the gate of trials holds back other reads while an exclusive one waits. Change: owners ask the gate before they take a read from the queue and end the hold when an exclusive read leaves.

--- a/cicadalever/api/_admin.py
+++ b/cicadalever/api/_admin.py
@@ -2,6 +2,7 @@
 
 from typing import Any, Literal, Protocol, TypedDict
 
+from cicadalever.audit import AuditKind
 from cicadalever.metrics import CONTENT_TYPE
 
 from ._http import (
@@ -172,7 +173,6 @@
     fingerprint: str
     state: str
     reason: str
-    losses: int
     remaining_s: float | None
 
 
@@ -279,6 +279,9 @@
         if isinstance(limit, Response):
             return limit
         kind = request.query.get("kind") or None
+        if kind is not None and kind not in set(AuditKind):
+            kinds = ", ".join(sorted(AuditKind))
+            return error_response(400, "invalid", f"kind: {kind!r} is not in {kinds}")
         return json_response(self.views.audit(after, kind, limit))
 
     def _quarantine(self, request: Request) -> Response:
--- a/cicadalever/cli/_app.py
+++ b/cicadalever/cli/_app.py
@@ -372,7 +372,6 @@
 QUARANTINE_COLUMNS = (
     Column("FINGERPRINT", "fingerprint"),
     Column("STATE", "state"),
-    Column("LOSSES", "losses"),
     Column("REMAINING_S", "remaining_s"),
     Column("REASON", "reason"),
 )
--- a/cicadalever/daemon/_daemon.py
+++ b/cicadalever/daemon/_daemon.py
@@ -11,6 +11,7 @@
 from cicadalever.audit import AuditKind
 from cicadalever.membership import Ack, Ping, PingRequest
 from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.quarantine import FingerprintState
 from cicadalever.scheduling import Rank
 from cicadalever.transport import (
     CancelReads,
@@ -124,8 +125,10 @@
         history = self.keeper.history
         metrics.configuration_changed(history.sequence, history.version)
         metrics.platform_contacted(self.fleet.platform_age())
-        quarantined = self.quarantine.entries(time.monotonic())
-        metrics.quarantine_changed(sum(entry.quarantined for entry in quarantined))
+        entries = self.quarantine.entries(time.monotonic())
+        metrics.quarantine_changed(
+            sum(entry.state is FingerprintState.QUARANTINED for entry in entries)
+        )
 
     @singledispatchmethod
     def handle(self, message: Any) -> None:
--- a/cicadalever/daemon/_views.py
+++ b/cicadalever/daemon/_views.py
@@ -131,9 +131,8 @@
         return [
             {
                 "fingerprint": f"{entry.fingerprint:016x}",
-                "state": "quarantined" if entry.quarantined else "suspect",
+                "state": str(entry.state),
                 "reason": entry.reason,
-                "losses": entry.losses,
                 "remaining_s": round(entry.remaining_s, 1),
             }
             for entry in self.daemon.quarantine.entries(now)
--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -1,10 +1,10 @@
 """Aggregate for one owned replica: queue, limit, trials and measured service time."""
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 
 from cicadalever.outcomes import Failure, FailureCode
-from cicadalever.quarantine import TrialGate
+from cicadalever.quarantine import RunningRead, TrialGate
 from cicadalever.scheduling import AdaptiveLimit, Feedback, Rank, RankQueue
 from cicadalever.topology import Replica
 from cicadalever.transport import Trial
@@ -45,19 +45,21 @@
         replica: Replica,
         floors: Mapping[Rank, float],
         *,
+        proven: Container[int] = (),
         now: float,
         takeover: bool,
     ):
         self.replica = replica
         self._queue = RankQueue(floors)
         self._limit = AdaptiveLimit(replica.slots, maximum=replica.slots)
-        self._gate = TrialGate()
+        self._gate = TrialGate(proven)
         self._held: deque = deque()
         self._service_time_s = INITIAL_SERVICE_TIME_S
         self._draining = replica.draining
         self._full_limit_at = now + TAKEOVER_GRACE_S if takeover else now
         self._connect_failures = 0
         self._retry_at = 0.0
+        self._running_keys: set[ReadKey] = set()
         self._blamed: set[ReadKey] = set()
 
     @property
@@ -102,10 +104,14 @@
         """Connect failures in a row."""
         return self._connect_failures
 
-    def running_reads(self):
-        """Return the reads that run now."""
+    def running_reads(self) -> list[RunningRead]:
+        """Return the reads that run now, for blame after a crash."""
         return self._gate.running()
 
+    def is_running(self, key: ReadKey) -> bool:
+        """Tell whether read ``key`` runs on the replica."""
+        return key in self._running_keys
+
     def take_crash(self, key: ReadKey) -> bool:
         """Tell whether the loss of read ``key`` is a crash not yet accounted for.
 
@@ -114,7 +120,7 @@
         """
         if key in self._blamed:
             return False
-        self._blamed.update(running.key for running in self._gate.running())
+        self._blamed |= self._running_keys
         return True
 
     def is_pressed(self) -> bool:
@@ -158,6 +164,7 @@
             return None
         read = entry.item
         self._gate.started(read.key, read.fingerprint, read.trial)
+        self._running_keys.add(read.key)
         return entry
 
     def finish(
@@ -165,6 +172,7 @@
     ) -> None:
         """Record the end of a read that ``start_next`` returned."""
         self._gate.finished(read.key)
+        self._running_keys.discard(read.key)
         self._blamed.discard(read.key)
         if isinstance(result, Failure):
             self._limit.release(_FEEDBACK.get(result.code, Feedback.IGNORED), now)
@@ -181,7 +189,7 @@
             return True
         for entry in self._held:
             if entry.item.key == key:
-                self._held.remove(entry)
+                self._drop_held(entry)
                 return True
         return False
 
@@ -190,13 +198,14 @@
         expired = self._queue.take_expired(now)
         late = [entry for entry in self._held if entry.deadline <= now]
         for entry in late:
-            self._held.remove(entry)
+            self._drop_held(entry)
         return expired + late
 
     def drain_queue(self) -> list:
         """Remove and return all waiting entries."""
         entries = [*self._held, *self._queue.drain()]
-        self._held.clear()
+        for entry in list(self._held):
+            self._drop_held(entry)
         return entries
 
     def set_draining(self, draining: bool) -> bool:
@@ -209,29 +218,27 @@
         """Use all slots: the former owner closed its connections."""
         self._full_limit_at = min(self._full_limit_at, now)
 
+    def _drop_held(self, entry) -> None:
+        self._held.remove(entry)
+        if entry.item.trial == Trial.EXCLUSIVE:
+            self._gate.withdraw(entry.item.fingerprint)
+
     def _take_startable(self, now: float):
-        exclusive_waits = False
+        if any(read.trial == Trial.EXCLUSIVE for read in self._gate.running()):
+            return None
         for entry in self._held:
-            read = entry.item
-            if entry.deadline > now and self._gate.may_start(
-                read.fingerprint, read.trial
-            ):
+            if entry.deadline > now and self._may_start(entry.item):
                 self._held.remove(entry)
                 return entry
-            exclusive_waits = exclusive_waits or read.trial == Trial.EXCLUSIVE
-        if exclusive_waits:
-            # Nothing overtakes an exclusive trial, else it would never run alone.
-            return None
-        while True:
+        while self._gate.held_for is None:
             entry = self._queue.pop(now)
-            if entry is None:
-                return None
-            read = entry.item
-            if self._gate.may_start(read.fingerprint, read.trial):
+            if entry is None or self._may_start(entry.item):
                 return entry
             self._held.append(entry)
-            if read.trial == Trial.EXCLUSIVE:
-                return None
+        return None
+
+    def _may_start(self, read: QueuedRead) -> bool:
+        return self._gate.may_start(read.fingerprint, read.trial)
 
     def _note_connect(self, code: FailureCode, now: float) -> None:
         if code not in (FailureCode.UNREACHABLE, FailureCode.LOST):
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -11,7 +11,7 @@
 from cicadalever.audit import AuditKind, AuditTrail
 from cicadalever.metrics import Metrics
 from cicadalever.outcomes import Failure, FailureCode
-from cicadalever.quarantine import ProvenFingerprints, Quarantine
+from cicadalever.quarantine import FingerprintState, ProvenFingerprints, Quarantine
 from cicadalever.scheduling import Rank
 from cicadalever.topology import Host, Replica
 from cicadalever.transport import (
@@ -234,7 +234,13 @@
 
     def _own(self, replica: Replica, quota: int, now: float) -> OwnedReplica:
         if not self.is_baseline:
-            return OwnedReplica(replica, self.view.floors(), now=now, takeover=True)
+            return OwnedReplica(
+                replica,
+                self.view.floors(),
+                proven=self.proven,
+                now=now,
+                takeover=True,
+            )
         # The baseline knows no slots; it uses all connections of its share.
         replica = replica._replace(slots=quota)
         return OwnedReplica(replica, {}, now=now, takeover=False)
@@ -293,7 +299,7 @@
         if read is None:
             return
         for owned in self._replicas.values():
-            if any(running.key == key for running in owned.running_reads()):
+            if owned.is_running(key):
                 break
         else:
             return
@@ -308,7 +314,8 @@
 
     def _blame(self, owned: OwnedReplica, now: float) -> None:
         for verdict in self.quarantine.crashed(owned.running_reads(), now):
-            kind = AuditKind.QUARANTINED if verdict.quarantined else AuditKind.SUSPECT
+            quarantined = verdict.state is FingerprintState.QUARANTINED
+            kind = AuditKind.QUARANTINED if quarantined else AuditKind.SUSPECT
             self.proven.discard(verdict.fingerprint)
             self.audit.record(
                 kind,
@@ -316,7 +323,7 @@
                 fingerprint=f"{verdict.fingerprint:016x}",
                 replica=owned.replica.id,
             )
-            if verdict.quarantined:
+            if quarantined:
                 notice = QuarantineNotice(
                     self.host.address,
                     verdict.fingerprint,
