Fix start-up of the daemon

Cause: eventlet's monkey patching failed on pydantic objects loaded before it; a peer's document was not checked. Change: patch first, read peers' documents with the checked reader, apply the policy of the version in force.

--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -142,7 +142,7 @@
     daemon = links.daemon = Daemon(settings, parts)
     fleet.on_change = daemon.fleet_changed
     fleet.on_host_lost = coordinator.host_lost
-    keeper.on_change = daemon.fleet_changed
+    keeper.on_change = daemon.configuration_changed
     admin = AdminApplication(DaemonViews(daemon))
     return daemon, HttpServer(settings["admin_address"], admin)
 
@@ -163,7 +163,8 @@
     ownership = Ownership(table)
     if settings["policy"] == "baseline":
         ownership = SelfOwnership(table)
-    network = PeerNetwork(host.address, links.handle, source_ip=settings["source_ip"])
+    listen_address = settings["peer_listen_address"] or host.address
+    network = PeerNetwork(listen_address, links.handle, source_ip=settings["source_ip"])
     return Fleet(table, prober, ownership, network, audit)
 
 
@@ -185,7 +186,7 @@
         return keeper.current.replica(replica_id) if keeper.current else None
 
     def floors():
-        return keeper.current.floors if keeper.current else DEFAULT_FLOORS
+        return keeper.current.policy.floors if keeper.current else DEFAULT_FLOORS
 
     view = OwnerView(
         fleet.owner_of,
--- a/cicadalever/daemon/_configuration.py
+++ b/cicadalever/daemon/_configuration.py
@@ -18,6 +18,7 @@
     LogEntry,
     PlatformReader,
     Verdict,
+    read_full_document,
 )
 from cicadalever.metrics import Metrics
 from cicadalever.outcomes import Failure, FailureCode
@@ -113,13 +114,16 @@
             reply = ConfigurationReply(entries, b"")
         else:
             full = self.history.export()
-            reply = ConfigurationReply([], msgspec.json.encode(tuple(full)))
+            reply = ConfigurationReply([], msgspec.json.encode(full._asdict()))
         self.send(message.sender, reply)
 
     def handle_reply(self, message: ConfigurationReply) -> None:
         """Take over what a peer sent; it is checked like what the platform sends."""
         if message.document:
-            full = FullDocument(*msgspec.json.decode(message.document))
+            full = read_full_document(message.document)
+            if isinstance(full, Failure):
+                logger.warning("dropped the document of a peer: {}", full.reason)
+                return
             self._take_full(full, "peer")
         for entry in message.entries:
             sequence, patch = msgspec.json.decode(entry)
@@ -224,7 +228,9 @@
             if verdict.accepted
             else AuditKind.VERSION_REFUSED
         )
-        self.audit.record(kind, verdict.version, **verdict._asdict())
+        details = verdict._asdict()
+        del details["version"]
+        self.audit.record(kind, verdict.version, **details)
 
 
 def _ignore() -> None:
--- a/cicadalever/daemon/_daemon.py
+++ b/cicadalever/daemon/_daemon.py
@@ -100,6 +100,13 @@
         """Apply a changed view of members or configuration to the owned replicas."""
         self.owners.view_changed()
 
+    def configuration_changed(self) -> None:
+        """Apply the policy and the replicas of the version in force."""
+        policy = self.keeper.current.policy
+        self.coordinator.set_policy(policy)
+        self.quarantine.ttl_s = policy.quarantine_ttl_s
+        self.owners.view_changed()
+
     def refresh_metrics(self) -> None:
         """Set the gauges that are read from state."""
         metrics = self.metrics
--- a/cicadalever/daemon/_main.py
+++ b/cicadalever/daemon/_main.py
@@ -3,13 +3,15 @@
 import sys
 import warnings
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 from loguru import logger
 
 from cicadalever.outcomes import Failure
-from cicadalever.settings import Settings, load_settings
+
+if TYPE_CHECKING:
+    from cicadalever.settings import Settings
 
 EXIT_USAGE = 2
 
@@ -20,17 +22,21 @@
     ],
 ) -> None:
     """Run one host of the query tier until SIGTERM or SIGINT."""
+    from cicadalever.settings import load_settings
+
     checked = load_settings(settings)
     if isinstance(checked, Failure):
         print(f"cicadaleverd: {checked.reason}", file=sys.stderr)
         raise typer.Exit(EXIT_USAGE)
-    _patch_blocking_calls()
     _set_up_logs(checked)
     _serve(checked)
 
 
 def main() -> None:
     """Run the command line."""
+    # eventlet patches the locks of everything that is loaded; pydantic, which the
+    # settings and typer load, does not bear that.
+    _patch_blocking_calls()
     typer.run(run)
 
 
@@ -43,7 +49,7 @@
     eventlet.monkey_patch()
 
 
-def _set_up_logs(settings: Settings) -> None:
+def _set_up_logs(settings: "Settings") -> None:
     logger.remove()
     logger.add(
         sys.stderr,
@@ -54,7 +60,7 @@
     logger.configure(extra={"host": settings["host_id"]})
 
 
-def _serve(settings: Settings) -> None:
+def _serve(settings: "Settings") -> None:
     import signal
 
     from ._composition import build_daemon
--- a/cicadalever/owners/__init__.py
+++ b/cicadalever/owners/__init__.py
@@ -2,6 +2,6 @@
 
 from ._read import QueuedRead
 from ._replica import OwnedReplica
-from ._service import OwnerService
+from ._service import OwnerService, OwnerView
 
-__all__ = ["OwnedReplica", "OwnerService", "QueuedRead"]
+__all__ = ["OwnedReplica", "OwnerService", "OwnerView", "QueuedRead"]
--- a/cicadalever/queries/_coordinator.py
+++ b/cicadalever/queries/_coordinator.py
@@ -10,7 +10,7 @@
 from eventlet.event import Event
 from eventlet.queue import LightQueue
 
-from cicadalever.configuration import Configuration, Route
+from cicadalever.configuration import CanaryMode, Configuration, Policy, Route
 from cicadalever.metrics import Metrics
 from cicadalever.outcomes import Failure, FailureCode, Outcome
 from cicadalever.quarantine import ProvenFingerprints, Quarantine
@@ -96,6 +96,7 @@
         self.max_answer_bytes = max_answer_bytes
         self._gathers: dict[str, Gather] = {}
         self._admissions: dict[int, Event] = {}
+        self._canary = policy.canary
         self._numbers = itertools.count(1)
 
     @property
@@ -103,6 +104,11 @@
         """Number of queries that are being gathered."""
         return len(self._gathers)
 
+    @property
+    def uses_canary(self) -> bool:
+        """Whether the first read of an unproven request goes out alone."""
+        return self._canary
+
     def execute(
         self, work: Work, is_caller_connected: Callable[[], bool]
     ) -> QueryAnswer:
@@ -127,6 +133,12 @@
         finally:
             self._finish_admission(work.rank, refused, started)
 
+    def set_policy(self, policy: Policy) -> None:
+        """Use the parameters of the configuration in force."""
+        self.budget.ratio = policy.extra_load
+        self.latencies.set_quantile(policy.hedge_quantile)
+        self._canary = self.policy.canary and policy.canary is CanaryMode.ALWAYS
+
     def receive(self, message: ReadAnswers) -> None:
         """Hand answers to the query that waits for them; drop late ones."""
         gather = self._gathers.get(message.query)
--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -117,7 +117,7 @@
     def _needs_canary(self, shards: list[str]) -> bool:
         coordinator = self.coordinator
         return (
-            coordinator.policy.canary
+            coordinator.uses_canary
             and len(shards) > 1
             and self.work.fingerprint not in coordinator.proven
         )
--- a/cicadalever/queries/_latency.py
+++ b/cicadalever/queries/_latency.py
@@ -18,6 +18,12 @@
         self.quantile = quantile
         self._by_index: dict[str, LatencyQuantile] = {}
 
+    def set_quantile(self, quantile: float) -> None:
+        """Measure another quantile; what was measured so far is dropped."""
+        if quantile != self.quantile:
+            self.quantile = quantile
+            self._by_index.clear()
+
     def add(self, shard: str, seconds: float, now: float) -> None:
         """Record the latency of a read of ``shard`` ("index/shard")."""
         index = shard.partition("/")[0]
--- a/cicadalever/settings/_settings.py
+++ b/cicadalever/settings/_settings.py
@@ -48,7 +48,9 @@
     """Settings of one daemon.
 
     ``check_settings`` fills in the default of every field that is not required, so
-    checked settings have all fields. Addresses are ``ip:port``.
+    checked settings have all fields. Addresses are ``ip:port``. Peers are told
+    ``peer_address``; the daemon listens there unless ``peer_listen_address`` is given,
+    as is needed behind address translation.
     """
 
     host_id: Name
@@ -64,6 +66,7 @@
     caller_address: Address
     admin_address: Address
     peer_address: Address
+    peer_listen_address: NotRequired[Annotated[Address | None, Field(default=None)]]
     source_ip: NotRequired[Annotated[IpNumber | None, Field(default=None)]]
     platform_url: Annotated[str, AfterValidator(check_url)]
     seeds: NotRequired[
