Add membership: member table, prober and ownership

Cause: hosts need to agree on who is alive and who owns a replica. Change: package membership with SWIM probes, pause handling and rendezvous ownership, and tests in simulated time.

--- /dev/null
+++ b/cicadalever/membership/__init__.py
@@ -0,0 +1,23 @@
+"""Which hosts are alive, how hosts learn it, and which host owns a replica."""
+
+from ._members import Member, MemberEvent, MemberState, MemberTable, Update
+from ._messages import Ack, Ping, PingRequest, VersionDigest
+from ._ownership import Ownership
+from ._prober import PeerDigest, Prober
+from ._weights import weight
+
+__all__ = [
+    "Ack",
+    "Member",
+    "MemberEvent",
+    "MemberState",
+    "MemberTable",
+    "Ownership",
+    "PeerDigest",
+    "Ping",
+    "PingRequest",
+    "Prober",
+    "Update",
+    "VersionDigest",
+    "weight",
+]
--- /dev/null
+++ b/cicadalever/membership/_prober.py
@@ -0,0 +1,545 @@
+"""The failure detector: SWIM probes, suspicion and handling of pauses.
+
+Source: A. Das, I. Gupta, A. Motivala, "SWIM: Scalable Weakly-consistent
+Infection-style Process Group Membership Protocol", DSN 2002.
+"""
+
+import random
+from collections import deque
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import NamedTuple
+
+from ._members import Member, MemberEvent, MemberState, MemberTable, Update
+from ._messages import MAX_UPDATES, Ack, Message, Ping, PingRequest, VersionDigest
+from ._updates import REPEATED_MEMBERS, UpdateSelector
+
+PERIOD_S = 0.5
+DIRECT_TIMEOUT_S = 0.2
+INDIRECT_TIMEOUT_S = PERIOD_S - DIRECT_TIMEOUT_S
+INDIRECT_PROBES = 2
+SUSPICION_S = 1.5
+PERIODS_PER_GONE_PROBE = 5
+ISOLATION_S = 2.0
+ANNOUNCE_FANOUT = 4
+RESUME_FANOUT = 3
+SEEDS_PER_PERIOD = 4
+# ``tick`` is due every 100 ms, so a silence of 1.1 s is a tick late by 1 s.
+TICK_S = 0.1
+PAUSE_S = TICK_S + 1.0
+# Timers count at most this much per call. After a short stall, answers that wait in
+# the sockets are then read before the timers that they stop run out.
+MAX_COUNTED_STEP_S = 0.25
+# Sums of floating-point steps of 0.1 s may fall just short of a deadline.
+ROUNDING_S = 0.001
+MAX_AWAITED = 1024
+MAX_RELAYS = 256
+MAX_EVENTS = 4096
+ANSWERING_STATES = (MemberState.ALIVE, MemberState.LEAVING)
+
+Outgoing = list[tuple[str, Message]]
+
+
+class PeerDigest(NamedTuple):
+    """A peer's address and the configuration in force there."""
+
+    address: str
+    digest: VersionDigest
+
+
+class _PeerReport(NamedTuple):
+    """The newest digest of a peer; ``contact_at`` is its last platform contact."""
+
+    incarnation: int
+    digest: VersionDigest
+    contact_at: float
+
+
+class _Relay(NamedTuple):
+    """A ping sent for another host, to whom the acknowledgement is passed on."""
+
+    host_id: str
+    address: str
+    sequence: int
+
+
+@dataclass
+class _Probe:
+    """The probe of the current period; deadlines are in counted seconds."""
+
+    target: str
+    sequence: int
+    deadline: float
+    asked_others: bool = False
+    acknowledged: bool = False
+
+
+@dataclass
+class _Suspicion:
+    """A silent member; ``accused`` is true when this host found it silent."""
+
+    precedence: tuple[int, int, MemberState]
+    deadline: float
+    accused: bool
+
+
+class Prober:
+    """Probes members, spreads updates and returns the messages to send.
+
+    ``tick`` is to be called every ``TICK_S`` and ``receive`` for each message. Both
+    return (address, message) pairs. ``seeds`` are peer addresses whose host ids are
+    not known yet. Timers run on counted time, which leaves out the time in which
+    neither method was called.
+    """
+
+    def __init__(
+        self, table: MemberTable, rng: random.Random, *, seeds: Sequence[str] = ()
+    ):
+        self.table = table
+        self.rng = rng
+        self.seeds = tuple(seeds)
+        self._selector = UpdateSelector(table, rng)
+        self._digest = VersionDigest()
+        self._sequence = 0
+        self._periods = 0
+        self._observed_at: float | None = None
+        self._counted = 0.0
+        self._next_period = 0.0
+        self._probe: _Probe | None = None
+        self._order: list[str] = []
+        self._scope: frozenset[str] = frozenset()
+        self._scope_generation = -1
+        self._suspicions: dict[str, _Suspicion] = {}
+        self._awaited: dict[int, str] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._reports: dict[str, _PeerReport] = {}
+        self._last_ack_at: float | None = None
+        self._alone_until = 0.0
+        self._has_peers = False
+        self._resumed_at = 0.0
+        self._is_fresh = True
+        self._greets_peers = False
+        self._events: deque[MemberEvent] = deque(maxlen=MAX_EVENTS)
+
+    @property
+    def last_ack_at(self) -> float | None:
+        """Time of the last acknowledgement from anybody, None before the first."""
+        return self._last_ack_at
+
+    @property
+    def newest_peer_digest(self) -> PeerDigest | None:
+        """The highest (sequence, version) that a live peer reported."""
+        peers = [
+            PeerDigest(member.host.address, report.digest)
+            for member, report in self._live_reports()
+        ]
+        return max(peers, key=lambda peer: peer.digest[:2], default=None)
+
+    def take_events(self) -> list[MemberEvent]:
+        """Return the changes that ``tick`` and ``receive`` made since the last call."""
+        events = list(self._events)
+        self._events.clear()
+        return events
+
+    def set_digest(self, digest: VersionDigest) -> None:
+        """Set the digest that the next messages carry."""
+        self._digest = digest
+
+    def platform_contact_age(self, now: float) -> float:
+        """Return the age of the newest platform contact in the own data centre.
+
+        It is in seconds, includes the own digest as last set, and is infinite when
+        no contact is known.
+        """
+        own_data_centre = self.table.self_host.data_centre
+        ages = [self._digest.platform_age_s]
+        for member, report in self._live_reports():
+            if member.host.data_centre == own_data_centre:
+                ages.append(now - report.contact_at)
+        return min(ages)
+
+    def is_isolated(self, now: float) -> bool:
+        """Tell whether no probe was acknowledged for ``ISOLATION_S``.
+
+        False when there is nobody to probe, and after a pause until the probes sent
+        after it had that time.
+        """
+        if not self._has_peers or self._is_pausing(now):
+            return False
+        return now - max(self._last_ack_at or 0.0, self._alone_until) >= ISOLATION_S
+
+    def view_is_fresh(self, now: float) -> bool:
+        """Tell whether the table does not date from before a pause.
+
+        False from a pause until a probe sent after it is acknowledged, or until
+        ``ISOLATION_S`` passed without that.
+        """
+        if self._is_pausing(now):
+            return False
+        return self._is_fresh or now - self._resumed_at >= ISOLATION_S
+
+    def tick(self, now: float) -> Outgoing:
+        """Run the timers."""
+        self._observe(now)
+        self._expire_suspicions(now)
+        outgoing = self._greet_peers()
+        outgoing += self._advance_probe(now)
+        if self._is_due(self._next_period) and not self._is_probing():
+            outgoing += self._start_period(now)
+        return outgoing
+
+    def receive(self, message: Message, now: float) -> Outgoing:
+        """Merge what a message says and answer it."""
+        self._observe(now)
+        member = self.table.member(message.sender.id)
+        self._learn(message, now)
+        if message.sender.id == self.table.self_host.id:
+            return []
+        is_stranger = (
+            member is None
+            or not member.is_live
+            or member.incarnation < message.incarnation
+        )
+        return self._answer(message, now, is_stranger)
+
+    def announce(self, now: float, fanout: int = ANNOUNCE_FANOUT) -> Outgoing:
+        """Return pings to random live members, which carry the current digest."""
+        self._observe(now)
+        peers = self._other_live()
+        chosen = self.rng.sample(peers, min(fanout, len(peers)))
+        return [self._ping(host_id) for host_id in chosen]
+
+    # Time and pauses
+
+    def _observe(self, now: float) -> None:
+        last = self._observed_at
+        self._observed_at = now
+        if last is None:
+            self._alone_until = now
+            return
+        self._counted += min(now - last, MAX_COUNTED_STEP_S)
+        if now - last > PAUSE_S:
+            self._resume(now)
+
+    def _is_pausing(self, now: float) -> bool:
+        return self._observed_at is not None and now - self._observed_at > PAUSE_S
+
+    def _is_due(self, deadline: float) -> bool:
+        return self._counted + ROUNDING_S >= deadline
+
+    def _resume(self, now: float) -> None:
+        """Drop everything that would take the own pause for the silence of others."""
+        self._resumed_at = now
+        self._alone_until = now
+        self._is_fresh = False
+        self._greets_peers = True
+        self._probe = None
+        self._awaited.clear()
+        self._relays.clear()
+        for suspicion in self._suspicions.values():
+            suspicion.deadline = self._counted + SUSPICION_S
+
+    def _greet_peers(self) -> Outgoing:
+        """Ping a few members at once after a pause to renew the view early."""
+        if not self._greets_peers:
+            return []
+        self._greets_peers = False
+        peers = self._other_live()
+        chosen = self.rng.sample(peers, min(RESUME_FANOUT, len(peers)))
+        return [self._ping(host_id) for host_id in chosen]
+
+    # Probes
+
+    def _is_probing(self) -> bool:
+        return self._probe is not None and not self._probe.acknowledged
+
+    def _advance_probe(self, now: float) -> Outgoing:
+        probe = self._probe
+        if not self._is_probing() or not self._is_due(probe.deadline):
+            return []
+        if not probe.asked_others:
+            probe.asked_others = True
+            probe.deadline = self._counted + INDIRECT_TIMEOUT_S
+            return self._ask_others(probe)
+        self._probe = None
+        self._accuse(probe.target, now)
+        return []
+
+    def _ask_others(self, probe: _Probe) -> Outgoing:
+        target = self.table.member(probe.target)
+        if target is None:
+            return []
+        helpers = sorted(self._update_scope() - {probe.target})
+        chosen = self.rng.sample(helpers, min(INDIRECT_PROBES, len(helpers)))
+        return [self._request(host_id, probe, target) for host_id in chosen]
+
+    def _request(
+        self, helper_id: str, probe: _Probe, target: Member
+    ) -> tuple[str, PingRequest]:
+        helper = self.table.member(helper_id).host
+        header = self._header(helper_id, probe.sequence, about=probe.target)
+        return helper.address, PingRequest(*header, target.host.id, target.host.address)
+
+    def _start_period(self, now: float) -> Outgoing:
+        self._periods += 1
+        # Periods keep their rhythm when a tick comes late by less than a period.
+        is_late = self._counted - self._next_period >= PERIOD_S
+        started = self._counted if is_late else self._next_period
+        self._next_period = started + PERIOD_S
+        self._prune(now)
+        target = self._next_target()
+        self._has_peers = bool(self._other_live() or self._gone() or self._strangers())
+        if not self._has_peers:
+            self._alone_until = now
+        outgoing = self._probe_target(target) if target is not None else []
+        outgoing += [
+            self._ping(host_id)
+            for host_id, suspicion in self._suspicions.items()
+            if suspicion.accused
+        ]
+        if target is None or self._periods % PERIODS_PER_GONE_PROBE == 0:
+            outgoing += self._search()
+        return outgoing
+
+    def _probe_target(self, target: str) -> Outgoing:
+        outgoing = self._ping(target)
+        deadline = self._counted + DIRECT_TIMEOUT_S
+        self._probe = _Probe(target, self._sequence, deadline)
+        return [outgoing]
+
+    def _search(self) -> Outgoing:
+        """Ping one member that is gone but still listed, and unknown seeds."""
+        gone = self._gone()
+        outgoing = [self._ping(self.rng.choice(gone))] if gone else []
+        seeds = self._strangers()
+        for address in self.rng.sample(seeds, min(SEEDS_PER_PERIOD, len(seeds))):
+            outgoing.append((address, Ping(*self._header("", self._await("")))))
+        return outgoing
+
+    def _next_target(self) -> str | None:
+        scope = self._update_scope()
+        if not self._order:
+            self._order = sorted(scope)
+            self.rng.shuffle(self._order)
+        while self._order:
+            host_id = self._order.pop()
+            if host_id in scope:
+                return host_id
+        return None
+
+    def _update_scope(self) -> frozenset[str]:
+        """Return the ids to probe; new ones join the current cycle at random."""
+        if self._scope_generation == self.table.generation:
+            return self._scope
+        own = self.table.self_host
+        hosts = list(self.table.live(own.data_centre))
+        others = {host.data_centre for host in self.table.live()} - {own.data_centre}
+        for data_centre in sorted(others):
+            hosts += self.table.delegates(data_centre)
+        scope = frozenset(host.id for host in hosts) - {own.id}
+        for host_id in sorted(scope - self._scope - set(self._order)):
+            position = self.rng.randrange(len(self._order) + 1)
+            self._order.insert(position, host_id)
+        self._scope = scope
+        self._scope_generation = self.table.generation
+        return scope
+
+    def _other_live(self) -> list[str]:
+        own_id = self.table.self_host.id
+        return [host.id for host in self.table.live() if host.id != own_id]
+
+    def _gone(self) -> list[str]:
+        return [
+            member.host.id
+            for member in self.table.members()
+            if not member.is_live and self.table.is_listed(member)
+        ]
+
+    def _strangers(self) -> list[str]:
+        """Return the seeds that are no known member's address."""
+        if not self.seeds:
+            return []
+        known = {member.host.address for member in self.table.members()}
+        return [address for address in self.seeds if address not in known]
+
+    def _prune(self, now: float) -> None:
+        self._events += self.table.forget_gone(now)
+        for pending, limit in (
+            (self._awaited, MAX_AWAITED),
+            (self._relays, MAX_RELAYS),
+        ):
+            for sequence in list(pending)[: max(0, len(pending) - limit)]:
+                del pending[sequence]
+        reports = ((member.host.id, report) for member, report in self._live_reports())
+        self._reports = dict(reports)
+
+    # Suspicion
+
+    def _accuse(self, host_id: str, now: float) -> None:
+        member = self.table.member(host_id)
+        if member is None or not member.is_live:
+            return
+        if member.reported is MemberState.ALIVE:
+            update = member.as_update()._replace(state=MemberState.SUSPECT)
+            self._apply((update,), now)
+        self._suspect(host_id, accused=True)
+
+    def _suspect(self, host_id: str, *, accused: bool) -> None:
+        """Start the timer of a suspicion.
+
+        A leaving member stays leaving while it is silent, as a suspect one could own
+        replicas again.
+        """
+        precedence = self.table.member(host_id).precedence
+        known = self._suspicions.get(host_id)
+        if known is not None and known.precedence == precedence:
+            known.accused = known.accused or accused
+            return
+        deadline = self._counted + SUSPICION_S
+        self._suspicions[host_id] = _Suspicion(precedence, deadline, accused)
+
+    def _expire_suspicions(self, now: float) -> None:
+        for host_id in self.table.suspects:
+            self._suspect(host_id, accused=False)
+        for host_id, suspicion in list(self._suspicions.items()):
+            member = self.table.member(host_id)
+            if member is None or member.precedence != suspicion.precedence:
+                del self._suspicions[host_id]
+            elif self._is_due(suspicion.deadline):
+                del self._suspicions[host_id]
+                self._apply((self._gone_update(member),), now)
+
+    @staticmethod
+    def _gone_update(member: Member) -> Update:
+        is_leaving = member.reported is MemberState.LEAVING
+        state = MemberState.LEFT if is_leaving else MemberState.DEAD
+        return member.as_update()._replace(state=state)
+
+    # Messages
+
+    def _await(self, host_id: str) -> int:
+        self._sequence += 1
+        self._awaited[self._sequence] = host_id
+        return self._sequence
+
+    def _ping(self, host_id: str) -> tuple[str, Ping]:
+        address = self.table.member(host_id).host.address
+        return address, Ping(*self._header(host_id, self._await(host_id)))
+
+    def _header(
+        self,
+        receiver: str,
+        sequence: int,
+        *,
+        about: str = "",
+        repeated: int = REPEATED_MEMBERS,
+    ) -> tuple:
+        """Return the fields that all messages begin with.
+
+        A receiver that is reported as suspect or gone is told so and can refute.
+        """
+        own = self.table.own()
+        known = self.table.member(receiver)
+        first = [about] if about else []
+        if known is not None and known.reported not in ANSWERING_STATES:
+            first.append(receiver)
+        return (
+            own.host,
+            own.incarnation,
+            own.refutation,
+            own.reported is MemberState.LEAVING,
+            sequence,
+            self._digest,
+            self._selector.select(first, repeated=repeated),
+        )
+
+    def _learn(self, message: Message, now: float) -> None:
+        state = MemberState.LEAVING if message.leaving else MemberState.ALIVE
+        sender = Update(message.sender, state, message.incarnation, message.refutation)
+        self._apply((sender, *message.updates[:MAX_UPDATES]), now)
+        self._note_digest(message, now)
+
+    def _apply(self, updates: Iterable[Update], now: float) -> None:
+        for update in updates:
+            self._events += self.table.apply(update, now)
+
+    def _live_reports(self) -> Iterator[tuple[Member, _PeerReport]]:
+        for host_id, report in self._reports.items():
+            member = self.table.member(host_id)
+            if member is not None and member.is_live:
+                yield member, report
+
+    def _note_digest(self, message: Message, now: float) -> None:
+        """Keep the newest digest of the current process of a live member."""
+        host_id = message.sender.id
+        member = self.table.member(host_id)
+        is_own = host_id == self.table.self_host.id
+        if is_own or member is None or not member.is_live:
+            return
+        if message.incarnation != member.incarnation:
+            return
+        contact_at = now - message.digest.platform_age_s
+        known = self._reports.get(host_id)
+        if known is None or known.incarnation != message.incarnation:
+            report = _PeerReport(message.incarnation, message.digest, contact_at)
+        else:
+            # Messages may arrive in another order than they were sent.
+            newest = max(known.digest, message.digest, key=lambda digest: digest[:2])
+            contact_at = max(known.contact_at, contact_at)
+            report = known._replace(digest=newest, contact_at=contact_at)
+        self._reports[host_id] = report
+
+    @singledispatchmethod
+    def _answer(self, message: Message, now: float, is_stranger: bool) -> Outgoing:
+        raise TypeError(f"{type(message).__name__} is not a membership message")
+
+    @_answer.register
+    def _(self, message: Ping, now: float, is_stranger: bool) -> Outgoing:
+        # A host that joins or returns learns as many members as one message holds.
+        repeated = MAX_UPDATES if is_stranger else REPEATED_MEMBERS
+        sender = message.sender
+        header = self._header(sender.id, message.sequence, repeated=repeated)
+        return [(sender.address, Ack(*header))]
+
+    @_answer.register
+    def _(self, message: PingRequest, now: float, is_stranger: bool) -> Outgoing:
+        sequence = self._await(message.target)
+        sender = message.sender
+        self._relays[sequence] = _Relay(sender.id, sender.address, message.sequence)
+        header = self._header(message.target, sequence)
+        return [(message.target_address, Ping(*header))]
+
+    @_answer.register
+    def _(self, message: Ack, now: float, is_stranger: bool) -> Outgoing:
+        if message.target:
+            self._take_indirect_ack(message, now)
+            return []
+        expected = self._awaited.get(message.sequence)
+        if expected is None or expected not in ("", message.sender.id):
+            return []
+        del self._awaited[message.sequence]
+        self._note_ack(message.sequence, message.sender.id, now)
+        relay = self._relays.pop(message.sequence, None)
+        if relay is None:
+            return []
+        header = self._header(relay.host_id, relay.sequence, about=message.sender.id)
+        return [(relay.address, Ack(*header, message.sender.id))]
+
+    def _take_indirect_ack(self, message: Ack, now: float) -> None:
+        probe = self._probe
+        is_expected = self._is_probing() and probe.asked_others
+        if is_expected and (probe.sequence, probe.target) == (
+            message.sequence,
+            message.target,
+        ):
+            self._note_ack(message.sequence, message.target, now)
+
+    def _note_ack(self, sequence: int, host_id: str, now: float) -> None:
+        self._last_ack_at = now
+        self._is_fresh = True
+        if self._probe is not None and self._probe.sequence == sequence:
+            self._probe.acknowledged = True
+        member = self.table.member(host_id)
+        if member is not None and member.reported is MemberState.LEAVING:
+            self._suspicions.pop(host_id, None)
--- /dev/null
+++ b/cicadalever/membership/_updates.py
@@ -0,0 +1,68 @@
+"""Selection of the updates that are piggybacked on probes."""
+
+import heapq
+import math
+import random
+from collections.abc import Iterable
+
+from ._members import MemberTable, Update
+from ._messages import MAX_UPDATES
+
+# Epidemic broadcast reaches all n members with high probability when each passes an
+# update on a small multiple of log2(n) times.
+SENDS_PER_LOG2 = 3
+# Known members that are repeated in every message. They repair differences that
+# remain when all sends of an update were lost, at a cost that does not depend on
+# the number of members.
+REPEATED_MEMBERS = 4
+
+
+class UpdateSelector:
+    """Chooses the updates of each message and counts how often each was sent."""
+
+    def __init__(self, table: MemberTable, rng: random.Random):
+        self.table = table
+        self.rng = rng
+        self._sends: dict[str, int] = {}
+        self._cycle: list[str] = []
+
+    def select(
+        self, first: Iterable[str], *, repeated: int = REPEATED_MEMBERS
+    ) -> tuple[Update, ...]:
+        """Return at most ``MAX_UPDATES`` updates, those of ``first`` before others.
+
+        Then follow new updates, the least often sent ones first, and up to
+        ``repeated`` other members in a shuffled cycle.
+        """
+        self._sends.update(dict.fromkeys(self.table.take_changed(), 0))
+        chosen = dict.fromkeys(first)
+        chosen.update(dict.fromkeys(self._take_new(MAX_UPDATES - len(chosen), chosen)))
+        room = min(repeated, MAX_UPDATES - len(chosen))
+        chosen.update(dict.fromkeys(self._take_repeated(room, chosen)))
+        members = map(self.table.member, chosen)
+        return tuple(member.as_update() for member in members if member is not None)
+
+    def _take_new(self, limit: int, exclude: Iterable[str]) -> list[str]:
+        waiting = (host_id for host_id in self._sends if host_id not in exclude)
+        taken = heapq.nsmallest(limit, waiting, key=self._sends.__getitem__)
+        count = len(self.table.live())
+        max_sends = math.ceil(SENDS_PER_LOG2 * math.log2(count + 1))
+        for host_id in taken:
+            self._sends[host_id] += 1
+            if self._sends[host_id] >= max_sends:
+                del self._sends[host_id]
+        return taken
+
+    def _take_repeated(self, limit: int, exclude: Iterable[str]) -> list[str]:
+        taken: list[str] = []
+        if len(self._cycle) < limit:
+            own_id = self.table.self_host.id
+            ids = (member.host.id for member in self.table.members())
+            fresh = [host_id for host_id in ids if host_id != own_id]
+            self.rng.shuffle(fresh)
+            self._cycle = fresh + self._cycle
+        while self._cycle and len(taken) < limit:
+            host_id = self._cycle.pop()
+            if host_id not in exclude and host_id not in taken:
+                taken.append(host_id)
+        return taken
