Add load tool, comparison with the ledger and tests of the stand-ins

Change: open-loop callers that judge their answers, a check of their records against the upstreams' ledger, and tests over loopback.

--- a/standins/_client.py
+++ b/standins/_client.py
@@ -72,15 +72,31 @@
         headers: dict[str, str] | None = None,
     ) -> Response:
         """Send one request and return its answer; raises ``ConnectionBroken``."""
+        self.send_request(method, target, body, headers)
+        return self.receive()
+
+    def send_request(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Send one request, whose answer ``receive`` returns."""
         self.open()
+        data = format_request(method, target, self.address, headers or {}, body)
+        try:
+            self._socket.settimeout(self.timeout_s)
+            self._socket.sendall(data)
+        except OSError as error:
+            raise self._break(error) from error
+
+    def receive(self) -> Response:
+        """Return the next answer; raises ``ConnectionBroken``."""
         try:
-            self._socket.sendall(
-                format_request(method, target, self.address, headers or {}, body)
-            )
             return self._read_response()
         except (OSError, ValueError) as error:
-            self.close()
-            raise ConnectionBroken(f"{self.address}: {error}", sent=True) from error
+            raise self._break(error) from error
 
     def request_json(self, method: str, target: str, value: Any = None) -> Any:
         """Send ``value`` as JSON and return the decoded answer."""
@@ -100,11 +116,6 @@
             raise ConnectionBroken(f"{self.address}: {error}", sent=False) from error
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    def send(self, data: bytes) -> None:
-        """Send raw bytes over the connection, opened on demand."""
-        self.open()
-        self._socket.sendall(data)
-
     def close(self) -> None:
         """Close the connection, if there is one."""
         if self._socket is not None:
@@ -112,6 +123,10 @@
         self._socket = None
         self._buffer = b""
 
+    def _break(self, error: Exception) -> ConnectionBroken:
+        self.close()
+        return ConnectionBroken(f"{self.address}: {error}", sent=True)
+
     def _read_response(self) -> Response:
         while (end := self._buffer.find(b"\r\n\r\n")) < 0:
             self._buffer += self._receive()
--- /dev/null
+++ b/standins/load/__main__.py
@@ -0,0 +1,9 @@
+"""Entry point of ``python -m standins.load SETTINGS.json``."""
+
+from standins._green import eventlet
+
+eventlet.monkey_patch()
+
+from standins.load._command import main  # noqa: E402
+
+main()
--- /dev/null
+++ b/standins/load/_entries.py
@@ -0,0 +1,86 @@
+"""Kept connections to entries, and the balancer's view of them."""
+
+import random
+from collections.abc import Sequence
+
+from standins._client import ConnectionBroken, HttpClient, Response
+from standins._green import eventlet
+
+HEALTH_TIMEOUT_S = 1.0
+
+
+class Entries:
+    """Chooses entries as the platform's balancer does and keeps their connections.
+
+    Entries whose health endpoint does not say ready get no new requests, unless none
+    is ready. With a ``health_period_s`` of 0, all count as ready.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        rng: random.Random,
+        health_period_s: float,
+        source_ip: str | None = None,
+    ):
+        self.addresses = list(addresses)
+        self.rng = rng
+        self.health_period_s = health_period_s
+        self.source_ip = source_ip
+        self._unready: set[str] = set()
+        self._free: dict[str, list[HttpClient]] = {a: [] for a in self.addresses}
+        self._probes: list = []
+
+    def start(self) -> None:
+        """Start to probe the health of the entries."""
+        if self.health_period_s > 0:
+            self._probes = [eventlet.spawn(self._probe, a) for a in self.addresses]
+
+    def close(self) -> None:
+        """Stop the probes and close idle connections."""
+        for probe in self._probes:
+            probe.kill()
+        for clients in self._free.values():
+            while clients:
+                clients.pop().close()
+
+    def choose(self, exclude: Sequence[str] = ()) -> str:
+        """Return an entry, preferably ready and not in ``exclude``."""
+        ready = [a for a in self.addresses if a not in self._unready]
+        fresh = [a for a in ready if a not in exclude]
+        others = [a for a in self.addresses if a not in exclude]
+        return self.rng.choice(fresh or others or ready or self.addresses)
+
+    def post(
+        self, address: str, target: str, body: bytes, timeout_s: float
+    ) -> Response:
+        """Send a request over a kept connection; raises ``ConnectionBroken``."""
+        free = self._free[address]
+        client = free.pop() if free else HttpClient(address, source_ip=self.source_ip)
+        client.timeout_s = timeout_s
+        headers = {"Content-Type": "application/json"}
+        try:
+            response = client.request("POST", target, body, headers)
+        except ConnectionBroken:
+            # Connections that were idle when the host went away are broken as well.
+            while free:
+                free.pop().close()
+            raise
+        if client.is_open:
+            free.append(client)
+        return response
+
+    def _probe(self, address: str) -> None:
+        client = HttpClient(
+            address, timeout_s=HEALTH_TIMEOUT_S, source_ip=self.source_ip
+        )
+        while True:
+            try:
+                is_ready = client.request("GET", "/v1/health").status == 200
+            except ConnectionBroken:
+                is_ready = False
+            if is_ready:
+                self._unready.discard(address)
+            else:
+                self._unready.add(address)
+            eventlet.sleep(self.health_period_s)
--- a/standins/proxy/_application.py
+++ b/standins/proxy/_application.py
@@ -86,13 +86,16 @@
 
     def _change(self, connection: Connection, command: dict) -> None:
         """Apply ``rules``; with ``restore`` true, first go back to the settings."""
+        rules = command.get("rules", {})
+        changed = {pair for name in rules for pair in self._select(name)}
         if command.get("restore"):
-            for pair in self._pairs.values():
+            changed = set(self._pairs.values())
+            for pair in changed:
                 pair.rule = Rule()
             self._apply(self.settings.get("rules", {}))
-        problem = self._apply(command.get("rules", {}))
-        for pair in self._pairs.values():
-            pair.change(pair.rule)
+        problem = self._apply(rules)
+        for pair in changed:
+            pair.follow_rule()
         if problem is not None:
             connection.send_json(400, {"error": problem})
             return
--- a/standins/proxy/_rules.py
+++ b/standins/proxy/_rules.py
@@ -53,9 +53,8 @@
         self.resets = 0
         self.forwarded_bytes = 0
 
-    def change(self, rule: Rule) -> None:
-        """Set the rule; open connections follow it at once."""
-        self.rule = rule
+    def follow_rule(self) -> None:
+        """Make the open connections act on a changed rule."""
         for link in list(self.links):
             link.follow_rule()
 
