Log unexpected errors of a request and answer 500

Cause: a defect while an order ran was answered with an empty 500 and left no trace in the log. Change: the router logs it with its request; hashing of the run key fixed.

--- a/cicadalever/api/_http.py
+++ b/cicadalever/api/_http.py
@@ -11,6 +11,8 @@
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl
 
+from loguru import logger
+
 JSON_TYPE = "application/json"
 
 Environ = dict[str, Any]
@@ -179,7 +181,7 @@
         self, environ: Environ, start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Serve one request (PEP 3333)."""
-        response = self.dispatch(Request(environ))
+        response = self._answer(Request(environ))
         headers = [
             ("Content-Type", response.content_type),
             ("Content-Length", str(len(response.body))),
@@ -188,6 +190,14 @@
         start_response(status_line(response.status), headers)
         return [response.body]
 
+    def _answer(self, request: Request) -> Response:
+        try:
+            return self.dispatch(request)
+        except Exception:
+            # A defect in one request must not end the requests of other callers.
+            logger.exception("{} {} failed", request.method, request.path)
+            return error_response(500, "internal", "internal error; see the host's log")
+
 
 def status_line(status: int) -> str:
     """Return the status with its reason phrase, such as ``404 Not Found``."""
--- a/cicadalever/daemon/_main.py
+++ b/cicadalever/daemon/_main.py
@@ -75,7 +75,3 @@
     signal.signal(signal.SIGINT, stop)
     logger.info("listening for callers on {}", settings["caller_address"])
     daemon.wait()
-
-
-if __name__ == "__main__":
-    main()
--- a/cicadalever/membership/_prober.py
+++ b/cicadalever/membership/_prober.py
@@ -142,6 +142,11 @@
         self._events.clear()
         return events
 
+    def digest_of(self, host_id: str) -> VersionDigest | None:
+        """Return the newest digest of a live peer, or None if it was not heard."""
+        report = self._reports.get(host_id)
+        return report.digest if report else None
+
     def set_digest(self, digest: VersionDigest) -> None:
         """Set the digest that the next messages carry."""
         self._digest = digest
--- a/cicadalever/queries/_coordinator.py
+++ b/cicadalever/queries/_coordinator.py
@@ -270,7 +270,7 @@
             f"route {work.route.name}: snapshot {snapshot.id} has no shards",
         )
     if work.route.operation == "run":
-        shards = (shards[xxhash.xxh3_64_intdigest(work.key) % len(shards)],)
+        shards = (shards[xxhash.xxh3_64_intdigest(work.key.encode()) % len(shards)],)
     return dict(shards)
 
 
