--- a/standins/process.py
+++ b/standins/process.py
@@ -15,7 +15,7 @@
 class Process:
     """One child process whose output goes to a file.
 
-    >>> process = Process("say", [sys.executable, "-c", "print('ready')"], "/tmp/say")
+    >>> process = Process("say", [sys.executable, "-c", "print('ready')"], "say.out")
     >>> process.start()
     >>> process.wait_ready()
     True
