--- /dev/null
+++ b/cicadalever/audit/__init__.py
@@ -0,0 +1,5 @@
+"""Audit trail of one host."""
+
+from ._trail import AuditEvent, AuditKind, AuditTrail
+
+__all__ = ["AuditEvent", "AuditKind", "AuditTrail"]
