Allow hedges at a steady load and keep the slots busy

Change: pressure begins at four rounds of waiting reads; the adaptive limit may probe one read above the slots.

--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -17,6 +17,9 @@
 # TAKEOVER_GRACE_S passed: both may hold slots during that time.
 TAKEOVER_LIMIT = 1
 TAKEOVER_GRACE_S = 1.0
+# Short queues are normal at a steady load of more than half of the capacity. Hedging
+# would never be allowed if they counted as pressure.
+PRESSURE_ROUNDS = 4
 # After a failed connect the replica is tried with one read at a time, not earlier
 # than this, so that a dead upstream does not take a connect timeout per read.
 RECONNECT_DELAY_S = 0.1
@@ -51,7 +54,7 @@
     ):
         self.replica = replica
         self._queue = RankQueue(floors)
-        self._limit = AdaptiveLimit(replica.slots, maximum=replica.slots)
+        self._limit = AdaptiveLimit(replica.slots, maximum=replica.slots + 1)
         self._gate = TrialGate(proven)
         self._held: deque = deque()
         self._service_time_s = INITIAL_SERVICE_TIME_S
@@ -124,8 +127,8 @@
         return True
 
     def is_pressed(self) -> bool:
-        """Tell whether reads wait longer for the replica than they take."""
-        return self.waiting > self._limit.limit
+        """Tell whether a read has to wait for several others to finish first."""
+        return self.waiting > PRESSURE_ROUNDS * self._limit.limit
 
     def submit(self, read: QueuedRead, now: float) -> Failure | None:
         """Accept ``read`` into the queue or say why it is refused."""
