Spread suspicions, run trials first and end herding on one replica

Cause: integration tests lost 3 upstreams to one request, because a suspicion was known only to the owner that saw the crash, single-shard requests had no canary, and reads that waited ran after the verdict. Replica choice followed small latency differences and a strong local preference, so that six entries crowded on one replica. An innocent query was refused when both replicas of its canary shard were down; a copy with less time left got 409; behind a proxy a down upstream made requests suspects. Change: suspicions go to all live hosts, owners check again at the start, every unproven request has a canary that goes first in its rank and moves to another shard if it did not run; replicas with similar latency take turns, those of the own region first; blame needs an answer since the last crash; the digest of a non-idempotent request leaves its deadline out.

--- a/cicadalever/api/_caller.py
+++ b/cicadalever/api/_caller.py
@@ -167,7 +167,7 @@
             return self.encode(query["id"], _unroutable(route), 0.0)
         work = self._work(query, route, deadline)
         with logger.contextualize(request_id=query["id"]):
-            result = self.once.execute(request_id, body, work)
+            result = self.once.execute(request_id, work)
             logger.info("non-idempotent request answered with {}", result.status)
         outcome = msgspec.json.decode(result.body, type=_OutcomeOnly).outcome
         self.metrics.query_finished(
--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -215,7 +215,7 @@
     settings, fleet, keeper, links, quarantine, proven, metrics, rng
 ) -> QueryCoordinator:
     policy = QueryPolicy()
-    selector = ReplicaSelector(rng, data_centre=settings["data_centre"])
+    selector = ReplicaSelector(rng)
     if settings["policy"] == "baseline":
         policy = baseline_policy()
         selector = build_baseline_selector()
@@ -225,6 +225,7 @@
             fleet.owner_of,
             fleet.is_reachable,
             fleet.own.address,
+            fleet.own.region,
         ),
         links.send,
         selector,
--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -64,6 +64,7 @@
         self._retry_at = 0.0
         self._running_keys: set[ReadKey] = set()
         self._blamed: set[ReadKey] = set()
+        self._answered_since_crash = True
 
     @property
     def draining(self) -> bool:
@@ -119,10 +120,13 @@
         """Tell whether the loss of read ``key`` is a crash not yet accounted for.
 
         All reads that run when an upstream crashes are lost, one after the other. Only
-        the first loss counts as a crash; the others belong to the same one.
+        the first loss counts as a crash; the others belong to the same one. Losses
+        before the replica has answered again are part of its outage: behind a TCP
+        proxy, connections to a process that is down open and break at once.
         """
-        if key in self._blamed:
+        if key in self._blamed or not self._answered_since_crash:
             return False
+        self._answered_since_crash = False
         self._blamed |= self._running_keys
         return True
 
@@ -149,8 +153,14 @@
                 f"{self.replica.id}: estimated wait {wait_s * 1000:.0f} ms passes the"
                 " deadline",
             )
+        # The other reads of a query wait for its trial, so the trial goes first.
         return self._queue.push(
-            read.key, read, rank=Rank(read.rank), deadline=read.deadline, now=now
+            read.key,
+            read,
+            rank=Rank(read.rank),
+            deadline=read.deadline,
+            now=now,
+            first=read.trial != Trial.NORMAL,
         )
 
     def start_next(self, now: float):
@@ -181,6 +191,7 @@
             self._limit.release(_FEEDBACK.get(result.code, Feedback.IGNORED), now)
             self._note_connect(result.code, now)
             return
+        self._answered_since_crash = True
         self._connect_failures = 0
         self._retry_at = 0.0
         self._service_time_s += SERVICE_TIME_WEIGHT * (service_s - self._service_time_s)
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -131,11 +131,15 @@
                     break
 
     def handle_quarantine(self, notice: QuarantineNotice) -> None:
-        """Take over a quarantine that another owner decided."""
-        self.quarantine.import_notice(
-            notice.fingerprint, notice.ttl_s, time.monotonic()
-        )
+        """Take over a suspicion or quarantine that another owner decided."""
+        now = time.monotonic()
         self.proven.discard(notice.fingerprint)
+        if notice.quarantined:
+            self.quarantine.import_notice(
+                notice.fingerprint, notice.ttl_s, now, notice.reason
+            )
+        else:
+            self.quarantine.import_suspicion(notice.fingerprint, now, notice.reason)
 
     def handle_replica_notice(self, notice: ReplicaNotice) -> None:
         """Learn from another host that a replica drains."""
@@ -198,13 +202,9 @@
     ) -> OwnedReplica | Failure:
         if read.key in self._running:
             return Failure(FailureCode.DUPLICATE_ID, "read runs already")
-        blocked = self.quarantine.check(read.fingerprint, now)
+        blocked = self._check_fingerprint(read, now)
         if blocked is not None:
             return blocked
-        if read.trial != Trial.EXCLUSIVE and self.quarantine.is_suspect(
-            read.fingerprint, now
-        ):
-            return Failure(FailureCode.SUSPECT, "an upstream was lost to this request")
         if not self.view.is_fresh():
             return Failure(FailureCode.STALE_VIEW, f"{self.host.id} was paused")
         owned = self._owned(replica_id, now)
@@ -213,6 +213,15 @@
         failure = owned.submit(read, now)
         return owned if failure is None else failure
 
+    def _check_fingerprint(self, read: QueuedRead, now: float) -> Failure | None:
+        """Refuse a read that may crash an upstream, now or after it waited."""
+        blocked = self.quarantine.check(read.fingerprint, now)
+        if blocked is not None or read.trial == Trial.EXCLUSIVE:
+            return blocked
+        if self.quarantine.is_suspect(read.fingerprint, now):
+            return Failure(FailureCode.SUSPECT, "an upstream was lost to this request")
+        return None
+
     def _owned(self, replica_id: str, now: float) -> OwnedReplica | Failure:
         replica = self.view.find_replica(replica_id)
         if replica is None:
@@ -249,9 +258,15 @@
         if not self.view.is_fresh():
             return
         while True:
-            entry = owned.start_next(time.monotonic())
+            now = time.monotonic()
+            entry = owned.start_next(now)
             if entry is None:
                 return
+            blocked = self._check_fingerprint(entry.item, now)
+            if blocked is not None:
+                owned.finish(entry.item, blocked, 0.0, now)
+                self._answer_failure(entry.item, blocked)
+                continue
             self._running[entry.item.key] = entry.item
             eventlet.spawn_n(self._run, owned, entry)
 
@@ -323,15 +338,15 @@
                 fingerprint=f"{verdict.fingerprint:016x}",
                 replica=owned.replica.id,
             )
-            if quarantined:
-                notice = QuarantineNotice(
-                    self.host.address,
-                    verdict.fingerprint,
-                    self.quarantine.ttl_s,
-                    f"crashed {owned.replica.id}",
-                )
-                for address in self.view.live_addresses():
-                    self.send(address, notice)
+            notice = QuarantineNotice(
+                self.host.address,
+                verdict.fingerprint,
+                self.quarantine.ttl_s,
+                f"{verdict.reason} on {owned.replica.id}",
+                quarantined,
+            )
+            for address in self.view.live_addresses():
+                self.send(address, notice)
 
     def _set_draining(self, owned: OwnedReplica, source: str) -> None:
         if not owned.set_draining(True):
--- a/cicadalever/quarantine/_quarantine.py
+++ b/cicadalever/quarantine/_quarantine.py
@@ -127,6 +127,12 @@
         _store(self._quarantined, fingerprint, _Record(expires_at, reason), now)
         return True
 
+    def import_suspicion(self, fingerprint: int, now: float, reason: str) -> None:
+        """Take over a suspicion of another host; it expires like an own one."""
+        if self.check(fingerprint, now) is None:
+            record = _Record(now + self.ttl_s, reason)
+            _store(self._suspects, fingerprint, record, now)
+
     def entries(self, now: float) -> list[QuarantineEntry]:
         """Return the quarantined and the suspect fingerprints, oldest first."""
         return [
--- a/cicadalever/queries/_coordinator.py
+++ b/cicadalever/queries/_coordinator.py
@@ -61,6 +61,7 @@
     owner_of: Callable[[Replica], Host | None]
     is_reachable: Callable[[str], bool]
     self_address: str
+    region: str
 
 
 class QueryCoordinator:
--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -23,7 +23,15 @@
 
 from ._query import Query, ShardRead
 
-MAX_TRIES = 8
+# Reads of one shard that are refused and sent again. An interactive query gives up
+# after about 0.15 s, others go on at RETRY_DELAY_MAX_S until their deadline.
+MAX_TRIES_INTERACTIVE = 6
+MAX_TRIES = 100
+# A replica that cannot meet the deadline now will not meet it later.
+MAX_TRIES_AFTER_REFUSAL = 2
+# Share of its shards that owners must refuse for overload before a query counts as
+# refused. One overloaded service must not close the admission window for all routes.
+REFUSED_SHARE = 0.1
 RETRY_DELAY_S = 0.01
 RETRY_DELAY_MAX_S = 0.5
 # An interactive query does not wait longer for a shard without a reachable replica:
@@ -65,12 +73,18 @@
         self.hedges = 0
         self.retries = 0
         self.restart_wanted = False
-        self.refused_by_owner = False
         self._hedge_at: list[tuple[float, int]] = []
         self._retry_at: list[tuple[float, str, Trial]] = []
         self._unsent: list[str] = []
         self._gone: set[str] = set()
         self._postponements: Counter[str] = Counter()
+        self._refused: set[str] = set()
+
+    @property
+    def refused_by_owner(self) -> bool:
+        """Whether owners refused a share of the shards for overload or deadline."""
+        refused = sum(not self.query.is_covered(shard) for shard in self._refused)
+        return refused > REFUSED_SHARE * len(self.query.shards)
 
     def run(self, is_caller_connected: Callable[[], bool], may_restart: bool) -> None:
         """Send all reads and wait for the answers, at most until the deadline."""
@@ -106,21 +120,23 @@
         return max(wake_at - now, 0.0005)
 
     def _send_first_wave(self) -> None:
+        coordinator = self.coordinator
         shards = list(self.query.shards)
-        if self._needs_canary(shards):
-            canary = shards[self.work.fingerprint % len(shards)]
-            self._unsent = [shard for shard in shards if shard != canary]
-            self._send([self._plan_trial(canary, Trial.CANARY)])
-            return
-        self._send_normal(shards)
+        fingerprint = self.work.fingerprint
+        if not coordinator.uses_canary:
+            self._send_normal(shards)
+        elif coordinator.quarantine.is_suspect(fingerprint, time.monotonic()):
+            self._send_trial(shards, Trial.EXCLUSIVE)
+        elif fingerprint in coordinator.proven:
+            self._send_normal(shards)
+        else:
+            self._send_trial(shards, Trial.CANARY)
 
-    def _needs_canary(self, shards: list[str]) -> bool:
-        coordinator = self.coordinator
-        return (
-            coordinator.uses_canary
-            and len(shards) > 1
-            and self.work.fingerprint not in coordinator.proven
-        )
+    def _send_trial(self, shards: list[str], trial: Trial) -> None:
+        """Send the one read that must succeed before the others are sent."""
+        chosen = shards[self.work.fingerprint % len(shards)]
+        self._unsent = [shard for shard in shards if shard != chosen]
+        self._send([self._plan_trial(chosen, trial)])
 
     def _send_normal(self, shards: list[str]) -> None:
         plans = [self._plan(shard) for shard in shards]
@@ -170,16 +186,19 @@
         heapq.heappush(self._retry_at, (time.monotonic() + delay_s, shard, trial))
 
     def _usable_replicas(self, shard: str) -> list[Replica]:
-        coordinator = self.coordinator
-        service = self.query.shards[shard]
-        usable = []
-        for replica in self.configuration.replicas_of(service):
-            if replica.draining:
+        """Return the replicas that can be asked, those of the own region if any.
+
+        The way to another region takes longer than a read.
+        """
+        view = self.coordinator.view
+        near = []
+        far = []
+        for replica in self.configuration.replicas_of(self.query.shards[shard]):
+            owner = None if replica.draining else view.owner_of(replica)
+            if owner is None or not view.is_reachable(owner.address):
                 continue
-            owner = coordinator.view.owner_of(replica)
-            if owner is not None and coordinator.view.is_reachable(owner.address):
-                usable.append(replica)
-        return usable
+            (near if owner.region == view.region else far).append(replica)
+        return near or far
 
     def _send(self, plans: list[PlannedRead | None]) -> None:
         coordinator = self.coordinator
@@ -272,14 +291,16 @@
 
     def _handle_failure(self, read: ShardRead, failure: Failure, now: float) -> None:
         if failure.code in _REFUSAL_CODES:
-            self.refused_by_owner = True
+            self._refused.add(read.shard)
         if failure.code in _RESTART_CODES:
             self._note_gone(read)
         if failure.code in _FINAL_CODES:
             self._stop_sending()
             return
-        if not self.query.is_open(read.shard) or not self._may_retry(failure, now):
-            self._fail_canary(read, failure)
+        if not self.query.is_open(read.shard):
+            return
+        if not self._may_retry(read, failure, now):
+            self._fail_trial(failure)
             return
         self.retries += 1
         trial = Trial.NORMAL
@@ -289,8 +310,13 @@
             self._retry_at, (now + self._retry_delay(read.shard), read.shard, trial)
         )
 
-    def _may_retry(self, failure: Failure, now: float) -> bool:
+    def _may_retry(self, read: ShardRead, failure: Failure, now: float) -> bool:
         coordinator = self.coordinator
+        tries = self.query.tries(read.shard)
+        if failure.code in _REFUSAL_CODES:
+            return tries < MAX_TRIES_AFTER_REFUSAL
+        if tries >= self._max_tries():
+            return False
         if is_not_run(failure.code):
             return True
         if not self.work.idempotent:
@@ -302,12 +328,16 @@
             now
         )
 
+    def _max_tries(self) -> int:
+        interactive = self.work.rank == Rank.INTERACTIVE
+        return MAX_TRIES_INTERACTIVE if interactive else MAX_TRIES
+
     def _retry_delay(self, shard: str) -> float:
         tries = self.query.tries(shard)
         replicas = self.configuration.replicas_of(self.query.shards[shard])
         if tries < len(replicas):
             return 0.0
-        delay_s = RETRY_DELAY_S * 2 ** (tries - len(replicas))
+        delay_s = RETRY_DELAY_S * 2 ** min(tries - len(replicas), 10)
         jitter = 0.5 + self.coordinator.rng.random()
         return min(delay_s, RETRY_DELAY_MAX_S) * jitter
 
@@ -323,10 +353,17 @@
         newest = self.coordinator.view.configuration().newest_snapshot()
         return newest.id > self.query.snapshot
 
-    def _fail_canary(self, read: ShardRead, failure: Failure) -> None:
-        """Give the whole query up when its trial failed for good."""
-        if self._unsent and not self.query.outstanding and not self._retry_at:
-            self._stop_sending_because(failure)
+    def _fail_trial(self, failure: Failure) -> None:
+        """Try another shard if the trial did not run; else give the query up."""
+        if not self._unsent or self.query.outstanding or self._retry_at:
+            return
+        if is_not_run(failure.code) and not self.query.may_have_run:
+            trial = Trial.EXCLUSIVE
+            if failure.code != FailureCode.SUSPECT:
+                trial = Trial.CANARY
+            self._send([self._plan_trial(self._unsent.pop(), trial)])
+            return
+        self._stop_sending_because(failure)
 
     def _stop_sending_because(self, failure: Failure) -> None:
         for shard in self._unsent:
@@ -345,9 +382,6 @@
             _, shard, trial = heapq.heappop(self._retry_at)
             if not self.query.is_open(shard):
                 continue
-            if self.query.tries(shard) >= MAX_TRIES:
-                self._fail_canary(None, self.query.failure_of(shard))
-                continue
             plans.append(
                 self._plan(shard)
                 if trial == Trial.NORMAL
@@ -358,10 +392,9 @@
             plans.append(self._plan_hedge(number, now))
         if plans:
             self._send(plans)
-        if self._unsent and not self.query.outstanding and not self._retry_at:
-            self._stop_sending_because(
-                Failure(FailureCode.UNREACHABLE, "no replica for the first read")
-            )
+        while self._unsent and not self.query.outstanding and not self._retry_at:
+            unreachable = Failure(FailureCode.UNREACHABLE, "no replica is reachable")
+            self._fail_trial(unreachable)
 
     def _plan_hedge(self, number: int, now: float) -> PlannedRead | None:
         read = self.query.outstanding.get(number)
--- a/cicadalever/queries/_once.py
+++ b/cicadalever/queries/_once.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-import xxhash
 from eventlet.event import Event
 
 from cicadalever.once import Begun, Finished, InProgress, OnceTable, RequestId
@@ -59,10 +58,14 @@
             self.table.incarnation,
         )
 
-    def execute(self, request_id: RequestId, body: bytes, work: Work) -> OnceResult:
-        """Run a request whose id this process issued, or give its known result."""
+    def execute(self, request_id: RequestId, work: Work) -> OnceResult:
+        """Run a request whose id this process issued, or give its known result.
+
+        Copies of a request may differ in the time that is left to their deadline.
+        """
         started = time.monotonic()
-        begun = self.table.begin(request_id, xxhash.xxh3_128_digest(body), started)
+        digest = work.fingerprint.to_bytes(8, "big") + bytes([work.rank])
+        begun = self.table.begin(request_id, digest, started)
         if isinstance(begun, Begun):
             return self._run(request_id, work, started)
         if isinstance(begun, Finished):
--- a/cicadalever/scheduling/_queue.py
+++ b/cicadalever/scheduling/_queue.py
@@ -74,10 +74,19 @@
         return {rank: len(self._queues[rank]) for rank in Rank}
 
     def push(
-        self, key: Hashable, item: Any, *, rank: Rank, deadline: float, now: float
+        self,
+        key: Hashable,
+        item: Any,
+        *,
+        rank: Rank,
+        deadline: float,
+        now: float,
+        first: bool = False,
     ) -> Failure | None:
         """Add an entry, or say why it is refused.
 
+        With ``first`` it goes before the waiting entries of its rank.
+
         The codes are ``DEADLINE`` (it has passed), ``DUPLICATE_ID`` (the key waits
         already) and ``OVERLOAD`` (the rank is full).
         """
@@ -93,6 +102,8 @@
             reason = f"{len(queue)} entries of rank {int(rank)} wait"
             return Failure(FailureCode.OVERLOAD, reason)
         queue[key] = Entry(key, item, rank, deadline, now)
+        if first:
+            queue.move_to_end(key, last=False)
         heappush(self._deadlines, (deadline, next(self._sequence), key))
         if len(self._deadlines) > 2 * len(self) + STALE_DEADLINES_SLACK:
             self._rebuild_deadlines()
--- a/cicadalever/scheduling/_selector.py
+++ b/cicadalever/scheduling/_selector.py
@@ -1,5 +1,6 @@
 """The choice of a replica for a read."""
 
+from collections import Counter
 from collections.abc import Container, Sequence
 from math import exp, log
 from random import Random
@@ -19,12 +20,13 @@
 FAILURE_PENALTY = 4.0
 MAX_FAILURES = 8.0
 
-# A replica of another data centre is used when it is this much faster.
-REMOTE_FACTOR = 2.0
+# Latencies that differ by less count as equal. With six entries that all follow small
+# differences, the reads of one service crowd on one of its replicas in turn.
+SIMILAR_LATENCY = 2.0
 
-# Scores this close count as equal. Otherwise the least difference would send all
-# reads of an idle entry to one replica and leave the other unmeasured.
-TIE_FACTOR = 1.1
+# A load must be this much smaller to count as smaller. The rest of a penalty that has
+# almost decayed would otherwise decide for minutes.
+EQUAL_LOAD = 0.9
 
 # Replicas leave the configuration unannounced. Unused states are dropped when there
 # are more than this many, which is above the 3,200 replicas of the largest fleet.
@@ -46,44 +48,34 @@
 
 
 class ReplicaSelector:
-    """Power of two choices on own outstanding reads and observed latencies.
+    """Choice between two replicas on own outstanding reads and observed latencies.
 
-    The score of a replica is its expected latency times one more than the reads that
-    this entry has outstanding there, raised by recent failures. A replica that was
-    not measured lately counts as average. Replicas of ``data_centre`` are preferred
-    unless their score is ``REMOTE_FACTOR`` times that of another. Draining replicas
-    are never chosen.
+    The replica with fewer outstanding reads of this entry is chosen; replicas with
+    equally many take turns. Only a replica that is ``SIMILAR_LATENCY`` times slower, or
+    failed lately, counts as that much more loaded. Of more than two replicas, the one
+    whose turn it is and a random other one are compared. A replica that was not
+    measured lately counts as average. Draining replicas are never chosen.
 
     Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
     """
 
-    def __init__(self, rng: Random, *, data_centre: str):
+    def __init__(self, rng: Random):
         self.rng = rng
-        self.data_centre = data_centre
         self._states: dict[str, _ReplicaState] = {}
         self._max_states = MAX_STATES
         self._average_s = INITIAL_LATENCY_S
+        self._turns: Counter[str] = Counter()
 
     def choose(
         self, candidates: Sequence[Replica], now: float, exclude: Container[str] = ()
     ) -> Replica | None:
         """Return a replica whose id is not in ``exclude``, or None if none is left."""
-        local = []
-        remote = []
-        for replica in candidates:
-            if replica.draining or replica.id in exclude:
-                continue
-            is_local = replica.data_centre == self.data_centre
-            (local if is_local else remote).append(replica)
-        if not remote:
-            return self._better_of_two(local, now) if local else None
-        if not local:
-            return self._better_of_two(remote, now)
-        near = self._better_of_two(local, now)
-        far = self._better_of_two(remote, now)
-        if self._score(near.id, now) > REMOTE_FACTOR * self._score(far.id, now):
-            return far
-        return near
+        usable = [
+            replica
+            for replica in candidates
+            if not replica.draining and replica.id not in exclude
+        ]
+        return self._better_of_two(usable, now) if usable else None
 
     def started(self, replica_id: str, now: float) -> None:
         """Count a read that was sent to a replica."""
@@ -123,31 +115,38 @@
         remembered = exp(DECAY_PER_S * (state.measured_at - now))
         return self._average_s + remembered * (state.latency_s - self._average_s)
 
-    def _score(self, replica_id: str, now: float) -> float:
-        state = self._states.get(replica_id)
-        if state is None:
-            return max(MIN_LATENCY_S, self._average_s)
-        latency_s = max(MIN_LATENCY_S, self._expected_latency(state, now))
-        score = latency_s * (state.outstanding + 1)
-        if state.failures:
-            failures = state.failures * exp(DECAY_PER_S * (state.failed_at - now))
-            score *= 1.0 + FAILURE_PENALTY * failures
-        return score
-
     def _better_of_two(self, replicas: list[Replica], now: float) -> Replica:
         total = len(replicas)
         if total == 1:
             return replicas[0]
-        # The offset makes the two distinct and their order random, which breaks ties.
-        first = int(self.rng.random() * total)
+        service = replicas[0].service
+        first = self._turns[service] % total
+        self._turns[service] += 1
         second = (first + 1) % total
         if total > 2:
             second = (first + 1 + int(self.rng.random() * (total - 1))) % total
         one = replicas[first]
         other = replicas[second]
-        if TIE_FACTOR * self._score(other.id, now) < self._score(one.id, now):
-            return other
-        return one
+        return other if self._is_better(other.id, one.id, now) else one
+
+    def _is_better(self, replica_id: str, other_id: str, now: float) -> bool:
+        latency_s, load = self._measurements(replica_id, now)
+        other_latency_s, other_load = self._measurements(other_id, now)
+        ratio = latency_s / other_latency_s
+        if 1 / SIMILAR_LATENCY < ratio < SIMILAR_LATENCY:
+            ratio = 1.0
+        return load * ratio < EQUAL_LOAD * other_load
+
+    def _measurements(self, replica_id: str, now: float) -> tuple[float, float]:
+        """Return the expected latency in seconds and one more than the load."""
+        state = self._states.get(replica_id)
+        if state is None:
+            return max(MIN_LATENCY_S, self._average_s), 1.0
+        load = state.outstanding + 1.0
+        if state.failures:
+            failures = state.failures * exp(DECAY_PER_S * (state.failed_at - now))
+            load *= 1.0 + FAILURE_PENALTY * failures
+        return max(MIN_LATENCY_S, self._expected_latency(state, now)), load
 
     def _add_state(self, replica_id: str, now: float) -> _ReplicaState:
         if len(self._states) >= self._max_states:
--- a/cicadalever/transport/_messages.py
+++ b/cicadalever/transport/_messages.py
@@ -119,12 +119,16 @@
 
 
 class QuarantineNotice(NamedTuple):
-    """A fingerprint that crashed two upstreams; ``ttl_s`` seconds remain."""
+    """A fingerprint that an upstream was lost to; ``ttl_s`` seconds remain.
+
+    It is a suspect after the first loss and quarantined after the second.
+    """
 
     sender: str
     fingerprint: int
     ttl_s: float
     reason: str
+    quarantined: bool
 
 
 class ReplicaNotice(NamedTuple):
