--- a/cicadalever/membership/_members.py
+++ b/cicadalever/membership/_members.py
@@ -214,7 +214,7 @@
             return []
         if hosts.generation != current:
             self._list_generation = hosts.generation
-            self._note_change(roster=True)
+            self._note_change(roster=current is None)
         listed = {entry.host.id: entry for entry in hosts.hosts}
         events = []
         for entry in listed.values():
@@ -291,7 +291,7 @@
             self._note_change(roster=True)
             return [MemberEvent(member.host, None, member.state, member.incarnation)]
         is_moved = previous.host != member.host
-        is_relisted = previous.listed != member.listed
+        is_relisted = (previous.listed is None) != (member.listed is None)
         before = (previous.state, previous.incarnation)
         if is_moved or is_relisted or before != (member.state, member.incarnation):
             self._note_change(roster=is_moved or is_relisted)
--- a/cicadalever/membership/_ownership.py
+++ b/cicadalever/membership/_ownership.py
@@ -1,6 +1,7 @@
 """Which host holds the connections to a replica."""
 
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Any
 
 from cicadalever.topology import Host, Replica
 
@@ -33,15 +34,25 @@
     return max(1, min(affordable, MAX_CANDIDATES))
 
 
-class _Candidates(NamedTuple):
-    replica: Replica
-    hosts: tuple[Host, ...]
-    quota: int
+class _ReplicaCache:
+    """Results of ``compute`` by replica, kept for one generation of the table."""
 
+    def __init__(self, compute: Callable[[Replica], Any]):
+        self.compute = compute
+        self._generation = -1
+        self._results: dict[str, tuple[Replica, Any]] = {}
 
-class _Owner(NamedTuple):
-    replica: Replica
-    host: Host | None
+    def get(self, replica: Replica, generation: int) -> Any:
+        """Return the cached or computed result for a replica."""
+        is_outdated = generation != self._generation
+        if is_outdated or len(self._results) > MAX_CACHED_REPLICAS:
+            self._results.clear()
+            self._generation = generation
+        cached = self._results.get(replica.id)
+        if cached is None or cached[0] != replica:
+            cached = (replica, self.compute(replica))
+            self._results[replica.id] = cached
+        return cached[1]
 
 
 class Ownership:
@@ -54,10 +65,11 @@
 
     def __init__(self, table: MemberTable):
         self.table = table
-        self._candidates: dict[str, _Candidates] = {}
-        self._candidates_generation = -1
-        self._owners: dict[str, _Owner] = {}
-        self._owners_generation = -1
+        self._owners = _ReplicaCache(self._find_owner)
+        self._local = _ReplicaCache(self._choose_local)
+        self._remote = _ReplicaCache(self._choose_remote)
+        self._hosts: dict[str, list[Host]] = {}
+        self._hosts_generation = -1
 
     def weight(self, replica: Replica, host: Host) -> int:
         """Return the weight of a host for a replica."""
@@ -69,23 +81,20 @@
         The hosts of its own data centre come first, then the fallback in other data
         centres, those in the same region first.
         """
-        return self._entry(replica).hosts
+        return self._local_hosts(replica) + self._remote_hosts(replica)
 
     def quota(self, replica: Replica) -> int:
         """Return how many connections this host may open; 0 if it is no candidate."""
-        return self._entry(replica).quota
+        own_id = self.table.self_host.id
+        if any(host.id == own_id for host in self._local_hosts(replica)):
+            return connection_quota(replica)
+        if any(host.id == own_id for host in self._remote_hosts(replica)):
+            return min(connection_quota(replica), self._spare(replica))
+        return 0
 
     def owner_of(self, replica: Replica) -> Host | None:
         """Return the first candidate that is live and not leaving."""
-        if self._owners_generation != self.table.generation:
-            self._owners.clear()
-            self._owners_generation = self.table.generation
-        cached = self._owners.get(replica.id)
-        if cached is not None and cached.replica == replica:
-            return cached.host
-        owner = self._find_owner(replica)
-        self._owners[replica.id] = _Owner(replica, owner)
-        return owner
+        return self._owners.get(replica, self.table.generation)
 
     def owned_by_self(self, replica: Replica) -> bool:
         """Tell whether this host owns the replica."""
@@ -97,52 +106,61 @@
         return self.table.delegates(data_centre)
 
     def _find_owner(self, replica: Replica) -> Host | None:
-        for host in self.candidates(replica):
-            member = self.table.member(host.id)
-            if member is not None and member.may_own:
-                return member.host
+        # The fallback is computed only when it is needed: weighing all hosts of a
+        # large fleet for every replica takes seconds after each change of the list.
+        for choose in (self._local_hosts, self._remote_hosts):
+            for host in choose(replica):
+                member = self.table.member(host.id)
+                if member is not None and member.may_own:
+                    return member.host
         return None
 
-    def _entry(self, replica: Replica) -> _Candidates:
-        is_outdated = self._candidates_generation != self.table.roster_generation
-        if is_outdated or len(self._candidates) > MAX_CACHED_REPLICAS:
-            self._candidates.clear()
-            self._owners.clear()
-            self._candidates_generation = self.table.roster_generation
-        cached = self._candidates.get(replica.id)
-        if cached is None or cached.replica != replica:
-            cached = self._candidates[replica.id] = self._choose(replica)
-        return cached
-
-    def _choose(self, replica: Replica) -> _Candidates:
-        roster = self.table.roster()
-        ordered = order_by_weight(
-            replica.id, (host for host in roster if OWNER_ROLE in host.roles)
-        )
-        count = candidate_count(replica)
-        quota = connection_quota(replica)
-        local = [h for h in ordered if h.data_centre == replica.data_centre][:count]
-        # The fallback gets only connections that the local candidates cannot use:
-        # in a partition both sides may believe that they own the replica.
-        spare = max(0, replica.connections - len(local) * quota)
-        fallback_quota = min(quota, spare)
-        fallback_count = min(count, spare // fallback_quota) if spare else 0
-        remote = self._order_remote(replica, roster, ordered)[:fallback_count]
-        return _Candidates(
-            replica,
-            (*local, *remote),
-            self._own_quota(local, quota) or self._own_quota(remote, fallback_quota),
-        )
-
-    def _own_quota(self, hosts: list[Host], quota: int) -> int:
-        is_candidate = any(host.id == self.table.self_host.id for host in hosts)
-        return quota if is_candidate else 0
-
-    @staticmethod
-    def _order_remote(
-        replica: Replica, roster: tuple[Host, ...], ordered: list[Host]
-    ) -> list[Host]:
-        """Return hosts of other data centres, those in the replica's region first."""
-        regions = {h.region for h in roster if h.data_centre == replica.data_centre}
-        remote = [h for h in ordered if h.data_centre != replica.data_centre]
-        return sorted(remote, key=lambda host: host.region not in regions)
+    def _local_hosts(self, replica: Replica) -> tuple[Host, ...]:
+        return self._local.get(replica, self.table.roster_generation)
+
+    def _remote_hosts(self, replica: Replica) -> tuple[Host, ...]:
+        return self._remote.get(replica, self.table.roster_generation)
+
+    def _choose_local(self, replica: Replica) -> tuple[Host, ...]:
+        hosts = self._by_data_centre().get(replica.data_centre, ())
+        return tuple(order_by_weight(replica.id, hosts)[: candidate_count(replica)])
+
+    def _choose_remote(self, replica: Replica) -> tuple[Host, ...]:
+        spare = self._spare(replica)
+        if not spare:
+            return ()
+        affordable = spare // min(connection_quota(replica), spare)
+        count = min(affordable, candidate_count(replica))
+        near = {
+            member.host.region
+            for member in self.table.members()
+            if member.host.data_centre == replica.data_centre
+        }
+        remote = [
+            host
+            for data_centre, hosts in self._by_data_centre().items()
+            for host in hosts
+            if data_centre != replica.data_centre
+        ]
+        ordered = order_by_weight(replica.id, remote)
+        ordered.sort(key=lambda host: host.region not in near)
+        return tuple(ordered[:count])
+
+    def _spare(self, replica: Replica) -> int:
+        """Return the connections that the local candidates cannot use.
+
+        Only these go to the fallback: in a partition both sides may believe that
+        they own the replica.
+        """
+        used = len(self._local_hosts(replica)) * connection_quota(replica)
+        return max(0, replica.connections - used)
+
+    def _by_data_centre(self) -> dict[str, list[Host]]:
+        """Return the listed hosts with the owner role."""
+        if self._hosts_generation != self.table.roster_generation:
+            self._hosts_generation = self.table.roster_generation
+            self._hosts = {}
+            for host in self.table.roster():
+                if OWNER_ROLE in host.roles:
+                    self._hosts.setdefault(host.data_centre, []).append(host)
+        return self._hosts
--- a/cicadalever/membership/_prober.py
+++ b/cicadalever/membership/_prober.py
@@ -119,7 +119,7 @@
         self._has_peers = False
         self._resumed_at = 0.0
         self._is_fresh = True
-        self._greets_peers = False
+        self._extra_pings = 0
         self._events: deque[MemberEvent] = deque(maxlen=MAX_EVENTS)
 
     @property
@@ -183,10 +183,11 @@
         """Run the timers."""
         self._observe(now)
         self._expire_suspicions(now)
-        outgoing = self._greet_peers()
-        outgoing += self._advance_probe(now)
+        outgoing = self._advance_probe(now)
         if self._is_due(self._next_period) and not self._is_probing():
             outgoing += self._start_period(now)
+        outgoing += self._ping_random(self._extra_pings)
+        self._extra_pings = 0
         return outgoing
 
     def receive(self, message: Message, now: float) -> Outgoing:
@@ -206,9 +207,7 @@
     def announce(self, now: float, fanout: int = ANNOUNCE_FANOUT) -> Outgoing:
         """Return pings to random live members, which carry the current digest."""
         self._observe(now)
-        peers = self._other_live()
-        chosen = self.rng.sample(peers, min(fanout, len(peers)))
-        return [self._ping(host_id) for host_id in chosen]
+        return self._ping_random(fanout)
 
     # Time and pauses
 
@@ -233,20 +232,17 @@
         self._resumed_at = now
         self._alone_until = now
         self._is_fresh = False
-        self._greets_peers = True
+        # Pings to a few members at once renew the view before the next period.
+        self._extra_pings = RESUME_FANOUT
         self._probe = None
         self._awaited.clear()
         self._relays.clear()
         for suspicion in self._suspicions.values():
             suspicion.deadline = self._counted + SUSPICION_S
 
-    def _greet_peers(self) -> Outgoing:
-        """Ping a few members at once after a pause to renew the view early."""
-        if not self._greets_peers:
-            return []
-        self._greets_peers = False
-        peers = self._other_live()
-        chosen = self.rng.sample(peers, min(RESUME_FANOUT, len(peers)))
+    def _ping_random(self, count: int) -> Outgoing:
+        peers = self._other_live() if count else []
+        chosen = self.rng.sample(peers, min(count, len(peers)))
         return [self._ping(host_id) for host_id in chosen]
 
     # Probes
@@ -383,6 +379,7 @@
         if member.reported is MemberState.ALIVE:
             update = member.as_update()._replace(state=MemberState.SUSPECT)
             self._apply((update,), now)
+            self._extra_pings = ANNOUNCE_FANOUT
         self._suspect(host_id, accused=True)
 
     def _suspect(self, host_id: str, *, accused: bool) -> None:
@@ -409,6 +406,9 @@
             elif self._is_due(suspicion.deadline):
                 del self._suspicions[host_id]
                 self._apply((self._gone_update(member),), now)
+                # Ownership moves when all hosts know. At one probe per period, the
+                # last host would learn it seconds after the first.
+                self._extra_pings = ANNOUNCE_FANOUT
 
     @staticmethod
     def _gone_update(member: Member) -> Update:
