Use a replica again after it drained, and probe after a crash

Cause: an upstream that announced draining in an answer got no work ever again (integration test, 60 s of queries), and entries kept asking for it. Change: its owner probes the health endpoint, three good answers in a row end the drain; owners repeat drain notices, other hosts forget a notice that is not repeated. After a crash a read is preceded by a probe, so that losses behind a TCP proxy during the outage are not counted as crashes.

--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -109,7 +109,7 @@
         settings, fleet, keeper, links, quarantine, proven, audit, metrics
     )
     coordinator = _build_coordinator(
-        settings, fleet, keeper, links, quarantine, proven, metrics, rng
+        settings, fleet, keeper, owners, links, quarantine, proven, metrics, rng
     )
     table = OnceTable(host.id, incarnation)
     encode = partial(encode_answer, host=host.id)
@@ -212,7 +212,7 @@
 
 
 def _build_coordinator(
-    settings, fleet, keeper, links, quarantine, proven, metrics, rng
+    settings, fleet, keeper, owners, links, quarantine, proven, metrics, rng
 ) -> QueryCoordinator:
     policy = QueryPolicy()
     selector = ReplicaSelector(rng)
@@ -224,6 +224,7 @@
             lambda: keeper.current,
             fleet.owner_of,
             fleet.is_reachable,
+            owners.drains.__contains__,
             fleet.own.address,
             fleet.own.region,
         ),
--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -112,6 +112,19 @@
         """Return the reads that run now, for blame after a crash."""
         return self._gate.running()
 
+    @property
+    def answered_since_crash(self) -> bool:
+        """Whether the replica has answered anything since its last crash.
+
+        Until then a read is preceded by a probe. Behind a TCP proxy, connections to a
+        process that is down open and break at once, which would look like a crash.
+        """
+        return self._answered_since_crash
+
+    def note_answer(self) -> None:
+        """Record that the replica answered a probe."""
+        self._answered_since_crash = True
+
     def is_running(self, key: ReadKey) -> bool:
         """Tell whether read ``key`` runs on the replica."""
         return key in self._running_keys
@@ -120,11 +133,9 @@
         """Tell whether the loss of read ``key`` is a crash not yet accounted for.
 
         All reads that run when an upstream crashes are lost, one after the other. Only
-        the first loss counts as a crash; the others belong to the same one. Losses
-        before the replica has answered again are part of its outage: behind a TCP
-        proxy, connections to a process that is down open and break at once.
+        the first loss counts as a crash; the others belong to the same one.
         """
-        if key in self._blamed or not self._answered_since_crash:
+        if key in self._blamed:
             return False
         self._answered_since_crash = False
         self._blamed |= self._running_keys
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -25,11 +25,20 @@
     ReplicaRelease,
     Trial,
 )
-from cicadalever.upstreams import ConnectionPool, UpstreamAnswer, UpstreamCall
+from cicadalever.upstreams import (
+    STATE_READY,
+    ConnectionPool,
+    UpstreamAnswer,
+    UpstreamCall,
+)
 
+from ._drains import DrainingReplicas
 from ._read import QueuedRead, ReadKey
 from ._replica import OwnedReplica
 
+SOURCE_ANSWER = "upstream"
+SOURCE_CONFIGURATION = "configuration"
+
 
 class OwnerView(NamedTuple):
     """What the service asks of the host's view of the fleet.
@@ -72,6 +81,7 @@
         self.metrics = metrics
         self.source_ip = source_ip
         self.is_baseline = is_baseline
+        self._drains = DrainingReplicas()
         self._replicas: dict[str, OwnedReplica] = {}
         self._pools: dict[str, ConnectionPool] = {}
         self._running: dict[ReadKey, QueuedRead] = {}
@@ -83,6 +93,11 @@
         """Replicas that this host runs reads on, by id."""
         return self._replicas
 
+    @property
+    def drains(self) -> DrainingReplicas:
+        """Replicas that said that they drain."""
+        return self._drains
+
     @property
     def running(self) -> int:
         """Number of reads that run on upstreams."""
@@ -142,10 +157,9 @@
             self.quarantine.import_suspicion(notice.fingerprint, now, notice.reason)
 
     def handle_replica_notice(self, notice: ReplicaNotice) -> None:
-        """Learn from another host that a replica drains."""
-        owned = self._replicas.get(notice.replica)
-        if owned is not None and notice.draining:
-            self._set_draining(owned, notice.reason)
+        """Learn from the owner of a replica that it drains or serves again."""
+        if notice.replica not in self._replicas:
+            self._drains.note_remote(notice.replica, notice.draining, time.monotonic())
 
     def handle_release(self, message: ReplicaRelease) -> None:
         """Use all slots of a replica that its former owner released."""
@@ -163,8 +177,8 @@
                 self._give_up(replica_id, None)
                 continue
             if replica.draining:
-                self._set_draining(owned, "configuration")
-            elif owned.replica.draining and owned.draining:
+                self._set_draining(owned, SOURCE_CONFIGURATION)
+            elif owned.replica.draining and replica_id not in self._drains:
                 owned.set_draining(False)
             if replica.address != owned.replica.address:
                 self._refuse_queue(owned, FailureCode.UNAVAILABLE, "replica moved")
@@ -186,6 +200,7 @@
                     entry.item, Failure(FailureCode.DEADLINE, "expired in the queue")
                 )
             self._pump(owned)
+        self._watch_drains(now)
 
     def refuse_waiting(self, code: FailureCode, reason: str) -> None:
         """Refuse all reads that have not started."""
@@ -234,6 +249,9 @@
         if owned is None:
             quota = max(1, self.view.quota(replica))
             owned = self._own(replica, quota, now)
+            if replica_id in self._drains:
+                owned.set_draining(True)
+                self._drains.note_own(replica_id, now)
             self._replicas[replica_id] = owned
             self._pools[replica_id] = ConnectionPool(
                 replica.address, quota, source_ip=self.source_ip
@@ -274,7 +292,7 @@
         read: QueuedRead = entry.item
         started = time.monotonic()
         pool = self._pools.get(owned.replica.id)
-        result = self._call(pool, read, started)
+        result = self._call(owned, pool, read, started)
         now = time.monotonic()
         if isinstance(result, Failure) and result.code == FailureCode.LOST:
             if owned.take_crash(read.key):
@@ -286,16 +304,25 @@
         self._running.pop(read.key, None)
         self._answer(owned, read, result, started - entry.queued_at, now - started)
         if _shows_draining(result):
-            self._set_draining(owned, "upstream")
+            self._set_draining(owned, SOURCE_ANSWER)
         self._pump(owned)
 
     def _call(
-        self, pool: ConnectionPool | None, read: QueuedRead, now: float
+        self,
+        owned: OwnedReplica,
+        pool: ConnectionPool | None,
+        read: QueuedRead,
+        now: float,
     ) -> UpstreamAnswer | Failure:
         connection = pool.take() if pool else None
         if connection is None:
             return Failure(FailureCode.OVERLOAD, "no connection is free")
         try:
+            if not owned.answered_since_crash:
+                if connection.probe() is None:
+                    reason = f"{owned.replica.id} has not answered since its crash"
+                    return Failure(FailureCode.UNREACHABLE, reason)
+                owned.note_answer()
             return connection.call(
                 UpstreamCall(
                     read.operation,
@@ -348,17 +375,47 @@
             for address in self.view.live_addresses():
                 self.send(address, notice)
 
+    def _watch_drains(self, now: float) -> None:
+        for replica_id in self._drains.due_probes(now):
+            if replica_id in self._replicas:
+                eventlet.spawn_n(self._probe, replica_id)
+        for replica_id in self._drains.due_repeats(now):
+            if replica_id in self._replicas:
+                self._notify(replica_id, True, "repeated")
+        self._drains.forget_old(now)
+
+    def _probe(self, replica_id: str) -> None:
+        pool = self._pools.get(replica_id)
+        connection = pool.take() if pool else None
+        if connection is None:
+            return
+        try:
+            is_serving = connection.probe() == STATE_READY
+        finally:
+            pool.give_back(connection)
+        owned = self._replicas.get(replica_id)
+        if owned is None or not self._drains.probed(replica_id, is_serving):
+            return
+        owned.set_draining(owned.replica.draining)
+        self.audit.record(AuditKind.REPLICA_RECOVERED, 0, replica=replica_id)
+        self._notify(replica_id, False, "health")
+
+    def _notify(self, replica_id: str, draining: bool, source: str) -> None:
+        notice = ReplicaNotice(self.host.address, replica_id, draining, source)
+        for address in self.view.live_addresses():
+            self.send(address, notice)
+
     def _set_draining(self, owned: OwnedReplica, source: str) -> None:
+        replica_id = owned.replica.id
+        if source == SOURCE_ANSWER:
+            self._drains.note_own(replica_id, time.monotonic())
         if not owned.set_draining(True):
             return
-        replica_id = owned.replica.id
         self.audit.record(
             AuditKind.REPLICA_DRAINING, 0, replica=replica_id, source=source
         )
         self._refuse_queue(owned, FailureCode.DRAINING, f"{replica_id} is draining")
-        notice = ReplicaNotice(self.host.address, replica_id, True, source)
-        for address in self.view.live_addresses():
-            self.send(address, notice)
+        self._notify(replica_id, True, source)
 
     def _give_up(self, replica_id: str, owner: Host | None) -> None:
         self._replicas.pop(replica_id)
--- a/cicadalever/queries/_coordinator.py
+++ b/cicadalever/queries/_coordinator.py
@@ -60,6 +60,7 @@
     configuration: Callable[[], Configuration | None]
     owner_of: Callable[[Replica], Host | None]
     is_reachable: Callable[[str], bool]
+    is_draining: Callable[[str], bool]
     self_address: str
     region: str
 
--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -194,7 +194,8 @@
         near = []
         far = []
         for replica in self.configuration.replicas_of(self.query.shards[shard]):
-            owner = None if replica.draining else view.owner_of(replica)
+            draining = replica.draining or view.is_draining(replica.id)
+            owner = None if draining else view.owner_of(replica)
             if owner is None or not view.is_reachable(owner.address):
                 continue
             (near if owner.region == view.region else far).append(replica)
--- a/cicadalever/upstreams/__init__.py
+++ b/cicadalever/upstreams/__init__.py
@@ -1,6 +1,17 @@
 """HTTP calls to upstreams over kept-open connections."""
 
-from ._connection import UpstreamAnswer, UpstreamCall, UpstreamConnection
+from ._connection import (
+    STATE_READY,
+    UpstreamAnswer,
+    UpstreamCall,
+    UpstreamConnection,
+)
 from ._pool import ConnectionPool
 
-__all__ = ["ConnectionPool", "UpstreamAnswer", "UpstreamCall", "UpstreamConnection"]
+__all__ = [
+    "STATE_READY",
+    "ConnectionPool",
+    "UpstreamAnswer",
+    "UpstreamCall",
+    "UpstreamConnection",
+]
--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -4,6 +4,7 @@
 import socket
 from typing import NamedTuple
 
+import msgspec
 import urllib3
 from urllib3.connection import HTTPConnection
 
@@ -13,6 +14,8 @@
 # The upstream enforces the deadline too; the margin lets its answer arrive first.
 DEADLINE_MARGIN_S = 0.05
 CANCEL_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+STATE_READY = "ready"
 
 _HEADER_NOT_RUN = "X-Not-Run"
 _NOT_RUN_CODES = {
@@ -30,6 +33,10 @@
 )
 
 
+class _Health(msgspec.Struct):
+    state: str
+
+
 class UpstreamCall(NamedTuple):
     """One request to an upstream; ``remaining_s`` is the time to its deadline."""
 
@@ -90,6 +97,20 @@
             self.close()
         return _read_response(response, body, self.address)
 
+    def probe(self) -> str | None:
+        """Return the state that the health endpoint names, None without an answer."""
+        if self._connection is None and self._connect(PROBE_TIMEOUT_S) is not None:
+            return None
+        self._connection.sock.settimeout(PROBE_TIMEOUT_S)
+        try:
+            self._connection.request("GET", "/v1/health")
+            response = self._connection.getresponse()
+            health = msgspec.json.decode(response.data, type=_Health)
+        except (*_LIBRARY_ERRORS, msgspec.MsgspecError):
+            self.close()
+            return None
+        return health.state
+
     def cancel(self, request_id: str) -> None:
         """Ask the upstream to stop a request; a failure is ignored."""
         if self._connection is None and self._connect(CANCEL_TIMEOUT_S) is not None:
--- /dev/null
+++ b/tests/test_owners.py
@@ -0,0 +1,156 @@
+"""Tests of the owner side without sockets."""
+
+import unittest
+
+from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.owners import OwnedReplica, QueuedRead
+from cicadalever.owners._drains import FORGET_S, GOOD_PROBES, DrainingReplicas
+from cicadalever.owners._read import ReadKey
+from cicadalever.scheduling import Rank
+from cicadalever.topology import Replica
+from cicadalever.transport import Trial
+from cicadalever.upstreams import ConnectionPool
+
+REPLICA = Replica("a", "service", "127.0.0.1:1", "dc1", slots=2, connections=12)
+ANSWER = object()
+
+
+def make_read(number, *, deadline=100.0, fingerprint=None, trial=Trial.NORMAL):
+    """Return a read with a fingerprint of its own."""
+    key = ReadKey("127.0.0.1:7", "q", number)
+    fingerprint = number if fingerprint is None else fingerprint
+    return QueuedRead(
+        key, "id", Rank.BATCH, deadline, "read", 1, "i/s", fingerprint, trial, b"{}"
+    )
+
+
+class TestOwnedReplica(unittest.TestCase):
+    """Which read starts next and which is refused."""
+
+    def setUp(self):
+        self.owned = OwnedReplica(REPLICA, {}, now=0.0, takeover=False)
+
+    def submit(self, *reads, now=0.0):
+        return [self.owned.submit(read, now) for read in reads]
+
+    def start_all(self, now=0.0):
+        started = []
+        while (entry := self.owned.start_next(now)) is not None:
+            started.append(entry.item)
+        return started
+
+    def test_runs_no_more_than_the_slots(self):
+        """Guards against more running reads than the replica has slots."""
+        self.submit(*(make_read(number) for number in range(5)))
+        self.assertEqual(len(self.start_all()), REPLICA.slots)
+
+    def test_takeover_starts_with_one(self):
+        """Guards against two owners that both use all slots during a takeover."""
+        self.owned = OwnedReplica(REPLICA, {}, now=0.0, takeover=True)
+        self.submit(*(make_read(number) for number in range(3)))
+        self.assertEqual(len(self.start_all(0.5)), 1)
+        self.owned.release_received(0.6)
+        self.assertEqual(len(self.start_all(0.6)), 1)
+
+    def test_refuses_what_cannot_meet_its_deadline(self):
+        """Guards against work that is started although its caller has given up."""
+        for number in range(3):
+            self.submit(make_read(number))
+        self.owned.finish(self.start_all()[0], ANSWER, 10.0, 0.0)
+        failure = self.owned.submit(make_read(9, deadline=0.5), 0.0)
+        self.assertEqual(failure.code, FailureCode.DEADLINE)
+
+    def test_exclusive_trial_runs_alone(self):
+        """Guards against an innocent read that is lost beside a suspect."""
+        first, trial, last = (
+            make_read(1),
+            make_read(2, trial=Trial.EXCLUSIVE),
+            make_read(3),
+        )
+        self.submit(first)
+        self.assertEqual(self.start_all(), [first])
+        self.submit(trial, last)
+        self.assertEqual(self.start_all(), [])
+        self.owned.finish(first, ANSWER, 0.01, 0.0)
+        self.assertEqual(self.start_all(), [trial])
+        self.owned.finish(trial, ANSWER, 0.01, 0.0)
+        self.assertEqual(self.start_all(), [last])
+
+    def test_waiting_trial_that_leaves_ends_its_hold(self):
+        """Guards against a replica that stays blocked by a cancelled trial."""
+        first, trial, last = (
+            make_read(1),
+            make_read(2, trial=Trial.EXCLUSIVE),
+            make_read(3),
+        )
+        self.submit(first)
+        self.start_all()
+        self.submit(trial, last)
+        self.start_all()
+        self.assertTrue(self.owned.cancel(trial.key))
+        self.assertEqual(self.start_all(), [last])
+
+    def test_one_crash_is_counted_once(self):
+        """Guards against the second lost read of a crash counting as another crash."""
+        reads = [make_read(1), make_read(2)]
+        self.submit(*reads)
+        self.start_all()
+        self.assertTrue(self.owned.take_crash(reads[0].key))
+        self.assertFalse(self.owned.take_crash(reads[1].key))
+
+    def test_probe_is_due_after_a_crash(self):
+        """Guards against blame while a proxy accepts connections to a dead process."""
+        lost = Failure(FailureCode.LOST, "reset")
+        self.assertTrue(self.owned.answered_since_crash)
+        for number in (1, 2):
+            read = make_read(number)
+            self.assertEqual(self.submit(read, now=number * 10.0), [None])
+            self.start_all(number * 10.0)
+            self.assertTrue(self.owned.take_crash(read.key), "each crash counts")
+            self.owned.finish(read, lost, 0.01, number * 10.0)
+            self.assertFalse(self.owned.answered_since_crash)
+            self.owned.note_answer()
+
+    def test_expired_and_drained_reads_leave_once(self):
+        """Guards against a waiting read without any answer."""
+        self.submit(make_read(1, deadline=1.0), make_read(2))
+        self.assertEqual([e.item.key.read for e in self.owned.take_expired(2.0)], [1])
+        self.assertEqual([e.item.key.read for e in self.owned.drain_queue()], [2])
+        self.assertEqual(self.owned.waiting, 0)
+
+
+class TestDrainingReplicas(unittest.TestCase):
+    """How long a replica that drained gets no work."""
+
+    def setUp(self):
+        self.drains = DrainingReplicas()
+
+    def test_comes_back_after_good_probes_in_a_row(self):
+        """Guards against a restarted upstream that is never used again."""
+        self.drains.note_own("a", 0.0)
+        self.assertEqual(self.drains.due_probes(1.0), [])
+        self.assertEqual(self.drains.due_probes(6.0), ["a"])
+        results = [True] * (GOOD_PROBES - 1) + [False] + [True] * GOOD_PROBES
+        back = [self.drains.probed("a", is_good) for is_good in results]
+        self.assertEqual(back, [False] * (len(results) - 1) + [True])
+        self.assertNotIn("a", self.drains)
+
+    def test_notice_of_a_lost_owner_is_forgotten(self):
+        """Guards against a drain that nobody can end because its owner is gone."""
+        self.drains.note_remote("a", True, 0.0)
+        self.assertEqual(self.drains.forget_old(FORGET_S - 1), [])
+        self.drains.note_remote("a", True, FORGET_S - 1)
+        self.assertEqual(self.drains.forget_old(FORGET_S + 1), [])
+        self.assertEqual(self.drains.forget_old(2 * FORGET_S), ["a"])
+
+
+class TestConnectionPool(unittest.TestCase):
+    """The bound on connections."""
+
+    def test_never_exceeds_its_quota(self):
+        """Guards against more connections than this owner's share."""
+        pool = ConnectionPool("127.0.0.1:1", 2)
+        taken = [pool.take() for _ in range(3)]
+        self.assertIsNone(taken[2])
+        pool.give_back(taken[0])
+        self.assertIs(pool.take(), taken[0])
--- /dev/null
+++ b/tests/test_queries.py
@@ -0,0 +1,75 @@
+"""Tests of the query aggregate."""
+
+import unittest
+
+from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.queries import Query, fingerprint_of
+from cicadalever.transport import ReadAnswer, Trial
+
+SHARDS = {"i/a": "s1", "i/b": "s2", "i/c": "s3"}
+
+
+class TestQuery(unittest.TestCase):
+    """Coverage against the pinned map."""
+
+    def setUp(self):
+        self.query = Query("q", 7, SHARDS)
+
+    def start(self, shard, replica="r"):
+        return self.query.start_read(shard, replica, "host", Trial.NORMAL, 0.0)
+
+    def answer(self, read, code="", snapshot=7, rows=b"[]"):
+        return self.query.accept(
+            ReadAnswer(read.number, code, "", snapshot, rows, 0.0, 0.0, False)
+        )
+
+    def test_coverage_counts_the_pinned_map(self):
+        """Guards against coverage that is counted against what answered."""
+        self.answer(self.start("i/a"))
+        coverage = self.query.coverage()
+        self.assertEqual((coverage.total, coverage.covered), (3, ("i/a",)))
+        self.assertEqual([m.shard for m in coverage.missing], ["i/b", "i/c"])
+        self.assertAlmostEqual(coverage.fraction, 1 / 3)
+
+    def test_rows_of_another_snapshot_are_dropped(self):
+        """Guards against an answer that mixes snapshots."""
+        _, failure = self.answer(self.start("i/a"), snapshot=8)
+        self.assertEqual(failure.code, FailureCode.UNKNOWN)
+        self.assertEqual(self.query.rows, {})
+
+    def test_late_and_unknown_answers_are_dropped(self):
+        """Guards against rows for a read that was given up or never sent."""
+        read = self.start("i/a")
+        self.query.give_up(read, Failure(FailureCode.CANCELLED, ""))
+        self.assertIsNone(self.answer(read))
+        self.assertIsNone(self.answer(read._replace(number=99)))
+        self.assertFalse(self.query.is_covered("i/a"))
+
+    def test_first_rows_of_a_shard_stay(self):
+        """Guards against a hedged read that replaces rows already counted."""
+        first, second = self.start("i/a", "r1"), self.start("i/a", "r2")
+        self.answer(second, rows=b"[2]")
+        self.answer(first, rows=b"[1]")
+        self.assertEqual(self.query.rows["i/a"], b"[2]")
+        self.assertEqual(self.query.rivals_of("i/a"), [])
+
+    def test_not_run_only_if_every_read_was_refused(self):
+        """Guards against "not run" being said of work that may have run."""
+        for code, may_have_run in (("shed", False), ("lost", True), ("timeout", True)):
+            with self.subTest(code=code):
+                self.setUp()
+                read = self.start("i/a")
+                self.assertTrue(self.query.may_have_run, "while it is outstanding")
+                self.answer(read, code=code)
+                self.assertEqual(self.query.may_have_run, may_have_run)
+
+
+class TestFingerprint(unittest.TestCase):
+    """Equality of fingerprints."""
+
+    def test_ignores_the_order_of_parameters(self):
+        """Guards against a re-sent poison request that counts as a new one."""
+        one = fingerprint_of("r", "read", {"a": 1, "b": 2})
+        other = fingerprint_of("r", "read", {"b": 2, "a": 1})
+        self.assertEqual(one, other)
+        self.assertNotEqual(one, fingerprint_of("r", "run", {"a": 1, "b": 2}))
