--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -6,6 +6,7 @@
 import json
 import random
 import socket
+from collections.abc import Sequence
 from pathlib import Path
 from typing import NamedTuple
 
@@ -40,12 +41,19 @@
 class Plan(NamedTuple):
     """What distinguishes a deployment; ``latency_s`` is one way between data centres.
 
-    ``routes`` maps a route to (indexes, operation, rank, deadline in ms).
+    ``routes`` maps a route to (indexes, operation, rank, deadline in ms). ``hosts``
+    holds the data centre of each host; the replicas are spread over the same ones.
     """
 
     latency_s: float
     classes: tuple[ServiceClass, ...]
     routes: dict[str, tuple[tuple[str, ...], str, str, int]]
+    hosts: tuple[str, ...] = HOST_DATA_CENTRES
+
+    @property
+    def data_centres(self) -> tuple[str, ...]:
+        """The data centres of the hosts, each once."""
+        return tuple(dict.fromkeys(self.hosts))
 
 
 PLANS = {
@@ -139,15 +147,16 @@
     with_proxy: bool = False,
     peer_listen_field: str | None = None,
     upstream_defaults: dict | None = None,
+    plan: Plan | None = None,
 ) -> Deployment:
-    """Return the settings of ``semenanjung`` or ``nz-north``.
+    """Return the settings of ``semenanjung``, ``nz-north`` or a given ``plan``.
 
     With a proxy, the document names the proxy's listeners instead of the upstreams,
     and the daemons read the platform through it. Messages between daemons pass the
     proxy only when ``peer_listen_field`` names the daemon setting for a listen address
     that differs from the advertised ``peer_address``.
     """
-    plan = PLANS[name]
+    plan = plan or PLANS[name]
     builder = _Builder(name, plan, base_port, seed, with_proxy, peer_listen_field)
     return builder.build(upstream_defaults or {})
 
@@ -204,7 +213,9 @@
             for name in _service_names(service_class):
                 replicas = {}
                 for number in range(service_class.replicas):
-                    data_centre = _data_centre_of(len(services), number)
+                    data_centre = _data_centre_of(
+                        len(services), number, self.plan.data_centres
+                    )
                     replica = f"{name}-{'abcd'[number]}"
                     position = len(upstreams)
                     address = self._address(UPSTREAM_PORTS + position)
@@ -272,7 +283,7 @@
 
     def _build_daemons(self) -> tuple[dict, list]:
         daemons, hosts = {}, []
-        for number, data_centre in enumerate(HOST_DATA_CENTRES):
+        for number, data_centre in enumerate(self.plan.hosts):
             host_id = f"{self.name}-{number + 1}"
             settings = self._build_daemon(number, host_id, data_centre)
             daemons[host_id] = settings
@@ -324,15 +335,16 @@
         target = self._address(PLATFORM)
         self._forward(PLATFORM_PROXY, target, PLATFORM_GROUP, "127.0.0.1")
         latency = {"latency_s": self.plan.latency_s}
+        dcs = self.plan.data_centres
         return {
             "control": self._address(PROXY_CONTROL),
             "seed": self.seed,
-            "sources": {dc: [source_ip(dc, 0)[:-1]] for dc in DATA_CENTRES},
+            "sources": {dc: [source_ip(dc, 0)[:-1]] for dc in dcs},
             "listeners": self._listeners,
             "rules": {
                 f"{source}>{target}": latency
-                for source in DATA_CENTRES
-                for target in (*DATA_CENTRES, PLATFORM_GROUP)
+                for source in dcs
+                for target in (*dcs, PLATFORM_GROUP)
                 if source != target
             },
         }
@@ -365,11 +377,12 @@
     return {f"s{position:02}": service for position, service in enumerate(services)}
 
 
-def _data_centre_of(service: int, replica: int) -> str:
+def _data_centre_of(service: int, replica: int, data_centres: Sequence[str]) -> str:
     """Spread replicas so that every pair of data centres shares some services."""
-    step = 1 + (service // len(DATA_CENTRES)) % 3
+    count = len(data_centres)
+    step = 1 + (service // count) % (count - 1)
     if replica >= 2:
-        # Four replicas take each data centre once.
-        taken = {_data_centre_of(service, number) for number in range(2)}
-        return [dc for dc in DATA_CENTRES if dc not in taken][replica - 2]
-    return DATA_CENTRES[(service + replica * step) % len(DATA_CENTRES)]
+        # The third and later replicas take the data centres that are left.
+        taken = {_data_centre_of(service, number, data_centres) for number in range(2)}
+        return [dc for dc in data_centres if dc not in taken][replica - 2]
+    return data_centres[(service + replica * step) % count]
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,377 @@
+"""A small deployment of real processes for the integration tests.
+
+Verdicts compare what callers were told with the ledger of the upstreams. Waits end
+with a condition; their bound only ends a test that hangs.
+"""
+
+import itertools
+import json
+import os
+import random
+import tempfile
+import time
+import unittest
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+
+import jsonpatch
+
+from standins import check as checks
+from standins._client import ConnectionBroken, HttpClient
+from standins.deployment import (
+    Plan,
+    ServiceClass,
+    build_deployment,
+    find_base_port,
+)
+from standins.load import Record, read_records
+from standins.load._answers import NO_ANSWER, Judged, judge
+from standins.process import Process, python_module
+from standins.upstream._parameters import Parameters
+
+WAIT_S = 60.0
+POLL_S = 0.02
+MAX_CALLERS = 64
+SEED = int(os.environ.get("INTEGRATION_SEED", "1"))
+PLAN = Plan(
+    0.0005,
+    (
+        ServiceClass("storefront", 4, 2, 2, 14, 0.001),
+        ServiceClass("shipping", 1, 3, 2, 75, 0.001, shards=3),
+        ServiceClass("single", 1, 3, 2, 75, 0.001),
+    ),
+    {
+        "lookup": (("storefront",), "read", "interactive", 5000),
+        "report": (("storefront",), "read", "report", 10_000),
+        "single": (("single",), "read", "interactive", 5000),
+        "order": (("shipping",), "run", "interactive", 5000),
+    },
+    hosts=("dc1", "dc1", "dc2", "dc3"),
+)
+
+
+def wait_until(condition: Callable, what: str = "the expected state"):
+    """Return the first true value of ``condition``."""
+    until = time.monotonic() + WAIT_S
+    while not (value := condition()):
+        if time.monotonic() > until:
+            raise AssertionError(f"{what} did not come")
+        time.sleep(POLL_S)
+    return value
+
+
+class Reply:
+    """Status and decoded body of one answer; status 0 when there was none."""
+
+    def __init__(self, status: int, body: dict):
+        self.status = status
+        self.body = body
+        self.outcome = body.get("outcome")
+
+    def __repr__(self):
+        return f"Reply({self.status}, {self.body})"
+
+
+class Fleet:
+    """The running processes and a record of everything callers were told."""
+
+    def __init__(self, directory: Path, upstream_defaults: dict):
+        base_port = find_base_port(random.Random(), tries=200)
+        self.deployment = build_deployment(
+            "small",
+            base_port,
+            seed=SEED,
+            with_proxy=True,
+            peer_listen_field="peer_listen_address",
+            upstream_defaults=upstream_defaults,
+            plan=PLAN,
+        )
+        for settings in self.deployment.daemons.values():
+            settings["linger_s"] = 0.3
+        self.directory = directory
+        self.paths = self.deployment.write(directory)
+        self.hosts = list(self.deployment.daemons)
+        self.documents = [self.deployment.document]
+        self.version = 1
+        self.records: list[Record] = []
+        self.callers = ThreadPoolExecutor(MAX_CALLERS)
+        self.processes: dict[str, Process] = {}
+        self._numbers = itertools.count(1)
+
+    @property
+    def document(self) -> dict:
+        """The newest accepted document."""
+        return self.documents[-1]
+
+    # Processes
+
+    def start(self, absent: tuple[str, ...] = ()) -> None:
+        """Start all processes but ``absent`` and wait until all hosts serve."""
+        names = ["platform", "upstream", "proxy"]
+        for name in names:
+            self._spawn(name, f"standins.{name}")
+        for name in names:
+            if not self.processes[name].wait_ready():
+                raise AssertionError(self.processes[name].output)
+        present = [host for host in self.hosts if host not in absent]
+        for host in present:
+            self.start_host(host)
+        self.wait_members(present)
+        for host in present:
+            wait_until(lambda host=host: self.ask(host).outcome == "complete")
+
+    def start_host(self, host: str) -> None:
+        """Start a daemon."""
+        self._spawn(host, "cicadalever.daemon", "--settings")
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self.processes.values():
+            process.kill()
+        self.callers.shutdown(cancel_futures=True)
+
+    def _spawn(self, name: str, module: str, *options: str) -> None:
+        output = self.directory / f"{name}.{next(self._numbers)}.out"
+        process = python_module(name, module, self.paths[name], output)
+        process.command[-1:-1] = options
+        process.start()
+        self.processes[name] = process
+
+    def wait_members(self, hosts: list[str]) -> None:
+        """Wait until ``hosts`` are ready and exactly they are alive to each other."""
+        for host in hosts:
+            wait_until(lambda host=host: self.is_ready(host), f"{host} ready")
+        for host in hosts:
+            wait_until(
+                lambda host=host: self.alive(host) == set(hosts),
+                f"all members alive to {host}",
+            )
+
+    def is_ready(self, host: str) -> bool:
+        """Whether the balancer would send requests to the host."""
+        return self.call_admin(host, "/v1/health").status == 200
+
+    def alive(self, host: str) -> set[str]:
+        """Return the hosts that a host sees as alive."""
+        members = self.call_admin(host, "/v1/members").body.get("members", ())
+        return {m["host_id"] for m in members if m["state"] == "alive"}
+
+    def wait_fresh(self, host: str) -> None:
+        """Wait until a host that was paused acts on its view again."""
+        wait_until(
+            lambda: self.call_admin(host, "/v1/status").body.get("view_fresh"),
+            f"fresh view of {host}",
+        )
+
+    # Callers
+
+    def call(self, address: str, method: str, target: str, body: bytes) -> Reply:
+        """Send one request over its own connection."""
+        client = HttpClient(address, timeout_s=WAIT_S)
+        try:
+            response = client.request(method, target, body)
+            return Reply(response.status, response.json())
+        except (ConnectionBroken, ValueError) as error:
+            return Reply(0, {"reason": str(error)})
+        finally:
+            client.close()
+
+    def call_admin(self, host: str, target: str, value: dict | None = None) -> Reply:
+        """Call the administration interface of a host."""
+        address = self.deployment.daemons[host]["admin_address"]
+        method = "GET" if value is None else "POST"
+        return self.call(address, method, target, json.dumps(value or {}).encode())
+
+    def entry(self, host: str) -> str:
+        """Return the caller address of a host."""
+        return self.deployment.daemons[host]["caller_address"]
+
+    def ask(self, host: str, route: str = "lookup", **fields) -> Reply:
+        """Send a query to a host and record its answer."""
+        number = next(self._numbers)
+        query = {"id": f"q-{number}", "route": route} | fields
+        query.setdefault("parameters", {"key": f"k{number}", "echo": number})
+        reply = self.call(
+            self.entry(host), "POST", "/v1/queries", json.dumps(query).encode()
+        )
+        self._record(host, query, reply)
+        return reply
+
+    def ask_soon(self, host: str, route: str = "lookup", **fields) -> Future:
+        """Send a query from another thread."""
+        return self.callers.submit(self.ask, host, route, **fields)
+
+    def issue(self, host: str) -> str:
+        """Get an id for a non-idempotent request."""
+        reply = self.call(self.entry(host), "POST", "/v1/ids", b'{"count": 1}')
+        return reply.body["ids"][0]
+
+    def load(self, kinds: dict, duration_s: float, hosts: list[str]) -> Future:
+        """Start the load tool; the future returns its records."""
+        number = next(self._numbers)
+        name = f"load{number}"
+        output = self.directory / f"{name}.jsonl"
+        settings = {
+            "entries": [self.entry(host) for host in hosts],
+            "kinds": kinds,
+            "duration_s": duration_s,
+            "seed": SEED,
+            "caller": name,
+            "output": str(output),
+        }
+        self.paths[name] = self.directory / f"{name}.json"
+        self.paths[name].write_text(json.dumps(settings))
+        self._spawn(name, "standins.load")
+        process = self.processes[name]
+
+        def finish() -> list[Record]:
+            wait_until(lambda: not process.is_running, "the end of the load")
+            records = read_records(output)
+            self.records += records
+            return records
+
+        return self.callers.submit(finish)
+
+    def _record(self, host: str, query: dict, reply: Reply) -> None:
+        echo = query["parameters"].get("echo")
+        judged = Judged(reply.outcome or NO_ANSWER)
+        if reply.outcome is not None and "snapshot" in reply.body:
+            judged = judge(reply.body, query["id"], echo)
+        self.records.append(
+            Record(
+                id=query["id"],
+                kind=query["route"],
+                route=query["route"],
+                rank="",
+                idempotent=query["route"] != "order",
+                sent_unix=0.0,
+                latency_s=0.0,
+                status=reply.status,
+                tries=1,
+                entry=host,
+                **judged._asdict(),
+            )
+        )
+
+    # Faults
+
+    def control(self, name: str, **command) -> dict:
+        """Send a command to the control port of a stand-in."""
+        return self._control(name, "POST", "/control", command)
+
+    def cut(self, source: str, targets: tuple[str, ...], **rule: str) -> None:
+        """Set a proxy rule on both directions between data centres."""
+        rule = rule or {"existing": "stall", "new": "black_hole"}
+        pairs = [f"{source}>{target}" for target in targets]
+        pairs += [f"{t}>{source}" for t in targets if t != "platform"]
+        self.control("proxy", rules=dict.fromkeys(pairs, rule))
+
+    def heal(self) -> None:
+        """Undo all proxy rules."""
+        self.control("proxy", restore=True)
+
+    def patch(self, *operations: dict, against: int | None = None) -> dict:
+        """Submit a patch to the platform and follow the accepted versions."""
+        number = next(self._numbers)
+        patch = {
+            "id": f"patch-{number}",
+            "against": self.version if against is None else against,
+            "author": "test",
+            "operations": list(operations),
+        }
+        verdict = self._control("platform", "POST", "/v1/patches", patch)
+        if verdict["accepted"]:
+            self.version = verdict["version"]
+            document = jsonpatch.apply_patch(self.document, list(operations))
+            self.documents.append(document)
+        return verdict
+
+    def wait_version(self, hosts: list[str] | None = None) -> None:
+        """Wait until the newest version is in force on ``hosts``."""
+        for host in hosts or self.hosts:
+            wait_until(
+                lambda host=host: self.versions(host).get("version") == self.version,
+                f"version {self.version} on {host}",
+            )
+
+    def versions(self, host: str) -> dict:
+        """Return the configuration state of a host."""
+        return self.call_admin(host, "/v1/versions").body
+
+    # Truth
+
+    def ledger(self) -> dict:
+        """Return what the upstreams ran."""
+        return self._control("upstream", "GET", "/ledger")
+
+    def runs(self, request_id: str) -> list[checks.Run]:
+        """Return the runs of one request."""
+        runs = checks.read_runs(self.ledger())
+        return [run for run in runs if run.caller_id == request_id]
+
+    def events(self, kind: str) -> list[dict]:
+        """Return the events of the upstreams of one kind."""
+        return [event for event in self.ledger()["events"] if event["kind"] == kind]
+
+    def connections(self) -> dict:
+        """Return the connection counts of the services."""
+        return self._control("upstream", "GET", "/connections")
+
+    def owner_of(self, replica: str, asked: str) -> str:
+        """Return the owner of a replica in the view of host ``asked``."""
+        upstreams = self.call_admin(asked, "/v1/upstreams").body["upstreams"]
+        return next(u["owner"] for u in upstreams if u["replica"] == replica)
+
+    def violations(self) -> list[checks.Violation]:
+        """Compare all records with the ledger."""
+        return checks.check(
+            self.records, self.ledger(), self.connections(), self.documents
+        )
+
+    def _control(self, name: str, method: str, target: str, value=None) -> dict:
+        address = getattr(self.deployment, name)["control"]
+        client = HttpClient(address, timeout_s=WAIT_S)
+        try:
+            response = client.request(
+                method, target, b"" if value is None else json.dumps(value).encode()
+            )
+        finally:
+            client.close()
+        if response.status != 200:
+            raise AssertionError(f"{name} {target}: {response.body!r}")
+        return response.json()
+
+
+class FleetCase(unittest.TestCase):
+    """Runs the tests of a class against one deployment.
+
+    After each test, everything that callers were told since the start is compared
+    with the ledger; the connection limits are part of this comparison.
+    """
+
+    upstream_defaults: dict = {}
+    absent: tuple[str, ...] = ()
+
+    @classmethod
+    def setUpClass(cls):
+        directory = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(directory.cleanup)
+        cls.fleet = Fleet(Path(directory.name), cls.upstream_defaults)
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.start(cls.absent)
+
+    def setUp(self):
+        self.fleet.records.clear()
+
+    def set_upstreams(self, services: list[str], **values) -> None:
+        """Change parameters of upstreams until the end of the test."""
+        defaults = Parameters()._asdict() | self.upstream_defaults
+        former = {name: defaults[name] for name in values}
+        self.fleet.control("upstream", services=services, set=values)
+        self.addCleanup(
+            self.fleet.control, "upstream", services=services, set=former
+        )
+
+    def tearDown(self):
+        self.assertEqual(self.fleet.violations()[:5], [])
