Add tests of requests that crash upstreams

Nothing checked with real processes that a poisonous request costs at most two upstreams. The class sends copies one after the other and all at once, as a fan-out, a single-shard read and a run, beside innocent load, and after the quarantine expired.

--- a/tests/support.py
+++ b/tests/support.py
@@ -76,13 +76,13 @@
 class Fleet:
     """The running processes and a record of everything callers were told."""
 
-    def __init__(self, directory: Path, upstream_defaults: dict):
+    def __init__(self, directory: Path, upstream_defaults: dict, with_proxy: bool):
         base_port = find_base_port(random.Random(), tries=200)
         self.deployment = build_deployment(
             "small",
             base_port,
             seed=SEED,
-            with_proxy=True,
+            with_proxy=with_proxy,
             peer_listen_field="peer_listen_address",
             upstream_defaults=upstream_defaults,
             plan=PLAN,
@@ -108,7 +108,9 @@
 
     def start(self, absent: tuple[str, ...] = ()) -> None:
         """Start all processes but ``absent`` and wait until all hosts serve."""
-        names = ["platform", "upstream", "proxy"]
+        names = ["platform", "upstream"]
+        if self.deployment.proxy is not None:
+            names.append("proxy")
         for name in names:
             self._spawn(name, f"standins.{name}")
         for name in names:
@@ -351,13 +353,16 @@
     """
 
     upstream_defaults: dict = {}
+    with_proxy = False
     absent: tuple[str, ...] = ()
 
     @classmethod
     def setUpClass(cls):
         directory = tempfile.TemporaryDirectory()
         cls.addClassCleanup(directory.cleanup)
-        cls.fleet = Fleet(Path(directory.name), cls.upstream_defaults)
+        cls.fleet = Fleet(
+            Path(directory.name), cls.upstream_defaults, cls.with_proxy
+        )
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start(cls.absent)
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -8,6 +8,8 @@
 class TestAtMostOnce(FleetCase):
     """Guards against a non-idempotent request that runs twice."""
 
+    with_proxy = True
+
     def setUp(self):
         super().setUp()
         self.set_upstreams(["shipping"], service_s=0.6, jitter=0)
@@ -167,3 +169,95 @@
             replies = self.resend(request_id, {"key": "a"}, fleet.hosts)
             self.assertEqual({reply.status for reply in replies}, {400})
             self.assertEqual(fleet.runs(request_id), [])
+
+
+class TestPoison(FleetCase):
+    """Guards against a request that crashes one upstream after the other."""
+
+    def setUp(self):
+        super().setUp()
+        self.crashes_before = len(self.fleet.events("crash"))
+
+    def count_crashes(self):
+        return len(self.fleet.events("crash")) - self.crashes_before
+
+    def send_poison(self, name, route, hosts):
+        """Send one poisonous request under new ids through ``hosts`` together."""
+        parameters = {"key": name, "echo": name, "poison": 1}
+        futures = []
+        for host in hosts:
+            fields = {"parameters": parameters}
+            if route == "order":
+                fields["id"] = self.fleet.issue(host)
+            futures.append(self.fleet.ask_soon(host, route, **fields))
+        return [future.result() for future in futures]
+
+    def check_limited(self, name, route, *waves):
+        for wave in waves:
+            self.send_poison(name, route, wave)
+        replies = self.send_poison(name, route, self.fleet.hosts)
+        self.assertLessEqual(self.count_crashes(), 2)
+        self.assertEqual({r.outcome for r in replies}, {"refused_not_run"})
+
+    def list_quarantined(self):
+        """Return the (host, fingerprint) pairs that any host holds."""
+        return {
+            (host, entry["fingerprint"])
+            for host in self.fleet.hosts
+            for entry in self.fleet.call_admin(host, "/v1/quarantine").body[
+                "quarantine"
+            ]
+        }
+
+    def test_one_after_the_other(self):
+        """Each copy under a new id would crash another replica."""
+        waves = [[host] for host in self.fleet.hosts * 2]
+        for route in ("lookup", "single", "order"):
+            with self.subTest(route):
+                self.setUp()
+                self.check_limited(f"slow-{route}", route, *waves)
+
+    def test_all_at_once(self):
+        """Copies that race through all entries would each crash a replica."""
+        for route in ("lookup", "single", "order"):
+            with self.subTest(route):
+                self.setUp()
+                self.check_limited(f"race-{route}", route, self.fleet.hosts * 3)
+
+    def test_innocent_requests(self):
+        """Requests beside a poisonous one are answered and not quarantined."""
+        fleet = self.fleet
+        kinds = {
+            "innocent": {
+                "route": "lookup",
+                "rate": 60,
+                "deadline_ms": 5000,
+                "popular_share": 0,
+            }
+        }
+        load = fleet.load(kinds, 3.0, fleet.hosts)
+        wait_until(lambda: len(fleet.ledger()["entries"]) > 200)
+        self.send_poison("innocent", "lookup", fleet.hosts * 2)
+        services = fleet.document["services"]
+        crashed = {event["upstream"] for event in fleet.events("crash")}
+        hit = {name for name in services if crashed & set(services[name]["replicas"])}
+        shards = fleet.document["snapshots"][-1]["indexes"]["storefront"].items()
+        excused = {f"storefront/{shard}" for shard, name in shards if name in hit}
+        for record in load.result():
+            self.assertIn(record.outcome, ("complete", "partial"), record.reason)
+            self.assertLessEqual(set(record.missing), excused)
+        self.assertIn(self.count_crashes(), (1, 2))
+
+    def test_expiry(self):
+        """A quarantine ends after its time; later copies are tried again."""
+        fleet = self.fleet
+        former = self.list_quarantined()
+        path = "/policy/quarantine_ttl_s"
+        fleet.patch({"op": "add", "path": path, "value": 2})
+        fleet.wait_version()
+        for _ in range(2):
+            replies = self.send_poison("expiry", "lookup", fleet.hosts)
+            replies += self.send_poison("expiry", "lookup", fleet.hosts)
+            self.assertIn("quarantined", {r.body.get("code") for r in replies})
+            wait_until(lambda: not self.list_quarantined() - former)
+        self.assertIn(self.count_crashes(), (3, 4))
