Give each upstream call its own timeout and check its deadline before it is sent

Cause: urllib3 sets the timeout of the connection object on the socket with each request, so the timeout chosen by settimeout was overwritten by that of the connect: at most 1 s, or the remaining time of whichever request opened the connection. Reads and orders that took longer ended as timeout (partial or outcome_unknown) long before their deadline. Separately, a host paused while it opened a connection sent the request after the pause with the time that had remained before it; TestPause saw a run start 3.02 s after a request with a deadline of 1 s. Change: the connection's timeout is set for each call; the remaining time is computed after the connect and a call past its deadline is refused as not run.

--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -330,7 +330,7 @@
                     read.shard,
                     read.snapshot,
                     read.parameters,
-                    max(read.deadline - now, 0.001),
+                    read.deadline - now,
                 )
             )
         finally:
--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -2,6 +2,7 @@
 
 import http.client
 import socket
+import time
 from typing import NamedTuple
 
 import msgspec
@@ -74,7 +75,8 @@
         return self._connection is not None
 
     def call(self, call: UpstreamCall) -> UpstreamAnswer | Failure:
-        """Send one request and wait for its answer."""
+        """Send one request and wait for its answer, unless its deadline passed."""
+        deadline = time.monotonic() + call.remaining_s
         if self._connection is not None and self._is_closed_by_upstream():
             # An idle connection that the upstream closed must not be taken for a
             # request that was lost while it ran.
@@ -83,7 +85,12 @@
             failure = self._connect(call.remaining_s)
             if failure is not None:
                 return failure
-        self._connection.sock.settimeout(call.remaining_s + DEADLINE_MARGIN_S)
+        # The process may have been paused while it connected.
+        call = call._replace(remaining_s=deadline - time.monotonic())
+        if call.remaining_s <= 0:
+            return Failure(FailureCode.DEADLINE, "the deadline passed before the call")
+        # urllib3 sets the timeout of the connection on the socket with each request.
+        self._connection.timeout = call.remaining_s + DEADLINE_MARGIN_S
         try:
             response = self._exchange(call)
             body = response.data
@@ -101,7 +108,7 @@
         """Return the state that the health endpoint names, None without an answer."""
         if self._connection is None and self._connect(PROBE_TIMEOUT_S) is not None:
             return None
-        self._connection.sock.settimeout(PROBE_TIMEOUT_S)
+        self._connection.timeout = PROBE_TIMEOUT_S
         try:
             self._connection.request("GET", "/v1/health")
             response = self._connection.getresponse()
@@ -115,7 +122,7 @@
         """Ask the upstream to stop a request; a failure is ignored."""
         if self._connection is None and self._connect(CANCEL_TIMEOUT_S) is not None:
             return
-        self._connection.sock.settimeout(CANCEL_TIMEOUT_S)
+        self._connection.timeout = CANCEL_TIMEOUT_S
         try:
             self._connection.request("DELETE", f"/v1/requests/{request_id}")
             _ = self._connection.getresponse().data
