--- a/cicadalever/membership/_prober.py
+++ b/cicadalever/membership/_prober.py
@@ -209,6 +209,20 @@
         )
         return self._answer(message, now, is_stranger)
 
+    def connection_lost(self, address: str, now: float) -> Outgoing:
+        """Suspect the member at ``address``, whose connection broke.
+
+        A process that ends closes its connections at once, so its suspicion need not
+        wait for a probe. A member that only reconnects refutes the suspicion.
+        """
+        self._observe(now)
+        for member in self.table.members():
+            is_other = member.host.id != self.table.self_host.id
+            if member.host.address == address and is_other:
+                self._accuse(member.host.id, now)
+                return [self._ping(member.host.id)] if member.is_live else []
+        return []
+
     def announce(self, now: float, fanout: int = ANNOUNCE_FANOUT) -> Outgoing:
         """Return pings to random live members, which carry the current digest."""
         self._observe(now)
