Count late reads as refusals and spare the second replica of a suspect

Change: a share of more than 10% late or refused shards shrinks the window; the window starts at 8; waits are estimated with the slots; a suspect is tried again on the replica that it crashed, once that answers a probe, and elsewhere only after 6 tries or as a hedge; reads that succeeded before are not blamed beside a trial; a suspicion lasts 60 s.

--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -45,7 +45,7 @@
 from ._views import DaemonViews
 
 PLATFORM_TIMEOUT_S = 2.0
-INITIAL_WINDOW = 32
+INITIAL_WINDOW = 8
 MAX_WINDOW = 1024
 MAX_WAITING_QUERIES = 1024
 HEDGE_QUANTILE = 0.95
--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -155,8 +155,9 @@
             )
         wait_s = 0.0
         if self.waiting or self._limit.in_flight >= self._limit.limit:
+            concurrency = min(self._limit.limit, self.replica.slots)
             wait_s = self._queue.estimate_wait(
-                Rank(read.rank), self._service_time_s, self._limit.limit
+                Rank(read.rank), self._service_time_s, concurrency
             )
         if now + wait_s + self._service_time_s > read.deadline:
             return Failure(
--- a/cicadalever/quarantine/_quarantine.py
+++ b/cicadalever/quarantine/_quarantine.py
@@ -14,6 +14,10 @@
 # as a replica has slots, so the bound is far above what crashes of a fleet produce.
 MAX_FINGERPRINTS = 10_000
 
+# A suspect may be innocent: its upstream may have failed by itself and not come back
+# for the trial that would clear it.
+SUSPICION_TTL_S = 60.0
+
 
 class FingerprintState(StrEnum):
     """What is held against a fingerprint."""
@@ -47,7 +51,8 @@
 class Quarantine:
     """Suspects and quarantines of one owner, or the quarantines an entry knows.
 
-    Both states expire ``ttl_s`` seconds after they were given. When a table is full,
+    A quarantine expires ``ttl_s`` seconds after it was given, a suspicion after
+    ``SUSPICION_TTL_S`` if that is earlier. When a table is full,
     the fingerprint that was added first is forgotten.
 
     >>> quarantine = Quarantine()
@@ -66,6 +71,10 @@
         self._suspects: OrderedDict[int, _Record] = OrderedDict()
         self._quarantined: OrderedDict[int, _Record] = OrderedDict()
 
+    @property
+    def _suspicion_s(self) -> float:
+        return min(self.ttl_s, SUSPICION_TTL_S)
+
     def check(self, fingerprint: int, now: float) -> Failure | None:
         """Return a ``QUARANTINED`` failure while ``fingerprint`` must not run."""
         record = _find(self._quarantined, fingerprint, now)
@@ -82,8 +91,12 @@
 
         It is called once per crash with all of them. A fingerprint is quarantined if
         it ran as an exclusive trial, or if it was a suspect and nothing else ran. The
-        others become suspects. A fingerprint in quarantine gets no new verdict.
+        others become suspects, but reads that ran as ``NORMAL`` only if no trial ran
+        beside them: they succeeded before, the trial did not. A fingerprint in
+        quarantine gets no new verdict.
         """
+        trials = [read for read in running if read.trial != Trial.NORMAL]
+        running = trials or running
         exclusive = {
             read.fingerprint for read in running if read.trial == Trial.EXCLUSIVE
         }
@@ -130,7 +143,7 @@
     def import_suspicion(self, fingerprint: int, now: float, reason: str) -> None:
         """Take over a suspicion of another host; it expires like an own one."""
         if self.check(fingerprint, now) is None:
-            record = _Record(now + self.ttl_s, reason)
+            record = _Record(now + self._suspicion_s, reason)
             _store(self._suspects, fingerprint, record, now)
 
     def entries(self, now: float) -> list[QuarantineEntry]:
@@ -153,7 +166,8 @@
 
     def _suspect(self, fingerprint: int, now: float) -> Verdict:
         reason = "an upstream crashed while it ran"
-        _store(self._suspects, fingerprint, _Record(now + self.ttl_s, reason), now)
+        record = _Record(now + self._suspicion_s, reason)
+        _store(self._suspects, fingerprint, record, now)
         return Verdict(fingerprint, FingerprintState.SUSPECT, reason)
 
 
--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -79,12 +79,14 @@
         self._gone: set[str] = set()
         self._postponements: Counter[str] = Counter()
         self._refused: set[str] = set()
+        self._late_shards: set[str] = set()
 
     @property
     def refused_by_owner(self) -> bool:
-        """Whether owners refused a share of the shards for overload or deadline."""
+        """Whether owners refused, or did not start in time, a share of the shards."""
         refused = sum(not self.query.is_covered(shard) for shard in self._refused)
-        return refused > REFUSED_SHARE * len(self.query.shards)
+        late = len(self._late_shards - self._refused)
+        return refused + late > REFUSED_SHARE * len(self.query.shards)
 
     def run(self, is_caller_connected: Callable[[], bool], may_restart: bool) -> None:
         """Send all reads and wait for the answers, at most until the deadline."""
@@ -92,6 +94,8 @@
         while not self._is_finished():
             now = time.monotonic()
             if now >= self.work.deadline:
+                outstanding = self.query.outstanding.values()
+                self._late_shards = {read.shard for read in outstanding}
                 break
             try:
                 answers = self.mailbox.get(timeout=self._wait_time(now))
@@ -168,9 +172,22 @@
             self._postpone(shard, trial)
             return None
         order = canary_order(self.work.fingerprint, replicas)
-        position = 0 if trial == Trial.CANARY else 1 % len(order)
+        position = 0
+        if trial == Trial.EXCLUSIVE and self._may_use_second_replica(shard):
+            position = 1 % len(order)
         return PlannedRead(shard, trial, order[position])
 
+    def _may_use_second_replica(self, shard: str) -> bool:
+        """Tell whether a suspect may be tried where no upstream was lost yet.
+
+        If both replicas of a shard crashed within a second, it would be missing from
+        all answers. The first replica, which is restarting, is therefore tried first.
+        A trial that is only slow is hedged on the second replica.
+        """
+        return self.query.tries(
+            shard
+        ) >= MAX_TRIES_INTERACTIVE or not self.query.is_open(shard)
+
     def _postpone(self, shard: str, trial: Trial) -> None:
         """Look again later for a replica whose owner can be reached."""
         self.query.fail_shard(
