Shrink the admission window before queries miss their deadline

Cause: the window shrank only when reads failed, so it sat where many queries were partial. Change: a query also counts as congested when more than 10% of its reads waited at their owners for over a quarter of the time to the deadline.

--- a/cicadalever/queries/_answer.py
+++ b/cicadalever/queries/_answer.py
@@ -26,4 +26,4 @@
     retry_after_s: float | None = None
     hedges: int = 0
     retries: int = 0
-    refused_by_owner: bool = False
+    congested: bool = False
--- a/cicadalever/queries/_coordinator.py
+++ b/cicadalever/queries/_coordinator.py
@@ -127,13 +127,13 @@
         refusal = self._admit(work)
         if refusal is not None:
             return _refused(refusal, version=configuration.version)
-        refused = False
+        congested = False
         try:
             answer = self._run(work, is_caller_connected)
-            refused = answer.refused_by_owner
+            congested = answer.congested
             return answer
         finally:
-            self._finish_admission(work.rank, refused, started)
+            self._finish_admission(work.rank, congested, started)
 
     def set_policy(self, policy: Policy) -> None:
         """Use the parameters of the configuration in force."""
@@ -185,11 +185,11 @@
             return Failure(FailureCode.DEADLINE, "the deadline passed in the queue")
         return decision
 
-    def _finish_admission(self, rank: Rank, refused: bool, started: float) -> None:
+    def _finish_admission(self, rank: Rank, congested: bool, started: float) -> None:
         if not self.policy.admission:
             return
         now = time.monotonic()
-        self.admission.finish(rank, refused=refused, elapsed_s=now - started, now=now)
+        self.admission.finish(rank, refused=congested, elapsed_s=now - started, now=now)
         self._wake_waiting()
 
     def _wake_waiting(self) -> None:
@@ -222,7 +222,7 @@
                 break
         answer = self._answer(work, query, configuration.version)
         return answer._replace(
-            hedges=hedges, retries=retries, refused_by_owner=gather.refused_by_owner
+            hedges=hedges, retries=retries, congested=gather.is_congested
         )
 
     def _answer(self, work: Work, query: Query, version: int) -> QueryAnswer:
--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -29,9 +29,12 @@
 MAX_TRIES = 100
 # A replica that cannot meet the deadline now will not meet it later.
 MAX_TRIES_AFTER_REFUSAL = 2
-# Share of its shards that owners must refuse for overload before a query counts as
-# refused. One overloaded service must not close the admission window for all routes.
-REFUSED_SHARE = 0.1
+# Share of the time to the deadline that a read may wait at its owner. Above it the
+# admission window shrinks, before queries begin to miss their deadline.
+QUEUE_SHARE = 0.25
+# Share of its shards that must be refused, late or waiting for too long before a query
+# counts as congested. One overloaded service must not close the window for all routes.
+CONGESTED_SHARE = 0.1
 RETRY_DELAY_S = 0.01
 RETRY_DELAY_MAX_S = 0.5
 # An interactive query does not wait longer for a shard without a reachable replica:
@@ -78,15 +81,13 @@
         self._unsent: list[str] = []
         self._gone: set[str] = set()
         self._postponements: Counter[str] = Counter()
-        self._refused: set[str] = set()
-        self._late_shards: set[str] = set()
+        self._max_queued_s = QUEUE_SHARE * (work.deadline - time.monotonic())
+        self._congested: set[str] = set()
 
     @property
-    def refused_by_owner(self) -> bool:
-        """Whether owners refused, or did not start in time, a share of the shards."""
-        refused = sum(not self.query.is_covered(shard) for shard in self._refused)
-        late = len(self._late_shards - self._refused)
-        return refused + late > REFUSED_SHARE * len(self.query.shards)
+    def is_congested(self) -> bool:
+        """Whether owners refused, delayed or did not answer a share of the reads."""
+        return len(self._congested) > CONGESTED_SHARE * len(self.query.shards)
 
     def run(self, is_caller_connected: Callable[[], bool], may_restart: bool) -> None:
         """Send all reads and wait for the answers, at most until the deadline."""
@@ -95,7 +96,7 @@
             now = time.monotonic()
             if now >= self.work.deadline:
                 outstanding = self.query.outstanding.values()
-                self._late_shards = {read.shard for read in outstanding}
+                self._congested.update(read.shard for read in outstanding)
                 break
             try:
                 answers = self.mailbox.get(timeout=self._wait_time(now))
@@ -271,6 +272,8 @@
             if accepted is None:
                 continue
             read, failure = accepted
+            if answer.queued_s > self._max_queued_s:
+                self._congested.add(read.shard)
             latency_s = now - read.started
             self.coordinator.selector.finished(
                 read.replica,
@@ -309,7 +312,7 @@
 
     def _handle_failure(self, read: ShardRead, failure: Failure, now: float) -> None:
         if failure.code in _REFUSAL_CODES:
-            self._refused.add(read.shard)
+            self._congested.add(read.shard)
         if failure.code in _RESTART_CODES:
             self._note_gone(read)
         if failure.code in _FINAL_CODES:
