--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -228,6 +228,14 @@
         failure = owned.submit(read, now)
         return owned if failure is None else failure
 
+    def _check_start(
+        self, owned: OwnedReplica, read: QueuedRead, now: float
+    ) -> Failure | None:
+        """Refuse a read that waited so long that it cannot finish in time."""
+        if now + owned.service_time_s > read.deadline:
+            return Failure(FailureCode.DEADLINE, "waited too long in the queue")
+        return self._check_fingerprint(read, now)
+
     def _check_fingerprint(self, read: QueuedRead, now: float) -> Failure | None:
         """Refuse a read that may crash an upstream, now or after it waited."""
         blocked = self.quarantine.check(read.fingerprint, now)
@@ -280,7 +288,7 @@
             entry = owned.start_next(now)
             if entry is None:
                 return
-            blocked = self._check_fingerprint(entry.item, now)
+            blocked = self._check_start(owned, entry.item, now)
             if blocked is not None:
                 owned.finish(entry.item, blocked, 0.0, now)
                 self._answer_failure(entry.item, blocked)
