Find lost and paused owners by broken connections and silence

Change: a broken connection is a suspicion of 0.5 s, an owner with 4 or more reads that answers none for 0.2 s is suspected for 1 s and avoided; reads it held are sent elsewhere; a new owner uses all slots at once when the owners before it are dead.

--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -144,6 +144,8 @@
     daemon = links.daemon = Daemon(settings, parts)
     fleet.on_change = daemon.fleet_changed
     fleet.on_host_lost = coordinator.host_lost
+    fleet.on_heard = coordinator.host_heard
+    coordinator.on_host_silent = fleet.host_silent
     keeper.on_change = daemon.configuration_changed
     admin = AdminApplication(DaemonViews(daemon))
     return daemon, HttpServer(settings["admin_address"], admin)
@@ -197,6 +199,7 @@
         find_replica,
         floors,
         fleet.ownership.quota,
+        fleet.is_replacing_live_owner,
     )
     return OwnerService(
         fleet.own,
--- a/cicadalever/daemon/_fleet.py
+++ b/cicadalever/daemon/_fleet.py
@@ -16,6 +16,12 @@
 from cicadalever.topology import Host, HostList, Replica
 from cicadalever.transport import PeerNetwork
 
+# A broken connection that is not set up again within this time means a lost process.
+# Two owners for a moment do no harm, so the suspicion can be short.
+LOST_SUSPICION_S = 0.5
+# A host may be silent for a moment because it is busy.
+SILENT_SUSPICION_S = 1.0
+
 _KINDS = {
     MemberState.ALIVE: AuditKind.MEMBER_JOINED,
     MemberState.SUSPECT: AuditKind.MEMBER_SUSPECT,
@@ -29,7 +35,8 @@
     """Connects the pure membership logic with the peer sockets.
 
     ``on_change`` is called after the member table changed, ``on_host_lost`` with the
-    peer address of a host whose connection broke.
+    peer address of a host whose connection broke or that is silent, ``on_heard`` with
+    that of a host that sent a membership message.
     """
 
     def __init__(
@@ -47,6 +54,7 @@
         self.audit = audit
         self.on_change: Callable[[], None] = _ignore
         self.on_host_lost: Callable[[str], None] = _ignore
+        self.on_heard: Callable[[str], None] = _ignore
         self._known_generation = -1
         self._known_states: dict[str, tuple[str, MemberState, int]] = {}
         self._platform_contact_at: float | None = None
@@ -58,6 +66,7 @@
 
     def receive(self, message: Any) -> None:
         """Handle a membership message."""
+        self.on_heard(message.sender.address)
         self._send_all(self.prober.receive(message, time.monotonic()))
         self._apply_changes()
 
@@ -65,10 +74,20 @@
         """Run the timers of the failure detector and look at the connections."""
         for address in self.network.poll_connections():
             self.on_host_lost(address)
-            self._send_all(self.prober.connection_lost(address, time.monotonic()))
+            self._suspect(address, LOST_SUSPICION_S)
         self._send_all(self.prober.tick(time.monotonic()))
         self._apply_changes()
 
+    def host_silent(self, address: str) -> None:
+        """Suspect a host that leaves reads unanswered."""
+        self.on_host_lost(address)
+        self._suspect(address, SILENT_SUSPICION_S)
+
+    def _suspect(self, address: str, suspicion_s: float) -> None:
+        now = time.monotonic()
+        self._send_all(self.prober.suspect(address, suspicion_s, now))
+        self._apply_changes()
+
     def announce(self) -> None:
         """Tell a few peers of a new configuration version."""
         self._send_all(self.prober.announce(time.monotonic()))
@@ -116,6 +135,19 @@
         """Tell whether messages to a peer address can be expected to arrive."""
         return address == self.own.address or self.network.is_reachable(address)
 
+    def is_replacing_live_owner(self, replica: Replica) -> bool:
+        """Tell whether the former owner of a replica may still run reads on it.
+
+        It does not if this host owns the replica because all hosts before it in the
+        order of candidates are dead.
+        """
+        before = []
+        for host in self.ownership.candidates(replica):
+            if host.id == self.own.id:
+                break
+            before.append(self.table.member(host.id))
+        return not before or any(member and member.is_live for member in before)
+
     def is_fresh(self) -> bool:
         """Tell whether the view may be acted on."""
         return self.prober.view_is_fresh(time.monotonic())
--- a/cicadalever/membership/_prober.py
+++ b/cicadalever/membership/_prober.py
@@ -209,18 +209,22 @@
         )
         return self._answer(message, now, is_stranger)
 
-    def connection_lost(self, address: str, now: float) -> Outgoing:
-        """Suspect the member at ``address``, whose connection broke.
+    def suspect(self, address: str, suspicion_s: float, now: float) -> Outgoing:
+        """Suspect the member at ``address`` without waiting for the next probe.
 
-        A process that ends closes its connections at once, so its suspicion need not
-        wait for a probe. A member that only reconnects refutes the suspicion.
+        It is used when a connection broke, as that of a process that ends does at
+        once, or when a host left many messages unanswered. Unless the member refutes
+        it, it is dead after ``suspicion_s`` seconds.
         """
         self._observe(now)
         for member in self.table.members():
             is_other = member.host.id != self.table.self_host.id
-            if member.host.address == address and is_other:
+            if member.host.address == address and is_other and member.is_live:
                 self._accuse(member.host.id, now)
-                return [self._ping(member.host.id)] if member.is_live else []
+                suspicion = self._suspicions[member.host.id]
+                deadline = self._counted + suspicion_s
+                suspicion.deadline = min(suspicion.deadline, deadline)
+                return [self._ping(member.host.id)]
         return []
 
     def announce(self, now: float, fanout: int = ANNOUNCE_FANOUT) -> Outgoing:
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -54,6 +54,7 @@
     find_replica: Callable[[str], Replica | None]
     floors: Callable[[], Mapping[Rank, float]]
     quota: Callable[[Replica], int]
+    is_replacing_live_owner: Callable[[Replica], bool]
 
 
 class OwnerService:
@@ -274,7 +275,7 @@
                 self.view.floors(),
                 proven=self.proven,
                 now=now,
-                takeover=True,
+                takeover=self.view.is_replacing_live_owner(replica),
             )
         # The baseline knows no slots; it uses all connections of its share.
         replica = replica._replace(slots=quota)
--- a/cicadalever/queries/_coordinator.py
+++ b/cicadalever/queries/_coordinator.py
@@ -27,6 +27,7 @@
 from ._gather import Gather
 from ._latency import LatencyByIndex
 from ._query import Query
+from ._silence import SilenceDetector
 
 MAX_SNAPSHOT_RESTARTS = 2
 RETRY_AFTER_S = 1.0
@@ -96,6 +97,8 @@
         self.policy = policy
         self.rng = rng
         self.max_answer_bytes = max_answer_bytes
+        self.silence = SilenceDetector()
+        self.on_host_silent: Callable[[str], None] = _ignore
         self._gathers: dict[str, Gather] = {}
         self._admissions: dict[int, Event] = {}
         self._canary = policy.canary
@@ -161,9 +164,23 @@
             if answers:
                 gather.mailbox.put(answers)
 
+    def host_heard(self, address: str) -> None:
+        """Record a sign of life of an owner."""
+        self.silence.heard(address, time.monotonic())
+
+    def is_reachable(self, address: str) -> bool:
+        """Tell whether reads should be sent to an owner."""
+        is_silent = address != self.view.self_address and self.silence.is_silent(
+            address
+        )
+        return not is_silent and self.view.is_reachable(address)
+
     def tick(self) -> None:
-        """Admit or refuse waiting queries."""
+        """Admit or refuse waiting queries and look for silent owners."""
         self._wake_waiting()
+        for address in self.silence.take_silent(time.monotonic()):
+            if address != self.view.self_address:
+                self.on_host_silent(address)
 
     def _admit(self, work: Work) -> Failure | None:
         if not self.policy.admission:
@@ -286,6 +303,10 @@
     return Outcome.PARTIAL
 
 
+def _ignore(address: str) -> None:
+    """Stand in until the composition root sets a handler."""
+
+
 def _refused(failure: Failure, version: int = 0) -> QueryAnswer:
     return QueryAnswer(
         Outcome.NOT_RUN,
--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -214,7 +214,7 @@
         for replica in self.configuration.replicas_of(self.query.shards[shard]):
             draining = replica.draining or view.is_draining(replica.id)
             owner = None if draining else view.owner_of(replica)
-            if owner is None or not view.is_reachable(owner.address):
+            if owner is None or not self.coordinator.is_reachable(owner.address):
                 continue
             (near if owner.region == view.region else far).append(replica)
         return near or far
@@ -236,6 +236,7 @@
             )
             self._schedule_hedge(read)
         for address, reads in by_owner.items():
+            coordinator.silence.sent(address, len(reads), now)
             failure = coordinator.send(address, self._batch(reads))
             if failure is not None:
                 self.mailbox.put([_synthetic_answer(read, failure) for read in reads])
@@ -272,6 +273,9 @@
             if accepted is None:
                 continue
             read, failure = accepted
+            self.coordinator.silence.ended(read.owner, 1)
+            if failure is None or failure.code != FailureCode.HOST_LOST:
+                self.coordinator.silence.heard(read.owner, now)
             if answer.queued_s > self._max_queued_s:
                 self._congested.add(read.shard)
             latency_s = now - read.started
@@ -298,17 +302,11 @@
     def _cancel_rival(self, rival: ShardRead, now: float) -> None:
         failure = Failure(FailureCode.CANCELLED, "another replica answered first")
         self.query.give_up(rival, failure)
+        self.coordinator.silence.ended(rival.owner, 1)
         # A cancelled read says nothing about its replica: one read in a hundred being
         # slow must not turn the load away from it.
         self.coordinator.selector.finished(rival.replica, None, True, now)
-        self.coordinator.send(
-            rival.owner,
-            CancelReads(
-                self.coordinator.view.self_address,
-                self.query.query_id,
-                [rival.number],
-            ),
-        )
+        self._send_cancel(rival.owner, [rival.number])
 
     def _handle_failure(self, read: ShardRead, failure: Failure, now: float) -> None:
         if failure.code in _REFUSAL_CODES:
@@ -435,21 +433,23 @@
         return plan
 
     def _cancel_outstanding(self) -> None:
-        if not self.work.idempotent:
-            return
+        now = time.monotonic()
         by_owner: dict[str, list[int]] = defaultdict(list)
         for read in self.query.outstanding.values():
             by_owner[read.owner].append(read.number)
-            self.coordinator.selector.finished(
-                read.replica, None, False, time.monotonic()
-            )
+            self.coordinator.selector.finished(read.replica, None, False, now)
         for address, numbers in by_owner.items():
-            self.coordinator.send(
-                address,
-                CancelReads(
-                    self.coordinator.view.self_address, self.query.query_id, numbers
-                ),
-            )
+            self.coordinator.silence.ended(address, len(numbers))
+            if self.work.idempotent:
+                self._send_cancel(address, numbers)
+
+    def _send_cancel(self, address: str, numbers: list[int]) -> None:
+        self.coordinator.send(
+            address,
+            CancelReads(
+                self.coordinator.view.self_address, self.query.query_id, numbers
+            ),
+        )
 
 
 def _synthetic_answer(request: ReadRequest, failure: Failure) -> ReadAnswer:
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -4,6 +4,11 @@
 
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.queries import Query, fingerprint_of
+from cicadalever.queries._silence import (
+    MIN_OUTSTANDING,
+    SILENCE_S,
+    SilenceDetector,
+)
 from cicadalever.transport import ReadAnswer, Trial
 
 SHARDS = {"i/a": "s1", "i/b": "s2", "i/c": "s3"}
@@ -73,3 +78,27 @@
         other = fingerprint_of("r", "read", {"b": 2, "a": 1})
         self.assertEqual(one, other)
         self.assertNotEqual(one, fingerprint_of("r", "run", {"a": 1, "b": 2}))
+
+
+class TestSilenceDetector(unittest.TestCase):
+    """Owners that stop answering."""
+
+    def setUp(self):
+        self.detector = SilenceDetector()
+
+    def test_answers_and_few_reads_are_no_silence(self):
+        """Guards against giving up an owner that is slow or hardly used."""
+        self.detector.sent("a", MIN_OUTSTANDING + 1, 0.0)
+        self.detector.heard("a", SILENCE_S)
+        self.assertEqual(self.detector.take_silent(1.5 * SILENCE_S), [])
+        self.detector.sent("b", MIN_OUTSTANDING - 1, 0.0)
+        self.detector.ended("a", 2)
+        self.assertEqual(self.detector.take_silent(9.0), [])
+
+    def test_silent_owner_is_reported_once_until_heard(self):
+        """Guards against a paused owner that keeps all reads sent to it."""
+        self.detector.sent("a", MIN_OUTSTANDING, 0.0)
+        self.assertEqual(self.detector.take_silent(2 * SILENCE_S), ["a"])
+        self.assertEqual(self.detector.take_silent(3 * SILENCE_S), [])
+        self.detector.heard("a", 1.0)
+        self.assertFalse(self.detector.is_silent("a"))
