Add demo of the whole path

Cause: nothing showed the system at work, and the README names tools/demo.sh. check-patch answered with an internal error for every acceptable patch. Port ranges are marked by a listener, so that copies do not overlap. The view of check-patch reads the checked patch as a Patch.

--- a/cicadalever/daemon/_views.py
+++ b/cicadalever/daemon/_views.py
@@ -174,7 +174,7 @@
         if isinstance(result, Accepted):
             verdict["accepted"] = True
             verdict["next_version"] = history.version + 1
-            paths = {operation["path"] for operation in checked["operations"]}
+            paths = {operation["path"] for operation in checked.operations}
             verdict["changed"] = sorted(paths)
         else:
             verdict["reason"] = result.reason
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,70 @@
+"""Tests of the demo's ports and failure report."""
+
+import contextlib
+import io
+import random
+import socket
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from standins.demo import SHOWN_LINES, main, report, shorten
+from standins.fleet import PortRange, ProcessFailure
+from standins.process import Process
+
+
+class TestPortRange(unittest.TestCase):
+    """Ranges of ports of two copies of the demo."""
+
+    def test_ranges_differ(self):
+        """Guards against two copies that choose the same ports at the same moment."""
+        first = PortRange(random.Random(5))
+        self.addCleanup(first.close)
+        second = PortRange(random.Random(5))
+        self.addCleanup(second.close)
+        self.assertNotEqual(first.base, second.base)
+
+    def test_used_port(self):
+        """Guards against a range in which another process already listens."""
+        taken = PortRange(random.Random(6))
+        with socket.socket() as other:
+            other.bind(("127.0.0.1", taken.base + 7))
+            other.listen(1)
+            taken.close()
+            free = PortRange(random.Random(6))
+            self.addCleanup(free.close)
+            self.assertNotEqual(free.base, taken.base)
+
+
+class TestReport(unittest.TestCase):
+    """What the demo shows."""
+
+    def test_failure_shows_the_log_up_to_the_failure(self):
+        """Guards against a cause that the lines of the shutdown push out."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory, "out")
+            code = "print('cause')"
+            process = Process("daemon", [sys.executable, "-c", code], path)
+            process.start()
+            process.wait_ready()
+            failure = ProcessFailure("step 3", process)
+            path.write_text("shutdown\n")
+        output = io.StringIO()
+        with contextlib.redirect_stderr(output):
+            report(failure)
+        self.assertIn("step 3", output.getvalue())
+        self.assertIn("log of daemon:\ncause\n", output.getvalue())
+        self.assertNotIn("shutdown", output.getvalue())
+
+    def test_shorten(self):
+        """Guards against a long answer that loses its summary or a whole short one."""
+        lines = [str(number) for number in range(SHOWN_LINES + 5)]
+        self.assertEqual(shorten(lines[:SHOWN_LINES]), lines[:SHOWN_LINES])
+        self.assertEqual(shorten(lines)[-1], lines[-1])
+        self.assertIn("... 5 more lines", shorten(lines))
+
+    def test_unknown_argument(self):
+        """Guards against a misspelt option that starts the demo."""
+        with contextlib.redirect_stderr(io.StringIO()):
+            self.assertEqual(main(["--kepe"]), 2)
