Split the command-line tool by subject and mend its errors

Run against real daemons, the tool told of an unknown audit kind or an entry address as an unreachable host (5), showed an invalid request as an empty answer, cut resolver messages, quoted binary bytes of a peer address, named a missing settings file three times and sent NaN. After a lost attempt, a later attempt that could not connect hid that the request may have run. Change: commands, options, input, output and views are modules of their own. Wrong input gives one line and exit code 2. An id is kept for all attempts. ask ends with 4 when any attempt may have run. The reason of an unreadable settings file begins with the path.

--- a/cicadalever/cli/_ask.py
+++ b/cicadalever/cli/_ask.py
@@ -61,11 +61,10 @@
         self.sleep = sleep
         self._request_id = plan.request_id
         self._may_have_run = False
-        self._was_lost = False
 
     @property
     def may_have_run(self) -> bool:
-        """Whether a request that must run only once was sent and not answered."""
+        """Whether some attempt of a request that must run only once may have run."""
         return self._may_have_run
 
     def ask(self) -> Reply | NoAnswer:
@@ -93,21 +92,17 @@
             if failure is not None:
                 return failure
         body = {"id": self._request_id, "idempotent": False, **self.plan.body}
+        may_have_run_before = self._may_have_run
         self._may_have_run = True
         answer = self.client.post(self.plan.entry, "/v1/queries", body)
-        self._may_have_run = exit_code(answer, once=True) == ExitCode.UNKNOWN
-        self._was_lost = self._was_lost or isinstance(answer, NoAnswer)
-        if self._is_refusal(answer) and self._may_take_new_id():
-            # The issuing process repeats its verdict on a known id, and the refused
-            # request certainly did not run, so the next attempt takes a new id.
-            self._request_id = None
+        code = exit_code(answer, once=True)
+        # An attempt that did not reach the host says nothing about earlier ones.
+        was_sent = code != ExitCode.UNREACHABLE
+        self._may_have_run = (
+            code == ExitCode.UNKNOWN if was_sent else may_have_run_before
+        )
         return answer
 
-    def _may_take_new_id(self) -> bool:
-        # An earlier attempt without an answer may have run. The same id then stays
-        # the only protection against a second run.
-        return self.plan.request_id is None and not self._was_lost
-
     def _take_id(self) -> Reply | NoAnswer | None:
         answer = self.client.post(self.plan.entry, "/v1/ids", {"count": 1})
         if isinstance(answer, NoAnswer):
@@ -128,14 +123,12 @@
         return None
 
     def _is_worth_resending(self, answer: Reply | NoAnswer) -> bool:
-        if self._is_refusal(answer):
-            return self.plan.request_id is None
+        # The id stays the same, so a request that must run only once may be sent again
+        # after a lost answer as well as after a refusal.
+        if isinstance(answer, NoAnswer):
+            return True
         code = exit_code(answer, once=self.plan.once)
-        return isinstance(answer, NoAnswer) or code == ExitCode.UNREACHABLE
-
-    @staticmethod
-    def _is_refusal(answer: Reply | NoAnswer) -> bool:
-        return bool(answer) and answer.value.get("outcome") == Outcome.NOT_RUN
+        return code in (ExitCode.NOT_RUN, ExitCode.UNREACHABLE)
 
 
 def retry_delay(answer: Reply | NoAnswer) -> float:
--- /dev/null
+++ b/cicadalever/cli/_ask_command.py
@@ -0,0 +1,156 @@
+"""Command ``ask``."""
+
+import shlex
+from collections.abc import Mapping, Sequence
+from enum import StrEnum
+from typing import Annotated, Any
+
+import typer
+
+from ._ask import Asker, AskPlan, exit_code
+from ._client import Client
+from ._exit import ExitCode
+from ._input import parse_parameters, read_address
+from ._options import EntryOption, JsonOption
+from ._output import note, print_answer
+
+# A query without a deadline of its own gets that of its kind, which the tool does not
+# know. Reports are the longest.
+ASK_TIMEOUT_S = 600.0
+# Time for the answer to travel after the deadline.
+DEADLINE_GRACE_S = 5.0
+MAX_DEADLINE_MS = 3_600_000
+
+
+class RankName(StrEnum):
+    """Names of the urgency ranks."""
+
+    INTERACTIVE = "interactive"
+    BATCH = "batch"
+    REPORT = "report"
+
+
+def ask(
+    route: Annotated[
+        str, typer.Argument(help="Name of the query route; 'routes' lists them.")
+    ],
+    entry: EntryOption = None,
+    param: Annotated[
+        list[str] | None,
+        typer.Option(
+            metavar="K=V",
+            help=(
+                "One parameter of the query; repeat for more. K=V passes V as text, "
+                "K:=V passes V as JSON, for example --param sku=A7 --param limit:=5."
+            ),
+        ),
+    ] = None,
+    kind: Annotated[
+        str | None,
+        typer.Option(help="Kind of work, if it is not the usual one of the route."),
+    ] = None,
+    rank: Annotated[
+        RankName | None,
+        typer.Option(help="A rank that is less urgent than the usual one of the kind."),
+    ] = None,
+    deadline_ms: Annotated[
+        int | None,
+        typer.Option(
+            min=1,
+            max=MAX_DEADLINE_MS,
+            help="Time for the answer, if it is not the usual one of the kind.",
+        ),
+    ] = None,
+    once: Annotated[
+        bool,
+        typer.Option(
+            "--once",
+            help=(
+                "Run the request at most once, for orders and jobs. Gets an id from "
+                "the host first and prints it. If the answer is lost, send the same "
+                "request again with --id; it then still runs at most once."
+            ),
+        ),
+    ] = False,
+    request_id: Annotated[
+        str | None,
+        typer.Option(
+            "--id",
+            metavar="ID",
+            help="Send the request again with the id of an earlier --once.",
+        ),
+    ] = None,
+    wait: Annotated[
+        bool,
+        typer.Option(
+            "--wait",
+            help=(
+                "If the request is refused as not run, or the host cannot be "
+                "reached, send it again until it is answered."
+            ),
+        ),
+    ] = False,
+    give_up_s: Annotated[
+        float,
+        typer.Option(min=0, help="With --wait: send nothing more after this time."),
+    ] = 3600.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Ask a query and print its rows, outcome and coverage.
+
+    A partial answer (exit code 1) lists each missing shard and the reason. A refused
+    request (exit code 3) certainly did not run and can be sent again.
+
+    Example: cicadalever ask lookup --entry 127.0.0.1:8080 --param sku=A7
+    """
+    address = read_address(entry, "--entry", "CICADALEVER_ENTRY")
+    body: dict[str, Any] = {"route": route, "parameters": parse_parameters(param)}
+    for name, value in (("kind", kind), ("rank", rank), ("deadline_ms", deadline_ms)):
+        if value is not None:
+            body[name] = value
+    timeout_s = ASK_TIMEOUT_S
+    if deadline_ms is not None:
+        timeout_s = deadline_ms / 1000 + DEADLINE_GRACE_S
+    runs_once = once or request_id is not None
+    plan = AskPlan(address, body, runs_once, request_id, wait, give_up_s)
+
+    def announce_id(new_id: str) -> None:
+        nonlocal request_id
+        request_id = new_id
+        note(f"the request has id {new_id}")
+        note(f"to send it again with the same id: {resend_command()}")
+
+    asker = Asker(
+        Client(read_timeout_s=timeout_s), plan, announce_id=announce_id, note=note
+    )
+
+    def resend_command() -> str:
+        return _resend_command(address, body, param or [], request_id)
+
+    try:
+        answer = asker.ask()
+    except KeyboardInterrupt:
+        if not asker.may_have_run:
+            raise
+        note("interrupted; the request may have run")
+        note(f"to send it again with the same id: {resend_command()}")
+        raise typer.Exit(ExitCode.UNKNOWN) from None
+    code = exit_code(answer, once=runs_once)
+    if asker.may_have_run:
+        code = ExitCode.UNKNOWN
+    print_answer(answer, as_json)
+    if runs_once and request_id and code in (ExitCode.UNKNOWN, ExitCode.NOT_RUN):
+        note(f"to send it again with the same id: {resend_command()}")
+    raise typer.Exit(code)
+
+
+def _resend_command(
+    entry: str, body: Mapping[str, Any], params: Sequence[str], request_id: str | None
+) -> str:
+    words = ["cicadalever", "ask", body["route"], "--entry", entry]
+    for name in ("kind", "rank", "deadline_ms"):
+        if name in body:
+            words += [f"--{name.replace('_', '-')}", str(body[name])]
+    for param in params:
+        words += ["--param", param]
+    return shlex.join([*words, "--id", request_id or ""])
--- a/cicadalever/cli/_client.py
+++ b/cicadalever/cli/_client.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from http.client import BadStatusLine, RemoteDisconnected
 from typing import Any, NamedTuple
 
 import urllib3
@@ -9,6 +10,7 @@
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
+    ProtocolError,
     ReadTimeoutError,
 )
 
@@ -101,6 +103,8 @@
         except ReadTimeoutError:
             reason = f"no answer within {self.read_timeout_s:g} s"
             return NoAnswer(address, reason, True)
+        except ProtocolError as error:
+            return NoAnswer(address, _describe_break(error), True)
         except (HTTPError, OSError, ValueError) as error:
             return NoAnswer(address, f"connection lost: {_cause(error)}", True)
         return _decode(address, response)
@@ -117,6 +121,16 @@
     return Reply(address, response.status, value)
 
 
+def _describe_break(error: ProtocolError) -> str:
+    cause = error.args[-1]
+    # A lost connection is a BadStatusLine too, as its first line is empty.
+    if isinstance(cause, BadStatusLine) and not isinstance(cause, RemoteDisconnected):
+        return "the answer is not HTTP; is this a peer address?"
+    return f"connection lost: {_cause(error)}"
+
+
 def _cause(error: Exception) -> str:
-    text = str(error).rsplit(": ", 1)[-1]
-    return text.strip("()'\" ") or type(error).__name__
+    text = str(error).rsplit(": ", 1)[-1].strip("'\" ")
+    if text.count(")") != text.count("("):
+        text = text.strip("()'\" ")
+    return text or type(error).__name__
--- /dev/null
+++ b/cicadalever/cli/_input.py
@@ -0,0 +1,73 @@
+"""Reads addresses, parameters and files; wrong input ends the command."""
+
+import json
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import Any
+
+from ._client import is_address
+from ._exit import ExitCode
+from ._output import fail
+
+
+def _split(values: Iterable[str]) -> list[str]:
+    return [part for value in values for part in value.replace(",", " ").split()]
+
+
+def read_addresses(
+    given: Sequence[str] | None,
+    option: str = "--admin",
+    variable: str = "CICADALEVER_ADMIN",
+) -> list[str]:
+    addresses = list(dict.fromkeys(_split(given or ())))
+    if not addresses:
+        fail(f"no address: give {option} IP:PORT or set {variable}", ExitCode.INVALID)
+    for address in addresses:
+        if not is_address(address):
+            fail(f"{address!r} is not of the form ip:port", ExitCode.INVALID)
+    return addresses
+
+
+def read_address(
+    given: str | None, option: str, variable: str, *, exactly: bool = False
+) -> str:
+    addresses = read_addresses([given] if given else None, option, variable)
+    if exactly and len(addresses) > 1:
+        text = f"{len(addresses)} addresses given; name one with {option} IP:PORT"
+        fail(text, ExitCode.INVALID)
+    return addresses[0]
+
+
+def parse_parameters(given: Sequence[str] | None) -> dict[str, Any]:
+    parameters: dict[str, Any] = {}
+    for text in given or ():
+        name, equals, value = text.partition("=")
+        is_json = name.endswith(":")
+        name = name.removesuffix(":")
+        if not equals or not name:
+            fail(f"--param {text!r} is not of the form K=V or K:=V", ExitCode.INVALID)
+        if name in parameters:
+            fail(f"--param {name} is given twice", ExitCode.INVALID)
+        parameters[name] = _parse_json(value, f"--param {name}") if is_json else value
+    return parameters
+
+
+def _parse_json(text: str | bytes, source: str) -> Any:
+    try:
+        value = json.loads(text)
+        # Also refuses NaN and numbers too large for a float, which JSON lacks.
+        json.dumps(value, allow_nan=False)
+    except (ValueError, RecursionError) as error:
+        fail(f"{source}: not JSON: {error}", ExitCode.INVALID)
+    return value
+
+
+def read_object(file: Path) -> dict[str, Any]:
+    try:
+        content = file.read_bytes()
+    except OSError as error:
+        fail(f"{file}: {error.strerror}", ExitCode.INVALID)
+    value = _parse_json(content, str(file))
+    if not isinstance(value, dict):
+        fail(f"{file}: must hold a JSON object", ExitCode.INVALID)
+    return value
--- /dev/null
+++ b/cicadalever/cli/_inspect.py
@@ -0,0 +1,214 @@
+"""Commands that show the state of hosts."""
+
+from collections.abc import Sequence
+from typing import Annotated, Any
+
+import typer
+
+from ._client import Client
+from ._input import read_address, read_addresses
+from ._options import AdminOption, AdminsOption, JsonOption
+from ._output import print_rows
+from ._tables import Column, show, show_ranks
+from ._views import collect, list_of, value_of
+
+STATUS_COLUMNS = (
+    Column("HOST", "host_id"),
+    Column("DATA_CENTRE", "data_centre"),
+    Column("REGION", "region"),
+    Column("ROLES", "roles"),
+    Column("STATE", "state"),
+    Column("UPTIME_S", "uptime_s"),
+    Column("VERSION", "version"),
+    Column("SEQUENCE", "sequence"),
+    Column("PLATFORM_AGE_S", "platform_age_s"),
+    Column("RUNNING_I/B/R", "queries_running", show_ranks),
+    Column("WAITING_I/B/R", "queries_waiting", show_ranks),
+    Column("OWNED", "owned_replicas"),
+    Column("ISOLATED", "isolated"),
+    Column("VIEW_FRESH", "view_fresh"),
+)
+
+
+def status(admin: AdminsOption = None, as_json: JsonOption = False) -> None:
+    """Show the state of one or more hosts.
+
+    RUNNING and WAITING count queries by rank: interactive/batch/report. ISOLATED
+    means that no other host answers this one.
+    """
+    rows, code = collect(read_addresses(admin), "/v1/status")
+    print_rows(STATUS_COLUMNS, rows, as_json)
+    raise typer.Exit(code)
+
+
+VERSION_COLUMNS = (
+    Column("ADDRESS", "address"),
+    Column("HOST", "host_id"),
+    Column("VERSION", "version"),
+    Column("SEQUENCE", "sequence"),
+    Column("BEHIND", "behind"),
+    Column("PLATFORM_AGE_S", "platform_age_s"),
+    Column("SOURCE", "source"),
+)
+VERDICT_COLUMNS = (
+    Column("SEQUENCE", "sequence"),
+    Column("PATCH", "patch_id"),
+    Column("AUTHOR", "author"),
+    Column("AGAINST", "against"),
+    Column("ACCEPTED", "accepted"),
+    Column("VERSION", "version"),
+    Column("REASON", "reason"),
+)
+
+
+def versions(
+    hosts: Annotated[
+        list[str] | None,
+        typer.Argument(metavar="[IP:PORT]...", help="Admin addresses of hosts."),
+    ] = None,
+    admin: AdminsOption = None,
+    verdicts: Annotated[
+        bool,
+        typer.Option(
+            "--verdicts",
+            help="Also show the latest patches, accepted or refused, and why.",
+        ),
+    ] = False,
+    as_json: JsonOption = False,
+) -> None:
+    """Show which configuration version is in force on each host.
+
+    BEHIND counts the log entries that a host has not applied, compared with the host
+    that is furthest. It is 0 everywhere when no host lags.
+    """
+    rows, code = collect(read_addresses(hosts or admin), "/v1/versions")
+    sequences = [row["sequence"] for row in rows if _is_integer(row.get("sequence"))]
+    for row in rows:
+        if _is_integer(row.get("sequence")):
+            row["behind"] = max(sequences) - row["sequence"]
+    print_rows(VERSION_COLUMNS, rows, as_json)
+    if verdicts and not as_json:
+        print()
+        print_rows(VERDICT_COLUMNS, _latest_verdicts(rows), as_json)
+    raise typer.Exit(code)
+
+
+ROUTE_COLUMNS = (
+    Column("ROUTE", "name"),
+    Column("OPERATION", "operation"),
+    Column("KIND", "kind"),
+    Column("RANK", "rank"),
+    Column("DEADLINE_MS", "deadline_ms"),
+    Column("SHARDS", "shards"),
+    Column("SNAPSHOT", "snapshot"),
+    Column("INDEXES", "indexes"),
+)
+
+
+def routes(admin: AdminOption = None, as_json: JsonOption = False) -> None:
+    """List the query routes that can be asked.
+
+    Operation 'read' can be repeated safely; 'run' needs 'ask --once'.
+    """
+    _show_list(admin, "routes", ROUTE_COLUMNS, as_json)
+
+
+MEMBER_COLUMNS = (
+    Column("HOST", "host_id"),
+    Column("ADDRESS", "address"),
+    Column("DATA_CENTRE", "data_centre"),
+    Column("REGION", "region"),
+    Column("ROLES", "roles"),
+    Column("STATE", "state"),
+    Column("LISTED", "listed"),
+    Column("HEARD_AGE_S", "heard_age_s"),
+    Column("VERSION", "version"),
+    Column("SEQUENCE", "sequence"),
+    Column("PLATFORM_AGE_S", "platform_age_s"),
+)
+
+
+def members(admin: AdminOption = None, as_json: JsonOption = False) -> None:
+    """List the hosts that one host knows, as it sees them.
+
+    Ask two hosts and compare: different states mean that the network between them
+    is cut. LISTED tells whether the platform's host list names the host.
+    """
+    _show_list(admin, "members", MEMBER_COLUMNS, as_json)
+
+
+UPSTREAM_COLUMNS = (
+    Column("REPLICA", "replica"),
+    Column("SERVICE", "service"),
+    Column("ADDRESS", "address"),
+    Column("DATA_CENTRE", "data_centre"),
+    Column("OWNER", "owner"),
+    Column("STATE", "state"),
+    Column("RUNNING", "running"),
+    Column("LIMIT", "limit"),
+    Column("SLOTS", "slots"),
+    Column("QUEUED_I/B/R", "queued", show_ranks),
+    Column("CONNECTIONS", "connections"),
+    Column("LATENCY_MS", "latency_ms"),
+    Column("FAILURES", "recent_failures"),
+)
+
+
+def upstreams(admin: AdminsOption = None, as_json: JsonOption = False) -> None:
+    """List the replicas and the load on each.
+
+    Only the host that owns a replica knows its load ('-' elsewhere). Name several
+    hosts with --admin to see more of them: each replica is then shown as its owner
+    sees it.
+    """
+    replies, code = collect(read_addresses(admin), "/v1/upstreams")
+    rows: dict[Any, dict[str, Any]] = {}
+    for reply in replies:
+        if "error" in reply:
+            continue
+        for row in list_of(reply, "upstreams"):
+            key = show(row.get("replica"))
+            if key not in rows or row.get("running") is not None:
+                rows[key] = row
+    print_rows(UPSTREAM_COLUMNS, [rows[key] for key in sorted(rows)], as_json)
+    raise typer.Exit(code)
+
+
+QUARANTINE_COLUMNS = (
+    Column("FINGERPRINT", "fingerprint"),
+    Column("STATE", "state"),
+    Column("REMAINING_S", "remaining_s"),
+    Column("REASON", "reason"),
+)
+
+
+def quarantine(admin: AdminOption = None, as_json: JsonOption = False) -> None:
+    """List requests that crashed upstreams.
+
+    A suspect crashed one upstream and runs alone next time. A quarantined request
+    crashed two and is refused until the time remaining is over.
+    """
+    _show_list(admin, "quarantine", QUARANTINE_COLUMNS, as_json)
+
+
+def _show_list(
+    admin: str | None, name: str, columns: Sequence[Column], as_json: bool
+) -> None:
+    address = read_address(admin, "--admin", "CICADALEVER_ADMIN")
+    value = value_of(Client().get(address, f"/v1/{name}"))
+    print_rows(columns, list_of({**value, "address": address}, name), as_json)
+
+
+def _latest_verdicts(rows: Sequence[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return the verdicts known to any of the hosts, in the order of the log."""
+    known: dict[int, dict[str, Any]] = {}
+    for row in rows:
+        verdicts = row.get("verdicts")
+        for verdict in verdicts if isinstance(verdicts, list) else ():
+            if isinstance(verdict, dict) and _is_integer(verdict.get("sequence")):
+                known[verdict["sequence"]] = verdict
+    return [known[sequence] for sequence in sorted(known)]
+
+
+def _is_integer(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
--- a/cicadalever/settings/_settings.py
+++ b/cicadalever/settings/_settings.py
@@ -121,8 +121,12 @@
         with open(path, "rb") as file:
             body = file.read(MAX_FILE_BYTES + 1)
     except (OSError, ValueError) as error:
-        return Failure(FailureCode.INVALID, f"settings file {path}: {error}")
-    return _check_addresses(_reader.read(body, MAX_FILE_BYTES))
+        cause = getattr(error, "strerror", None) or error
+        return Failure(FailureCode.INVALID, f"{path}: {cause}")
+    settings = _check_addresses(_reader.read(body, MAX_FILE_BYTES))
+    if isinstance(settings, Failure):
+        return settings._replace(reason=f"{path}: {settings.reason}")
+    return settings
 
 
 def _check_addresses(settings: Settings | Failure) -> Settings | Failure:
