Put a first document with sequence 0 in force for all parts

Cause: the daemon compared sequences only. A platform whose log is empty publishes sequence 0, the same as before the start, so six hosts showed SOURCE none, recorded no version_in_force and did not apply the policy of the document. Change: the version is compared as well. Result: tests.test_configuration_keeper passes, and fails without the change.

--- a/cicadalever/daemon/_configuration.py
+++ b/cicadalever/daemon/_configuration.py
@@ -208,7 +208,8 @@
         verdicts = take(value)
         for verdict in verdicts:
             self._record(verdict)
-        if self.history.sequence == sequence:
+        # The first document may have sequence 0, so its version tells that it is new.
+        if (self.history.sequence, self.history.version) == (sequence, version):
             return
         self.fleet.set_versions(self.history.sequence, self.history.version)
         self.metrics.configuration_changed(self.history.sequence, self.history.version)
