--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -109,7 +109,7 @@
         settings, fleet, keeper, links, quarantine, proven, audit, metrics
     )
     coordinator = _build_coordinator(
-        settings, fleet, keeper, links, quarantine, proven, metrics, rng
+        settings, fleet, keeper, owners, links, quarantine, proven, metrics, rng
     )
     table = OnceTable(host.id, incarnation)
     encode = partial(encode_answer, host=host.id)
@@ -212,10 +212,10 @@
 
 
 def _build_coordinator(
-    settings, fleet, keeper, links, quarantine, proven, metrics, rng
+    settings, fleet, keeper, owners, links, quarantine, proven, metrics, rng
 ) -> QueryCoordinator:
     policy = QueryPolicy()
-    selector = ReplicaSelector(rng, data_centre=settings["data_centre"])
+    selector = ReplicaSelector(rng)
     if settings["policy"] == "baseline":
         policy = baseline_policy()
         selector = build_baseline_selector()
@@ -224,7 +224,9 @@
             lambda: keeper.current,
             fleet.owner_of,
             fleet.is_reachable,
+            owners.drains.__contains__,
             fleet.own.address,
+            fleet.own.region,
         ),
         links.send,
         selector,
--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -64,6 +64,7 @@
         self._retry_at = 0.0
         self._running_keys: set[ReadKey] = set()
         self._blamed: set[ReadKey] = set()
+        self._answered_since_crash = True
 
     @property
     def draining(self) -> bool:
@@ -111,6 +112,19 @@
         """Return the reads that run now, for blame after a crash."""
         return self._gate.running()
 
+    @property
+    def answered_since_crash(self) -> bool:
+        """Whether the replica has answered anything since its last crash.
+
+        Until then a read is preceded by a probe. Behind a TCP proxy, connections to a
+        process that is down open and break at once, which would look like a crash.
+        """
+        return self._answered_since_crash
+
+    def note_answer(self) -> None:
+        """Record that the replica answered a probe."""
+        self._answered_since_crash = True
+
     def is_running(self, key: ReadKey) -> bool:
         """Tell whether read ``key`` runs on the replica."""
         return key in self._running_keys
@@ -123,6 +137,7 @@
         """
         if key in self._blamed:
             return False
+        self._answered_since_crash = False
         self._blamed |= self._running_keys
         return True
 
@@ -149,8 +164,14 @@
                 f"{self.replica.id}: estimated wait {wait_s * 1000:.0f} ms passes the"
                 " deadline",
             )
+        # The other reads of a query wait for its trial, so the trial goes first.
         return self._queue.push(
-            read.key, read, rank=Rank(read.rank), deadline=read.deadline, now=now
+            read.key,
+            read,
+            rank=Rank(read.rank),
+            deadline=read.deadline,
+            now=now,
+            first=read.trial != Trial.NORMAL,
         )
 
     def start_next(self, now: float):
@@ -181,6 +202,7 @@
             self._limit.release(_FEEDBACK.get(result.code, Feedback.IGNORED), now)
             self._note_connect(result.code, now)
             return
+        self._answered_since_crash = True
         self._connect_failures = 0
         self._retry_at = 0.0
         self._service_time_s += SERVICE_TIME_WEIGHT * (service_s - self._service_time_s)
