--- a/tests/support.py
+++ b/tests/support.py
@@ -360,9 +360,7 @@
     def setUpClass(cls):
         directory = tempfile.TemporaryDirectory()
         cls.addClassCleanup(directory.cleanup)
-        cls.fleet = Fleet(
-            Path(directory.name), cls.upstream_defaults, cls.with_proxy
-        )
+        cls.fleet = Fleet(Path(directory.name), cls.upstream_defaults, cls.with_proxy)
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start(cls.absent)
 
@@ -374,9 +372,7 @@
         defaults = Parameters()._asdict() | self.upstream_defaults
         former = {name: defaults[name] for name in values}
         self.fleet.control("upstream", services=services, set=values)
-        self.addCleanup(
-            self.fleet.control, "upstream", services=services, set=former
-        )
+        self.addCleanup(self.fleet.control, "upstream", services=services, set=former)
 
     def tearDown(self):
         self.assertEqual(self.fleet.violations()[:5], [])
