--- a/cicadalever/daemon/_fleet.py
+++ b/cicadalever/daemon/_fleet.py
@@ -65,6 +65,7 @@
         """Run the timers of the failure detector and look at the connections."""
         for address in self.network.poll_connections():
             self.on_host_lost(address)
+            self._send_all(self.prober.connection_lost(address, time.monotonic()))
         self._send_all(self.prober.tick(time.monotonic()))
         self._apply_changes()
 
