Separate views, answers and resending in the tool and the administration

Cause: a newcomer met 170 lines of view types before the administration application, the drawing of answers beside the sending of requests, and closures in ask that used names defined later. Change: api/_views.py and cli/_answer.py are modules of their own; the asker tells the id that it uses.

--- a/cicadalever/api/__init__.py
+++ b/cicadalever/api/__init__.py
@@ -1,7 +1,17 @@
 """WSGI applications for callers and for administration."""
 
-from ._admin import (
-    AdminApplication,
+from ._admin import AdminApplication
+from ._caller import CallerApplication, encode_answer
+from ._http import (
+    Handler,
+    Request,
+    Response,
+    Router,
+    error_response,
+    json_response,
+)
+from ._request import QueryRequest, check_query_request
+from ._views import (
     AdminViews,
     AuditEventView,
     AuditView,
@@ -16,16 +26,6 @@
     VerdictView,
     VersionsView,
 )
-from ._caller import CallerApplication, encode_answer
-from ._http import (
-    Handler,
-    Request,
-    Response,
-    Router,
-    error_response,
-    json_response,
-)
-from ._request import QueryRequest, check_query_request
 
 __all__ = [
     "AdminApplication",
--- a/cicadalever/api/_caller.py
+++ b/cicadalever/api/_caller.py
@@ -23,9 +23,10 @@
 from cicadalever.scheduling import Rank
 from cicadalever.transport import OnceAnswer, RunOnce
 
-from ._admin import HealthState, health_response
+from ._admin import health_response
 from ._http import Environ, Request, Response, Router, error_response, json_response
 from ._request import QueryRequest, check_query_request
+from ._views import HealthState
 
 MAX_IDS_PER_CALL = 1000
 MAX_IDS_BODY_BYTES = 1024
--- a/cicadalever/cli/_ask_command.py
+++ b/cicadalever/cli/_ask_command.py
@@ -114,38 +114,35 @@
     runs_once = once or request_id is not None
     plan = AskPlan(address, body, runs_once, request_id, wait, give_up_s)
 
+    def note_resend(known_id: str) -> None:
+        command = _resend_command(address, body, param or [], known_id)
+        note(f"to send it again with the same id: {command}")
+
     def announce_id(new_id: str) -> None:
-        nonlocal request_id
-        request_id = new_id
         note(f"the request has id {new_id}")
-        note(f"to send it again with the same id: {resend_command()}")
-
-    asker = Asker(
-        Client(read_timeout_s=timeout_s), plan, announce_id=announce_id, note=note
-    )
-
-    def resend_command() -> str:
-        return _resend_command(address, body, param or [], request_id)
+        note_resend(new_id)
 
+    client = Client(read_timeout_s=timeout_s)
+    asker = Asker(client, plan, announce_id=announce_id, note=note)
     try:
         answer = asker.ask()
     except KeyboardInterrupt:
         if not asker.may_have_run:
             raise
         note("interrupted; the request may have run")
-        note(f"to send it again with the same id: {resend_command()}")
+        note_resend(asker.request_id)
         raise typer.Exit(ExitCode.UNKNOWN) from None
     code = exit_code(answer, once=runs_once)
     if asker.may_have_run:
         code = ExitCode.UNKNOWN
     print_answer(answer, as_json)
-    if runs_once and request_id and code in (ExitCode.UNKNOWN, ExitCode.NOT_RUN):
-        note(f"to send it again with the same id: {resend_command()}")
+    if asker.request_id and code in (ExitCode.UNKNOWN, ExitCode.NOT_RUN):
+        note_resend(asker.request_id)
     raise typer.Exit(code)
 
 
 def _resend_command(
-    entry: str, body: Mapping[str, Any], params: Sequence[str], request_id: str | None
+    entry: str, body: Mapping[str, Any], params: Sequence[str], request_id: str
 ) -> str:
     words = ["cicadalever", "ask", body["route"], "--entry", entry]
     for name in ("kind", "rank", "deadline_ms"):
@@ -153,4 +150,4 @@
             words += [f"--{name.replace('_', '-')}", str(body[name])]
     for param in params:
         words += ["--param", param]
-    return shlex.join([*words, "--id", request_id or ""])
+    return shlex.join([*words, "--id", request_id])
--- a/cicadalever/cli/_output.py
+++ b/cicadalever/cli/_output.py
@@ -10,7 +10,7 @@
 
 from cicadalever.outcomes import Outcome
 
-from ._ask import render_answer
+from ._answer import render_answer
 from ._audit import render_event
 from ._client import NoAnswer, Reply
 from ._exit import ExitCode
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,6 +8,7 @@
 import unittest
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
+from unittest.mock import Mock, patch
 from urllib.parse import urlsplit
 
 from typer.testing import CliRunner
@@ -206,6 +207,15 @@
         self.assertEqual(self.host.bodies("/v1/queries")[1]["id"], "h1.5.9")
         self.assertEqual(len(self.host.bodies("/v1/ids")), 1)
 
+    def test_interrupted_once(self):
+        """Guards against an order that may have run and looks only interrupted."""
+        interrupted = Mock()
+        interrupted.post.side_effect = KeyboardInterrupt
+        with patch("cicadalever.cli._ask_command.Client", return_value=interrupted):
+            result = self.ask(4, "--id", "h1.5.9")
+            self.assertIn("--id h1.5.9", result.stderr)
+            self.ask(130)
+
     def test_once_without_an_id_is_not_sent(self):
         """Guards against an unknown outcome being told of a request never sent."""
         for answer, code in (
