Answer outcome unknown for the id of another process while starting

Change: such a request is answered with outcome_unknown, unless it is stated to be idempotent. Reads and ids issued here are refused as not run as before. Result: tests.test_api passes; test_request_of_another_process fails without the change.

--- a/cicadalever/api/_caller.py
+++ b/cicadalever/api/_caller.py
@@ -128,7 +128,7 @@
             )
         route = self._route(query)
         if isinstance(route, Failure):
-            answer = _unroutable(route)
+            answer = self._unroutable(query, route)
             return _respond(self.encode(query["id"], answer, 0.0))
         deadline = started + self._deadline_s(query, route)
         if not _is_idempotent(query, route):
@@ -165,7 +165,7 @@
             return self.encode(query["id"], answer, 0.0)
         route = self._route(query)
         if isinstance(route, Failure):
-            return self.encode(query["id"], _unroutable(route), 0.0)
+            return self.encode(query["id"], self._unroutable(query, route), 0.0)
         work = self._work(query, route, deadline)
         with logger.contextualize(request_id=query["id"]):
             result = self.once.execute(request_id, work)
@@ -191,6 +191,16 @@
         refusal = self._check_rank(query, route)
         return route if refusal is None else refusal
 
+    def _unroutable(self, query: QueryRequest, failure: Failure) -> QueryAnswer:
+        if failure.code != FailureCode.UNAVAILABLE:
+            return _invalid(failure)
+        request_id = RequestId.parse(query["id"])
+        is_foreign = bool(request_id) and not self.once.is_own(request_id)
+        if is_foreign and not query.get("idempotent"):
+            # Only the process that issued the id knows whether the request ran.
+            return QueryAnswer(Outcome.UNKNOWN, failure=failure)
+        return QueryAnswer(Outcome.NOT_RUN, failure=failure, retry_after_s=1.0)
+
     def _check_rank(self, query: QueryRequest, route: Route) -> Failure | None:
         kind = self._kind(query, route)
         if "rank" in query and Rank.from_name(query["rank"]) < kind.rank:
@@ -281,12 +291,6 @@
     return QueryAnswer(Outcome.INVALID, failure=failure)
 
 
-def _unroutable(failure: Failure) -> QueryAnswer:
-    if failure.code == FailureCode.UNAVAILABLE:
-        return QueryAnswer(Outcome.NOT_RUN, failure=failure, retry_after_s=1.0)
-    return _invalid(failure)
-
-
 def _respond(result: OnceResult) -> Response:
     return Response(result.status, result.body)
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -5,7 +5,14 @@
 import unittest
 from unittest.mock import Mock
 
-from cicadalever.api import AdminApplication, Request, Router, json_response
+from cicadalever.api import (
+    AdminApplication,
+    CallerApplication,
+    Request,
+    Router,
+    encode_answer,
+    json_response,
+)
 
 
 def call(application, method, path, body=None, *, query="", **extra):
@@ -92,6 +99,36 @@
         self.assert_refused(400, "invalid", "reset", "POST", "/echo", b"{}", **extra)
 
 
+class TestCallerApplication(unittest.TestCase):
+    """Requests that a starting host cannot route."""
+
+    def setUp(self):
+        self.once = Mock()
+        self.application = CallerApplication(
+            *(Mock(), self.once, Mock(), lambda: None, Mock(), Mock(), encode_answer),
+            max_body_bytes=1000,
+        )
+
+    def ask(self, **fields):
+        body = {"id": "h1.5.1", "route": "order", "parameters": {}} | fields
+        data = json.dumps(body).encode()
+        content = call(self.application, "POST", "/v1/queries", data)[2]
+        return json.loads(content)["outcome"]
+
+    def test_request_of_another_process(self):
+        """Guards against "not run" for an order that its issuing host may have run."""
+        self.once.is_own.return_value = False
+        self.assertEqual(self.ask(), "outcome_unknown")
+
+    def test_requests_that_did_not_run(self):
+        """Guards against an unknown outcome of reads and of ids issued here."""
+        self.once.is_own.return_value = False
+        self.assertEqual(self.ask(id="7db1f30b"), "refused_not_run")
+        self.assertEqual(self.ask(idempotent=True), "refused_not_run")
+        self.once.is_own.return_value = True
+        self.assertEqual(self.ask(), "refused_not_run")
+
+
 class TestAdminApplication(unittest.TestCase):
     """Paths and arguments of the administration interface."""
 
