Show the log of the process that ended when the demo fails

Cause: after the loss of a daemon the demo showed the log of the first host. Change: a process that ended without being asked to is named first.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 
 from .fleet import Fleet, PortRange, ProcessFailure
+from .process import Process
 
 DEPLOYMENT = "semenanjung"
 # The balancer of the demo does not exist, so a host needs to linger only briefly.
@@ -35,6 +36,7 @@
     def __init__(self, fleet: Fleet):
         self.fleet = fleet
         self._hosts = list(fleet.daemons)
+        self._drained: set[str] = set()
         self._environment = {**os.environ, **environment_of(fleet)}
 
     def run(self) -> None:
@@ -81,6 +83,7 @@
     def _drain_a_host(self) -> None:
         host = self._hosts[-1]
         _title(f"Drain of the host {host}")
+        self._drained.add(host)
         self._tool("drain", "--admin", self.fleet.admin_of(host))
         process = self.fleet.daemons[host]
         self.fleet.wait_until(
@@ -114,14 +117,21 @@
             )
         except subprocess.TimeoutExpired:
             reason = f"'{shlex.join(words)}' did not end in {COMMAND_TIMEOUT_S:g} s"
-            raise ProcessFailure(reason, self.fleet.daemons[self._hosts[0]]) from None
+            raise ProcessFailure(reason, self._find_concerned()) from None
         print("\n".join(shorten(done.stdout.splitlines())), flush=True)
         if done.returncode != expected:
             reason = (
                 f"'{shlex.join(words)}' ended with {done.returncode}, "
                 f"expected {expected}"
             )
-            raise ProcessFailure(reason, self.fleet.daemons[self._hosts[0]])
+            raise ProcessFailure(reason, self._find_concerned())
+
+    def _find_concerned(self) -> Process:
+        """Return a process that ended without being asked to, else the host asked."""
+        for process in self.fleet.processes:
+            if not process.is_running and process.name not in self._drained:
+                return process
+        return self.fleet.daemons[self._hosts[0]]
 
     def _drain_patch(self, patch_id: str, against: int) -> dict:
         path = f"/services/storefront-01/replicas/{REPLICA}/draining"
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -8,8 +8,9 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest.mock import Mock
 
-from standins.demo import SHOWN_LINES, main, report, shorten
+from standins.demo import SHOWN_LINES, Demo, main, report, shorten
 from standins.fleet import PortRange, ProcessFailure
 from standins.process import Process
 
@@ -57,6 +58,18 @@
         self.assertIn("log of daemon:\ncause\n", output.getvalue())
         self.assertNotIn("shutdown", output.getvalue())
 
+    def test_failure_names_the_process_that_ended(self):
+        """Guards against the log of another process than the one that was lost."""
+        first, lost, drained = (Mock(is_running=running) for running in (1, 0, 0))
+        first.name, lost.name, drained.name = "h1", "h2", "h3"
+        fleet = Mock(processes=[drained, first, lost], daemons={"h1": first})
+        fleet.deployment.entries = fleet.deployment.admins = ["127.0.0.1:1"]
+        demo = Demo(fleet)
+        demo._drained.add("h3")
+        self.assertIs(demo._find_concerned(), lost)
+        lost.is_running = True
+        self.assertIs(demo._find_concerned(), first)
+
     def test_shorten(self):
         """Guards against a long answer that loses its summary or a whole short one."""
         lines = [str(number) for number in range(SHOWN_LINES + 5)]
