--- a/cicadalever/cli/_ask.py
+++ b/cicadalever/cli/_ask.py
@@ -9,7 +9,6 @@
 
 from ._client import Client, NoAnswer, Reply
 from ._exit import OUTCOME_CODES, ExitCode
-from ._tables import Column, align, printable, render_table, show, show_json
 
 # A host that cannot be reached names no time to wait.
 DEFAULT_RETRY_S = 1.0
@@ -17,8 +16,6 @@
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 60.0
 
-ROW_COLUMNS = (Column("SHARD", "shard"), Column("ROW", "row", show_json))
-
 
 class AskPlan(NamedTuple):
     """How to send a request.
@@ -61,11 +58,15 @@
         self.sleep = sleep
         self._request_id = plan.request_id
         self._may_have_run = False
-        self._was_lost = False
+
+    @property
+    def request_id(self) -> str | None:
+        """The id of a request that must run only once, None before it has one."""
+        return self._request_id
 
     @property
     def may_have_run(self) -> bool:
-        """Whether a request that must run only once was sent and not answered."""
+        """Whether some attempt of a request that must run only once may have run."""
         return self._may_have_run
 
     def ask(self) -> Reply | NoAnswer:
@@ -93,21 +94,17 @@
             if failure is not None:
                 return failure
         body = {"id": self._request_id, "idempotent": False, **self.plan.body}
+        may_have_run_before = self._may_have_run
         self._may_have_run = True
         answer = self.client.post(self.plan.entry, "/v1/queries", body)
-        self._may_have_run = exit_code(answer, once=True) == ExitCode.UNKNOWN
-        self._was_lost = self._was_lost or isinstance(answer, NoAnswer)
-        if self._is_refusal(answer) and self._may_take_new_id():
-            # The issuing process repeats its verdict on a known id, and the refused
-            # request certainly did not run, so the next attempt takes a new id.
-            self._request_id = None
+        code = exit_code(answer, once=True)
+        # An attempt that did not reach the host says nothing about earlier ones.
+        was_sent = code != ExitCode.UNREACHABLE
+        self._may_have_run = (
+            code == ExitCode.UNKNOWN if was_sent else may_have_run_before
+        )
         return answer
 
-    def _may_take_new_id(self) -> bool:
-        # An earlier attempt without an answer may have run. The same id then stays
-        # the only protection against a second run.
-        return self.plan.request_id is None and not self._was_lost
-
     def _take_id(self) -> Reply | NoAnswer | None:
         answer = self.client.post(self.plan.entry, "/v1/ids", {"count": 1})
         if isinstance(answer, NoAnswer):
@@ -128,14 +125,12 @@
         return None
 
     def _is_worth_resending(self, answer: Reply | NoAnswer) -> bool:
-        if self._is_refusal(answer):
-            return self.plan.request_id is None
+        # The id stays the same, so a request that must run only once may be sent again
+        # after a lost answer as well as after a refusal.
+        if isinstance(answer, NoAnswer):
+            return True
         code = exit_code(answer, once=self.plan.once)
-        return isinstance(answer, NoAnswer) or code == ExitCode.UNREACHABLE
-
-    @staticmethod
-    def _is_refusal(answer: Reply | NoAnswer) -> bool:
-        return bool(answer) and answer.value.get("outcome") == Outcome.NOT_RUN
+        return code in (ExitCode.NOT_RUN, ExitCode.UNREACHABLE)
 
 
 def retry_delay(answer: Reply | NoAnswer) -> float:
@@ -160,50 +155,3 @@
     if 400 <= answer.status < 500:
         return ExitCode.INVALID
     return ExitCode.UNKNOWN if once else ExitCode.UNREACHABLE
-
-
-def render_answer(value: dict[str, Any]) -> list[str]:
-    """Return the rows of an answer, then what it says about itself."""
-    rows = value.get("rows")
-    shards = sorted(rows.items()) if isinstance(rows, dict) else []
-    table = [
-        {"shard": shard, "row": row}
-        for shard, shard_rows in shards
-        for row in (shard_rows if isinstance(shard_rows, list) else [shard_rows])
-    ]
-    lines = render_table(ROW_COLUMNS, table) + [""] if table else []
-    return lines + align(_summary(value))
-
-
-def _summary(value: dict[str, Any]) -> list[list[str]]:
-    lines = [["outcome", show(value.get("outcome"))]]
-    if value.get("reason"):
-        lines.append(["reason", show(value["reason"])])
-    lines += _coverage(value.get("coverage"))
-    lines += [
-        ["snapshot", show(value.get("snapshot"))],
-        ["version", show(value.get("version"))],
-        ["latency", f"{show(value.get('elapsed_ms'))} ms"],
-        ["host", show(value.get("host"))],
-        ["id", show(value.get("id"))],
-    ]
-    if value.get("retry_after_s") is not None:
-        lines.append(["retry after", f"{show(value['retry_after_s'])} s"])
-    return lines
-
-
-def _coverage(coverage: Any) -> list[list[str]]:
-    if not isinstance(coverage, dict):
-        return []
-    covered = coverage.get("covered")
-    count = len(covered) if isinstance(covered, list) else covered
-    lines = [["coverage", f"{show(count)}/{show(coverage.get('total'))}"]]
-    missing = coverage.get("missing")
-    for item in missing if isinstance(missing, list) else []:
-        if not isinstance(item, dict):
-            item = {"shard": item}
-        shard, code, reason = (
-            show(item.get(field)) for field in ("shard", "code", "reason")
-        )
-        lines.append(["missing", printable(f"{shard}  {code}: {reason}")])
-    return lines
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -54,6 +54,7 @@
     find_replica: Callable[[str], Replica | None]
     floors: Callable[[], Mapping[Rank, float]]
     quota: Callable[[Replica], int]
+    is_replacing_live_owner: Callable[[Replica], bool]
 
 
 class OwnerService:
@@ -228,6 +229,14 @@
         failure = owned.submit(read, now)
         return owned if failure is None else failure
 
+    def _check_start(
+        self, owned: OwnedReplica, read: QueuedRead, now: float
+    ) -> Failure | None:
+        """Refuse a read that waited so long that it cannot finish in time."""
+        if now + owned.service_time_s > read.deadline:
+            return Failure(FailureCode.DEADLINE, "waited too long in the queue")
+        return self._check_fingerprint(read, now)
+
     def _check_fingerprint(self, read: QueuedRead, now: float) -> Failure | None:
         """Refuse a read that may crash an upstream, now or after it waited."""
         blocked = self.quarantine.check(read.fingerprint, now)
@@ -266,7 +275,7 @@
                 self.view.floors(),
                 proven=self.proven,
                 now=now,
-                takeover=True,
+                takeover=self.view.is_replacing_live_owner(replica),
             )
         # The baseline knows no slots; it uses all connections of its share.
         replica = replica._replace(slots=quota)
@@ -280,7 +289,7 @@
             entry = owned.start_next(now)
             if entry is None:
                 return
-            blocked = self._check_fingerprint(entry.item, now)
+            blocked = self._check_start(owned, entry.item, now)
             if blocked is not None:
                 owned.finish(entry.item, blocked, 0.0, now)
                 self._answer_failure(entry.item, blocked)
