--- a/standins/upstream/_parameters.py
+++ b/standins/upstream/_parameters.py
@@ -11,7 +11,8 @@
     between ``1 - jitter`` and ``1 + jitter``, times ``straggler_factor`` for a
     ``straggler_fraction`` of the runs, times ``cold_factor`` for the first
     ``cold_requests`` runs after a start, times ``slow_factor``. The first
-    ``cold_refusals`` requests after a start are refused as cold.
+    ``cold_refusals`` requests after a start are refused as cold. A non-zero
+    ``echo_snapshot`` is named in answers and rows instead of the snapshot asked for.
     """
 
     slots: int = 2
@@ -31,6 +32,7 @@
     reported_load: float | None = None
     poison_key: str = "poison"
     restart_s: float = 1.0
+    echo_snapshot: int = 0
     snapshots: dict[str, tuple[str, ...]] = {}
 
 
--- a/standins/upstream/_upstream.py
+++ b/standins/upstream/_upstream.py
@@ -357,7 +357,8 @@
     # Answers
 
     def _answer(self, connection: Connection, work: Work, status: int) -> None:
-        headers = b"X-Snapshot: %b\r\n" % work.snapshot.encode()
+        snapshot = self.parameters.echo_snapshot or int(work.snapshot)
+        headers = b"X-Snapshot: %d\r\n" % snapshot
         if self._draining_since is not None:
             headers += DRAINING_HEADER
         if status != 200:
@@ -365,7 +366,7 @@
             return
         row = {
             "shard": work.shard,
-            "snapshot": int(work.snapshot),
+            "snapshot": snapshot,
             "echo": work.parameters.get("echo"),
         }
         connection.send(200, msgspec.json.encode([row]), headers)
--- a/tests/support.py
+++ b/tests/support.py
@@ -94,6 +94,7 @@
         self.hosts = list(self.deployment.daemons)
         self.documents = [self.deployment.document]
         self.version = 1
+        self.patches: list[dict] = []
         self.records: list[Record] = []
         self.callers = ThreadPoolExecutor(MAX_CALLERS)
         self.processes: dict[str, Process] = {}
@@ -112,10 +113,7 @@
         if self.deployment.proxy is not None:
             names.append("proxy")
         for name in names:
-            self._spawn(name, f"standins.{name}")
-        for name in names:
-            if not self.processes[name].wait_ready():
-                raise AssertionError(self.processes[name].output)
+            self.start_standin(name)
         present = [host for host in self.hosts if host not in absent]
         for host in present:
             self.start_host(host)
@@ -123,6 +121,12 @@
         for host in present:
             wait_until(lambda host=host: self.ask(host).outcome == "complete")
 
+    def start_standin(self, name: str) -> None:
+        """Start a stand-in with its initial state."""
+        self._spawn(name, f"standins.{name}")
+        if not self.processes[name].wait_ready():
+            raise AssertionError(self.processes[name].output)
+
     def start_host(self, host: str) -> None:
         """Start a daemon."""
         self._spawn(host, "cicadalever.daemon", "--settings")
@@ -293,6 +297,7 @@
             "author": "test",
             "operations": list(operations),
         }
+        self.patches.append(patch)
         verdict = self._control("platform", "POST", "/v1/patches", patch)
         if verdict["accepted"]:
             self.version = verdict["version"]
@@ -300,6 +305,16 @@
             self.documents.append(document)
         return verdict
 
+    def replay_patches(self) -> None:
+        """Submit all patches again to a platform that was started anew."""
+        for patch in self.patches:
+            self._control("platform", "POST", "/v1/patches", patch)
+
+    def platform_reads(self) -> int:
+        """Return how many reads the platform has answered."""
+        reads = self._control("platform", "GET", "/counters")["reads"]
+        return sum(reads.values())
+
     def wait_version(self, hosts: list[str] | None = None) -> None:
         """Wait until the newest version is in force on ``hosts``."""
         for host in hosts or self.hosts:
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -1,10 +1,13 @@
 """Integration tests: the promises of section 1.2 under the faults of section 1.5."""
 
+import json
+import socket
 import time
 from collections import Counter
 
 from standins import check as checks
-from tests.support import FleetCase, wait_until
+from standins.deployment import shards_by_service
+from tests.support import WAIT_S, FleetCase, wait_until
 
 UNKNOWN = "outcome_unknown"
 
@@ -526,3 +529,307 @@
             and run.started > sent[run.caller_id] + self.DEADLINE_S + 0.5
         ]
         self.assertEqual(late, [])
+
+
+class TestHostLoss(FleetCase):
+    """Guards against requests that fail because another host was lost."""
+
+    def test_killed_host(self):
+        """SIGKILL of a daemon fails only the requests that it held itself."""
+        fleet = self.fleet
+        for host in fleet.hosts[1:3]:
+            others = [each for each in fleet.hosts if each != host]
+            load = fleet.load(4.0, others, lookup={"rate": 100}, report={"rate": 30})
+            fleet.wait_runs(200)
+            fleet.processes[host].kill()
+            failed = [r for r in load.result() if r.outcome != "complete"]
+            self.assertEqual([(r.outcome, r.reason) for r in failed[:3]], [])
+            fleet.start_host(host)
+            fleet.wait_members(fleet.hosts)
+
+    def test_two_hosts_of_one_data_centre(self):
+        """The loss of all hosts of a data centre moves its replicas elsewhere."""
+        fleet = self.fleet
+        lost, others = fleet.hosts[:2], fleet.hosts[2:]
+        for host in lost:
+            fleet.processes[host].kill()
+        for host in others:
+            wait_until(lambda host=host: fleet.alive(host) == set(others))
+        for host in others * 3:
+            self.assertEqual(fleet.ask(host).outcome, "complete")
+        for host in lost:
+            fleet.start_host(host)
+        fleet.wait_members(fleet.hosts)
+
+
+class TestSnapshots(FleetCase):
+    """Guards against answers that mix snapshots or miscount their coverage."""
+
+    def add_snapshot(self, number, shift):
+        """Put a snapshot in force whose shards lie on other services."""
+        fleet = self.fleet
+        newest = fleet.document["snapshots"][-1]
+        old = newest["indexes"]["storefront"]
+        names = list(dict.fromkeys(old.values()))
+        count = 4 + shift
+        shards = {f"s{n:02}": names[(n + shift) % len(names)] for n in range(count)}
+        snapshot = {
+            "id": number,
+            "indexes": newest["indexes"] | {"storefront": shards},
+        }
+        self.hold([*fleet.document["snapshots"], snapshot])
+        fleet.patch({"op": "add", "path": "/snapshots/-", "value": snapshot})
+        fleet.wait_version()
+
+    def drop_oldest(self):
+        """Let the upstreams drop the oldest snapshot before the configuration does."""
+        self.hold(self.fleet.document["snapshots"][1:])
+        self.fleet.wait_runs(50)
+        self.fleet.patch({"op": "remove", "path": "/snapshots/0"})
+        self.fleet.wait_version()
+
+    def hold(self, snapshots):
+        """Set which snapshots and shards all upstreams hold."""
+        for name in self.fleet.document["services"]:
+            held = {str(s["id"]): shards_by_service(s).get(name, []) for s in snapshots}
+            self.fleet.control("upstream", services=[name], set={"snapshots": held})
+
+    def test_repartition_under_load(self):
+        """Shards move between services while queries run, several times."""
+        fleet = self.fleet
+        self.set_upstreams(list(fleet.document["services"]), service_s=0.02)
+        load = fleet.load(6.0, lookup={"rate": 60}, report={"rate": 10})
+        for shift in (1, 2, 3):
+            number = fleet.document["snapshots"][-1]["id"] + 1
+            self.add_snapshot(number, shift)
+            fleet.wait_runs(100)
+            self.drop_oldest()
+        records = load.result()
+        answered = Counter(r.snapshot for r in records if r.outcome == "complete")
+        self.assertGreaterEqual(len(answered), 3)
+        outcomes = {r.outcome for r in records}
+        self.assertLessEqual(outcomes, {"complete", "partial", "refused_not_run"})
+        for host in fleet.hosts:
+            self.assertEqual(fleet.ask(host).body["coverage"]["total"], 7)
+
+    def test_unknown_snapshot(self):
+        """A newest snapshot that no upstream holds yet gives no rows of the old one."""
+        fleet = self.fleet
+        newest = fleet.document["snapshots"][-1]
+        snapshot = newest | {"id": newest["id"] + 1}
+        fleet.patch({"op": "add", "path": "/snapshots/-", "value": snapshot})
+        fleet.wait_version()
+        for host in fleet.hosts:
+            reply = fleet.ask(host, deadline_ms=500)
+            self.assertEqual(reply.body["coverage"]["covered"], [])
+        self.hold(fleet.document["snapshots"])
+        for host in fleet.hosts:
+            reply = wait_until(lambda host=host: fleet.ask(host))
+            self.assertEqual(reply.body["snapshot"], snapshot["id"])
+
+    def test_other_echo(self):
+        """Rows of a replica that answers with another snapshot are not used."""
+        fleet = self.fleet
+        names = ["storefront-01-a", "storefront-02-a"]
+        fleet.control("upstream", upstreams=names, set={"echo_snapshot": 7})
+        for host in fleet.hosts * 5:
+            self.assertLessEqual(
+                {
+                    row["snapshot"]
+                    for rows in fleet.ask(host).body["rows"].values()
+                    for row in rows
+                },
+                {fleet.document["snapshots"][-1]["id"]},
+            )
+        runs = checks.read_runs(fleet.ledger())
+        self.assertTrue({run.upstream for run in runs} & set(names))
+        fleet.control("upstream", upstreams=names, set={"echo_snapshot": 0})
+
+
+class TestOwnAnswer(FleetCase):
+    """Guards against answers that reach another caller than the one who asked."""
+
+    def test_crossed_and_late_answers(self):
+        """Stragglers, hedges, cancelled and expired reads under many callers."""
+        fleet = self.fleet
+        names = [name for name in fleet.document["services"] if "store" in name]
+        self.set_upstreams(names, straggler_fraction=0.05, service_s=0.01)
+        load = fleet.load(
+            4.0, lookup={"rate": 100, "deadline_ms": 150}, report={"rate": 10}
+        )
+        same_id = [
+            fleet.ask_soon(host, "report", id="same-id") for host in fleet.hosts * 15
+        ]
+        self.assertEqual({each.result().outcome for each in same_id}, {"complete"})
+        outcomes = Counter((r.kind, r.outcome) for r in load.result())
+        self.assertGreater(outcomes["lookup", "complete"], 100, outcomes)
+        self.assertGreater(outcomes["lookup", "partial"], 0, outcomes)
+
+
+class TestConfiguration(FleetCase):
+    """Guards against hosts whose configuration differs or goes back."""
+
+    absent = ("small-4",)
+    DEADLINE_PATH = "/kinds/lookup/deadline_ms"
+
+    def setUp(self):
+        super().setUp()
+        running = self.fleet.processes
+        self.present = [host for host in self.fleet.hosts if host in running]
+
+    def accept(self, value):
+        """Submit a patch that is accepted."""
+        operation = {"op": "replace", "path": self.DEADLINE_PATH, "value": value}
+        self.assertTrue(self.fleet.patch(operation)["accepted"])
+
+    def test_accepted_and_refused_patches(self):
+        """All hosts reach the same verdicts, without any state that they share."""
+        fleet = self.fleet
+        path = self.DEADLINE_PATH
+        refused = [
+            {"op": "replace", "path": "/kinds/lookup/nothing", "value": 1},
+            {"op": "replace", "path": path, "value": -1},
+            {"op": "replace", "path": path, "value": "soon"},
+            {"op": "test", "path": path, "value": 17},
+            {"op": "remove", "path": "/services/storefront-01"},
+            {"op": "leap", "path": path},
+        ]
+        for number, operation in enumerate(refused):
+            self.accept(4000 + number)
+            self.assertFalse(fleet.patch(operation)["accepted"])
+        for against in (fleet.version - 1, fleet.version + 1):
+            operation = {"op": "replace", "path": path, "value": 3000}
+            self.assertFalse(fleet.patch(operation, against=against)["accepted"])
+        self.accept(5000)
+        fleet.wait_version(self.present)
+        count = 2 * len(refused) + 3
+        verdicts = [fleet.versions(h)["verdicts"][-count:] for h in self.present]
+        accepted = [verdict["accepted"] for verdict in verdicts[0]]
+        self.assertEqual(accepted, [True, False] * len(refused) + [False, False, True])
+        self.assertTrue(all(v["accepted"] or v["reason"] for v in verdicts[0]))
+        for each in verdicts[1:]:
+            self.assertEqual(each, verdicts[0])
+
+    def test_compacted_log(self):
+        """Hosts that are behind a compacted log read the whole document."""
+        fleet = self.fleet
+        for mode in ("refuse", "hang"):
+            fleet.control("platform", mode=mode)
+            for value in (4100, 4200, 5000):
+                self.accept(value)
+            fleet.control("platform", compact=True)
+            fleet.control("platform", mode="up")
+            fleet.wait_version(self.present)
+            self.accept(5000)
+            fleet.wait_version(self.present)
+
+    def test_start_without_platform(self):
+        """A host that starts while the platform is down serves the newest version."""
+        fleet = self.fleet
+        new = fleet.hosts[-1]
+        self.accept(4300)
+        fleet.wait_version(self.present)
+        fleet.control("platform", mode="refuse")
+        fleet.start_host(new)
+        fleet.wait_members(fleet.hosts)
+        fleet.wait_version()
+        self.assertEqual(fleet.versions(new)["source"], "peer")
+        for host in fleet.hosts:
+            reply = fleet.ask(host)
+            self.assertEqual(
+                (reply.outcome, reply.body["version"]), ("complete", fleet.version)
+            )
+        fleet.control("platform", mode="up")
+        fleet.processes.pop(new).kill()
+
+    def test_stale_platform(self):
+        """A platform that comes back with an older log takes no host back."""
+        fleet = self.fleet
+        for value in (4400, 4500, 5000):
+            self.accept(value)
+        fleet.wait_version(self.present)
+        fleet.processes["platform"].kill()
+        fleet.start_standin("platform")
+        reads = fleet.platform_reads()
+        wait_until(lambda: fleet.platform_reads() > reads + 5, "reads of the platform")
+        new = fleet.hosts[-1]
+        fleet.start_host(new)
+        fleet.wait_members([*self.present, new])
+        fleet.wait_version([*self.present, new])
+        for host in [*self.present, new]:
+            self.assertEqual(fleet.ask(host).body["version"], fleet.version)
+        fleet.processes.pop(new).kill()
+        fleet.replay_patches()
+        self.accept(5000)
+        fleet.wait_version(self.present)
+
+
+class TestBadInput(FleetCase):
+    """Guards against malformed requests that run, hang or give no clear error."""
+
+    def test_queries(self):
+        """Each wrong body gets its status and a reason that names the fault."""
+        fleet = self.fleet
+        good = {"id": "a", "route": "lookup", "parameters": {}}
+        cases = (
+            (good | {"colour": "red"}, 400, "colour"),
+            (good | {"deadline_ms": "soon"}, 400, "deadline_ms"),
+            (good | {"deadline_ms": 0}, 400, "deadline_ms"),
+            (good | {"deadline_ms": 10**12}, 400, "deadline_ms"),
+            (good | {"id": ""}, 400, "id"),
+            (good | {"id": "x" * 200}, 400, "id"),
+            (good | {"id": "a\nb"}, 400, "id"),
+            (good | {"parameters": [1]}, 400, "parameters"),
+            (good | {"kind": "nothing"}, 400, "kind"),
+            (good | {"rank": "first"}, 400, "rank"),
+            (good | {"route": "nothing"}, 404, "nothing"),
+            ({"id": "a", "parameters": {}}, 400, "route"),
+            ([good], 400, ""),
+            ("{not json", 400, ""),
+            ('{"id": "a", "route": "lookup", "parameters": {"n": 1e400}}', 400, ""),
+            ("", 400, ""),
+            (good | {"parameters": {"text": "x" * 2**20}}, 413, "limit"),
+        )
+        for body, status, named in cases:
+            text = body if isinstance(body, str) else json.dumps(body)
+            with self.subTest(text[:80]):
+                self.check_refused("/v1/queries", text.encode(), status, named)
+
+    def test_other_requests(self):
+        """Unknown paths, methods and wrong counts of ids are refused as well."""
+        for target, body, status, named in (
+            ("/v1/nothing", b"{}", 404, "/v1/nothing"),
+            ("/v1/health", b"{}", 405, "POST"),
+            ("/v1/ids", b'{"count": 0}', 400, "count"),
+            ("/v1/ids", b'{"count": 1001}', 400, "count"),
+            ("/v1/ids", b'{"count": true}', 400, "count"),
+            ("/v1/ids", b'{"number": 1}', 400, "number"),
+            ("/v1/ids", b"[]", 400, ""),
+        ):
+            with self.subTest(f"{target} {body}"):
+                self.check_refused(target, body, status, named)
+
+    def check_refused(self, target, body, status, named):
+        total = self.fleet.ledger()["total"]
+        for host in self.fleet.hosts[:2]:
+            reply = self.fleet.call(self.fleet.entry(host), "POST", target, body)
+            self.assertEqual(reply.status, status, reply)
+            reason = reply.body.get("reason") or reply.body["error"]["reason"]
+            self.assertTrue(reason)
+            self.assertIn(named, reason)
+        self.assertEqual(self.fleet.ledger()["total"], total)
+
+    def test_truncated_body(self):
+        """A body that ends early is refused, and the host goes on serving."""
+        fleet = self.fleet
+        body = b'{"id": "a", "route": "lookup", "parameters": {}}'
+        total = fleet.ledger()["total"]
+        host, _, port = fleet.entry(fleet.hosts[0]).partition(":")
+        for length, end in ((len(body) + 9, len(body)), (len(body), 20)):
+            head = f"POST /v1/queries HTTP/1.1\r\nHost: x\r\nContent-Length: {length}"
+            with socket.create_connection((host, int(port)), WAIT_S) as connection:
+                connection.sendall(head.encode() + b"\r\n\r\n" + body[:end])
+                connection.shutdown(socket.SHUT_WR)
+                self.assertIn(b" 400 ", connection.recv(4096).split(b"\r\n")[0])
+        self.assertEqual(fleet.ledger()["total"], total)
+        self.assertEqual(fleet.ask(fleet.hosts[0]).outcome, "complete")
