Refuse reads of a replica that answers nothing, and move refused canaries on

Change: an owner marks a replica that runs reads and answers none for 10 service times, at least 0.3 s, as unresponsive; it gives its reads back as lost, refuses others at once and probes it; a canary that was refused goes to the next replica; a very late trial is hedged without budget.

--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -10,6 +10,7 @@
 from cicadalever.transport import Trial
 
 from ._read import QueuedRead, ReadKey
+from ._responsiveness import Responsiveness
 
 INITIAL_SERVICE_TIME_S = 0.005
 SERVICE_TIME_WEIGHT = 0.1
@@ -65,6 +66,8 @@
         self._running_keys: set[ReadKey] = set()
         self._blamed: set[ReadKey] = set()
         self._answered_since_crash = True
+        self._responsiveness = Responsiveness()
+        self._unresponsive = False
 
     @property
     def draining(self) -> bool:
@@ -101,7 +104,7 @@
         """State for operators: up, down, draining or taking_over."""
         if self._draining:
             return "draining"
-        return "down" if self._connect_failures else "up"
+        return "down" if self._connect_failures or self._unresponsive else "up"
 
     @property
     def recent_failures(self) -> int:
@@ -121,9 +124,25 @@
         """
         return self._answered_since_crash
 
-    def note_answer(self) -> None:
+    @property
+    def unresponsive(self) -> bool:
+        """Whether the replica answers nothing, so that its reads are refused."""
+        return self._unresponsive
+
+    def find_unresponsive(self, now: float) -> bool:
+        """Look whether the replica has stopped answering; tell whether it just has."""
+        if self._unresponsive or not self._responsiveness.is_stuck(
+            now, self._limit.in_flight, self._service_time_s
+        ):
+            return False
+        self._unresponsive = True
+        return True
+
+    def note_answer(self, now: float) -> None:
         """Record that the replica answered a probe."""
         self._answered_since_crash = True
+        self._unresponsive = False
+        self._responsiveness.answered(now)
 
     def is_running(self, key: ReadKey) -> bool:
         """Tell whether read ``key`` runs on the replica."""
@@ -149,6 +168,9 @@
         """Accept ``read`` into the queue or say why it is refused."""
         if self._draining:
             return Failure(FailureCode.DRAINING, f"{self.replica.id} is draining")
+        if self._unresponsive:
+            reason = f"{self.replica.id} does not answer"
+            return Failure(FailureCode.UNREACHABLE, reason)
         if now < self._retry_at:
             return Failure(
                 FailureCode.UNREACHABLE, f"{self.replica.id} refused connections"
@@ -177,6 +199,8 @@
 
     def start_next(self, now: float):
         """Return the queue entry of the read that starts now, or None."""
+        if self._unresponsive:
+            return None
         if now < self._retry_at and self._limit.in_flight:
             return None
         if now < self._full_limit_at and self._limit.in_flight >= TAKEOVER_LIMIT:
@@ -188,6 +212,7 @@
             self._limit.release(Feedback.IGNORED, now)
             return None
         read = entry.item
+        self._responsiveness.started(now, self._limit.in_flight - 1)
         self._gate.started(read.key, read.fingerprint, read.trial)
         self._running_keys.add(read.key)
         return entry
@@ -202,7 +227,12 @@
         if isinstance(result, Failure):
             self._limit.release(_FEEDBACK.get(result.code, Feedback.IGNORED), now)
             self._note_connect(result.code, now)
+            if result.code == FailureCode.TIMEOUT:
+                self._responsiveness.timed_out()
+            elif result.code != FailureCode.UNREACHABLE:
+                self._responsiveness.answered(now)
             return
+        self._responsiveness.answered(now)
         self._answered_since_crash = True
         self._connect_failures = 0
         self._retry_at = 0.0
--- /dev/null
+++ b/cicadalever/owners/_responsiveness.py
@@ -0,0 +1,46 @@
+"""Detection of a replica that accepts reads and answers none."""
+
+# A replica is stuck when reads run and none ended for this many service times, but not
+# earlier than MIN_QUIET_S, or when this many reads in a row ran into their timeout.
+STUCK_SERVICE_TIMES = 10
+MIN_QUIET_S = 0.3
+MAX_TIMEOUTS = 3
+
+
+class Responsiveness:
+    """Whether a replica answers at all.
+
+    A cut network or a hung process keeps connections open, so that only the missing
+    answers show it. While a replica is stuck its reads are refused at once instead of
+    waiting for their deadline one after the other. ``now`` is in seconds.
+
+    >>> state = Responsiveness()
+    >>> state.started(0.0, running=0)
+    >>> state.is_stuck(1.0, running=1, service_time_s=0.005)
+    True
+    """
+
+    def __init__(self):
+        self._quiet_since = 0.0
+        self._timeouts = 0
+
+    def started(self, now: float, running: int) -> None:
+        """Record the start of a read beside ``running`` others."""
+        if running == 0 and self._timeouts == 0:
+            self._quiet_since = now
+
+    def answered(self, now: float) -> None:
+        """Record an answer of any kind."""
+        self._quiet_since = now
+        self._timeouts = 0
+
+    def timed_out(self) -> None:
+        """Record a read that got no answer by its deadline."""
+        self._timeouts += 1
+
+    def is_stuck(self, now: float, running: int, service_time_s: float) -> bool:
+        """Tell whether the replica leaves its reads unanswered."""
+        if self._timeouts >= MAX_TIMEOUTS:
+            return True
+        quiet_s = max(MIN_QUIET_S, STUCK_SERVICE_TIMES * service_time_s)
+        return running > 0 and now - self._quiet_since > quiet_s
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -30,12 +30,14 @@
     ConnectionPool,
     UpstreamAnswer,
     UpstreamCall,
+    UpstreamConnection,
 )
 
 from ._drains import DrainingReplicas
 from ._read import QueuedRead, ReadKey
 from ._replica import OwnedReplica
 
+UNRESPONSIVE_PROBE_S = 0.3
 SOURCE_ANSWER = "upstream"
 SOURCE_CONFIGURATION = "configuration"
 
@@ -86,6 +88,8 @@
         self._replicas: dict[str, OwnedReplica] = {}
         self._pools: dict[str, ConnectionPool] = {}
         self._running: dict[ReadKey, QueuedRead] = {}
+        self._connections: dict[ReadKey, UpstreamConnection] = {}
+        self._abandoned: set[ReadKey] = set()
         self._outbox: dict[tuple[str, str], list[ReadAnswer]] = defaultdict(list)
         self._flush_scheduled = False
 
@@ -200,6 +204,7 @@
                 self._answer_failure(
                     entry.item, Failure(FailureCode.DEADLINE, "expired in the queue")
                 )
+            self._find_unresponsive(owned, now)
             self._pump(owned)
         self._watch_drains(now)
 
@@ -303,6 +308,9 @@
         pool = self._pools.get(owned.replica.id)
         result = self._call(owned, pool, read, started)
         now = time.monotonic()
+        if read.key in self._abandoned:
+            self._finish_abandoned(owned, read, now)
+            return
         if isinstance(result, Failure) and result.code == FailureCode.LOST:
             if owned.take_crash(read.key):
                 self._blame(owned, now)
@@ -316,6 +324,15 @@
             self._set_draining(owned, SOURCE_ANSWER)
         self._pump(owned)
 
+    def _finish_abandoned(
+        self, owned: OwnedReplica, read: QueuedRead, now: float
+    ) -> None:
+        """End a read that was answered as lost when its replica fell silent."""
+        self._abandoned.discard(read.key)
+        owned.finish(read, Failure(FailureCode.UNREACHABLE, "abandoned"), 0.0, now)
+        self._running.pop(read.key, None)
+        self._pump(owned)
+
     def _call(
         self,
         owned: OwnedReplica,
@@ -331,7 +348,8 @@
                 if connection.probe() is None:
                     reason = f"{owned.replica.id} has not answered since its crash"
                     return Failure(FailureCode.UNREACHABLE, reason)
-                owned.note_answer()
+                owned.note_answer(time.monotonic())
+            self._connections[read.key] = connection
             return connection.call(
                 UpstreamCall(
                     read.operation,
@@ -343,8 +361,47 @@
                 )
             )
         finally:
+            self._connections.pop(read.key, None)
             pool.give_back(connection)
 
+    def _find_unresponsive(self, owned: OwnedReplica, now: float) -> None:
+        """Free the reads of a replica that answers nothing, and probe it."""
+        if not owned.find_unresponsive(now):
+            return
+        replica_id = owned.replica.id
+        reason = f"{replica_id} does not answer"
+        self.audit.record(AuditKind.REPLICA_LOST, 0, replica=replica_id, reason=reason)
+        self._refuse_queue(owned, FailureCode.UNREACHABLE, reason)
+        for key, read in list(self._running.items()):
+            # A run that is not idempotent is left to its end: it may still answer.
+            if owned.is_running(key) and read.operation == "read":
+                self._abandoned.add(key)
+                self._answer_failure(read, Failure(FailureCode.HOST_LOST, reason))
+                connection = self._connections.get(key)
+                if connection is not None:
+                    connection.abort()
+        eventlet.spawn_n(self._probe_unresponsive, owned)
+
+    def _probe_unresponsive(self, owned: OwnedReplica) -> None:
+        replica_id = owned.replica.id
+        while self._replicas.get(replica_id) is owned and owned.unresponsive:
+            connection = self._pools[replica_id].take()
+            if connection is not None:
+                is_answered = connection.probe() is not None
+                pool = self._pools.get(replica_id)
+                if pool is None:
+                    connection.close()
+                    return
+                pool.give_back(connection)
+                if is_answered:
+                    owned.note_answer(time.monotonic())
+                    self.audit.record(
+                        AuditKind.REPLICA_RECOVERED, 0, replica=replica_id
+                    )
+                    self._pump(owned)
+                    return
+            eventlet.sleep(UNRESPONSIVE_PROBE_S)
+
     def _cancel_running(self, key: ReadKey) -> None:
         read = self._running.get(key)
         if read is None:
--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -40,6 +40,8 @@
 # An interactive query does not wait longer for a shard without a reachable replica:
 # during a partition a partial answer now is worth more than one at the deadline.
 MAX_INTERACTIVE_POSTPONEMENTS = 3
+# Hedge delays after which a trial is hedged without budget.
+TRIAL_HEDGE_DELAYS = 4
 POSTPONE_DELAY_S = 0.02
 # The caller's connection is looked at this often while a query waits.
 CONNECTION_CHECK_S = 0.1
@@ -174,9 +176,12 @@
             return None
         order = canary_order(self.work.fingerprint, replicas)
         position = 0
-        if trial == Trial.EXCLUSIVE and self._may_use_second_replica(shard):
-            position = 1 % len(order)
-        return PlannedRead(shard, trial, order[position])
+        if trial == Trial.CANARY:
+            # A canary that was refused did not run, so the next replica may have it.
+            position = self.query.tries(shard)
+        elif self._may_use_second_replica(shard):
+            position = 1
+        return PlannedRead(shard, trial, order[position % len(order)])
 
     def _may_use_second_replica(self, shard: str) -> bool:
         """Tell whether a suspect may be tried where no upstream was lost yet.
@@ -322,9 +327,7 @@
             self._fail_trial(failure)
             return
         self.retries += 1
-        trial = Trial.NORMAL
-        if read.trial != Trial.NORMAL or failure.code == FailureCode.SUSPECT:
-            trial = Trial.EXCLUSIVE
+        trial = _next_trial(read, failure)
         heapq.heappush(
             self._retry_at, (now + self._retry_delay(read.shard), read.shard, trial)
         )
@@ -427,11 +430,28 @@
             plan = self._plan(read.shard)
         if plan is None or plan.replica.id == read.replica:
             return None
-        if not self.coordinator.budget.try_spend(now):
+        if not self._may_hedge(read, now):
             return None
         self.hedges += 1
         return plan
 
+    def _may_hedge(self, read: ShardRead, now: float) -> bool:
+        """Tell whether an extra read is allowed.
+
+        All other reads of a query wait for its trial. One that is very late is sent
+        again even if the budget is empty, as it is on an entry with few queries.
+        """
+        if self.coordinator.budget.try_spend(now):
+            return True
+        delay_s = self.coordinator.latencies.hedge_delay(read.shard, now)
+        if read.trial == Trial.NORMAL:
+            return False
+        late_at = read.started + TRIAL_HEDGE_DELAYS * delay_s
+        if now < late_at:
+            heapq.heappush(self._hedge_at, (late_at, read.number))
+            return False
+        return True
+
     def _cancel_outstanding(self) -> None:
         now = time.monotonic()
         by_owner: dict[str, list[int]] = defaultdict(list)
@@ -452,6 +472,18 @@
         )
 
 
+def _next_trial(read: ShardRead, failure: Failure) -> Trial:
+    """Return how a failed read is sent again.
+
+    Only a read that may have crashed its upstream, or is suspected to, runs alone.
+    """
+    if failure.code == FailureCode.SUSPECT:
+        return Trial.EXCLUSIVE
+    if read.trial == Trial.CANARY and not is_not_run(failure.code):
+        return Trial.EXCLUSIVE
+    return read.trial
+
+
 def _synthetic_answer(request: ReadRequest, failure: Failure) -> ReadAnswer:
     return ReadAnswer(
         request.read, failure.code, failure.reason, 0, b"", 0.0, 0.0, False
--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -1,5 +1,6 @@
 """One kept-open HTTP connection to an upstream."""
 
+import contextlib
 import http.client
 import socket
 import time
@@ -129,6 +130,12 @@
         except _LIBRARY_ERRORS:
             self.close()
 
+    def abort(self) -> None:
+        """End a call that another green thread waits for, as if it were lost."""
+        if self._connection is not None and self._connection.sock is not None:
+            with contextlib.suppress(OSError):
+                self._connection.sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
         if self._connection is not None:
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -109,7 +109,7 @@
             self.assertTrue(self.owned.take_crash(read.key), "each crash counts")
             self.owned.finish(read, lost, 0.01, number * 10.0)
             self.assertFalse(self.owned.answered_since_crash)
-            self.owned.note_answer()
+            self.owned.note_answer(number * 10.0)
 
     def test_expired_and_drained_reads_leave_once(self):
         """Guards against a waiting read without any answer."""
