Add scenario runner of the benchmark

The runner starts the stand-ins and six daemons, offers the load of a scenario, does its timed actions and derives the figures from records, ledger and audit trails.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of ``python -m bench``."""
+
+from bench._command import main
+
+main()
--- /dev/null
+++ b/bench/_actions.py
@@ -0,0 +1,174 @@
+"""What the timed actions of a scenario do to the running fleet."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from standins.deployment import PLANS, SNAPSHOT, shards_by_service
+
+from ._fleet import POLL_S, START_TIMEOUT_S, Fleet
+
+
+def set_read_upstreams(fleet: Fleet, values: dict) -> None:
+    """Change parameters of all upstreams except those that run orders or jobs."""
+    plan = PLANS[fleet.scenario.deployment]
+    runs = [r[0][0] for r in plan.routes.values() if r[1] == "run"]
+    upstreams = fleet.deployment.upstream["upstreams"].items()
+    names = [n for n, u in upstreams if not u["service"].startswith(tuple(runs))]
+    fleet.control("upstream", {"upstreams": names, "set": values})
+
+
+def patch(
+    fleet: Fleet, patch_id: str, operations: list[dict], against_offset: int = 0
+) -> None:
+    """Submit a patch to the platform."""
+    fleet.submit(patch_id, operations, against_offset)
+
+
+def platform_mode(fleet: Fleet, mode: str) -> None:
+    """Take the platform down or up."""
+    fleet.control("platform", {"mode": mode})
+
+
+def start_host(fleet: Fleet, host: str) -> None:
+    """Start an absent host and note when it serves, without delaying other actions."""
+    begin = time.monotonic()
+    fleet.start_host(host)
+    thread = threading.Thread(target=_note_start, args=(fleet, host, begin))
+    thread.start()
+
+
+def _note_start(fleet: Fleet, host: str, begin: float) -> None:
+    fleet.notes["new_host_serves_s"] = None
+    while time.monotonic() < begin + START_TIMEOUT_S:
+        if fleet.is_healthy(host):
+            fleet.notes["new_host_serves_s"] = round(time.monotonic() - begin, 3)
+            return
+        time.sleep(POLL_S)
+
+
+def drain_upstream(fleet: Fleet, upstream: str) -> None:
+    """Drain one upstream."""
+    fleet.control("upstream", {"upstreams": [upstream], "action": "drain"})
+
+
+def terminate(fleet: Fleet, host: str) -> None:
+    """Send SIGTERM to a daemon and list it as leaving; note how it ends."""
+    fleet.control("platform", {"host_states": {host: "leaving"}})
+    fleet.unreachable.add(host)
+    thread = threading.Thread(target=_note_exit, args=(fleet, host))
+    thread.start()
+
+
+def _note_exit(fleet: Fleet, host: str) -> None:
+    begin = time.monotonic()
+    status = fleet.processes[host].stop(60.0)
+    fleet.notes["exit_status"] = status
+    fleet.notes["exit_s"] = round(time.monotonic() - begin, 3)
+
+
+def cut(fleet: Fleet, data_centre: str) -> None:
+    """Cut a data centre off; open connections stall and new ones get no answer."""
+    rule = {"existing": "stall", "new": "black_hole"}
+    proxy = fleet.deployment.proxy
+    groups = [*proxy["sources"], "platform"]
+    rules = {}
+    for other in groups:
+        if other == data_centre:
+            continue
+        rules[f"{data_centre}>{other}"] = rule
+        if other != "platform":
+            rules[f"{other}>{data_centre}"] = rule
+    fleet.control("proxy", {"rules": rules})
+    fleet.unreachable |= _hosts_of(fleet, data_centre)
+
+
+def heal(fleet: Fleet) -> None:
+    """End all cuts."""
+    fleet.control("proxy", {"restore": True})
+    for data_centre in fleet.deployment.proxy["sources"]:
+        fleet.unreachable -= _hosts_of(fleet, data_centre)
+
+
+def hold_next_snapshot(fleet: Fleet, rotation: int) -> None:
+    """Let all upstreams hold one more snapshot with rotated shard maps."""
+    indexes = fleet.document["snapshots"][-1]["indexes"]
+    snapshot = rotate_snapshot(SNAPSHOT + 1, indexes, rotation)
+    fleet.notes["next_snapshot"] = snapshot
+    _set_snapshots(fleet, [fleet.document["snapshots"][-1], snapshot])
+
+
+def publish_next_snapshot(fleet: Fleet) -> None:
+    """Add the snapshot to the configuration."""
+    value = fleet.notes["next_snapshot"]
+    operation = {"op": "add", "path": "/snapshots/-", "value": value}
+    fleet.submit("publish-snapshot", [operation])
+
+
+def drop_old_snapshot(fleet: Fleet) -> None:
+    """Let all upstreams forget the old snapshot, then remove it."""
+    _set_snapshots(fleet, [fleet.notes["next_snapshot"]])
+    fleet.submit("remove-snapshot", [{"op": "remove", "path": "/snapshots/0"}])
+
+
+def pause(fleet: Fleet, host: str) -> None:
+    """Stop a daemon with SIGSTOP."""
+    fleet.processes[host].pause()
+    fleet.unreachable.add(host)
+
+
+def resume(fleet: Fleet, host: str) -> None:
+    """Continue a daemon with SIGCONT."""
+    fleet.processes[host].resume()
+    fleet.unreachable.discard(host)
+
+
+def kill(fleet: Fleet, host: str) -> None:
+    """End a daemon with SIGKILL."""
+    fleet.processes[host].kill()
+    fleet.unreachable.add(host)
+
+
+def rotate_snapshot(snapshot_id: int, indexes: dict, rotation: int) -> dict:
+    """Return a snapshot in which each index serves its shards by other services."""
+    rotated = {}
+    for index, shards in indexes.items():
+        services = list(shards.values())
+        shift = rotation % len(services)
+        moved = services[shift:] + services[:shift]
+        rotated[index] = dict(zip(shards, moved, strict=True))
+    return {"id": snapshot_id, "indexes": rotated}
+
+
+def _set_snapshots(fleet: Fleet, snapshots: list[dict]) -> None:
+    held = {str(s["id"]): shards_by_service(s) for s in snapshots}
+    for service in fleet.document["services"]:
+        value = {name: shards.get(service, []) for name, shards in held.items()}
+        command = {"services": [service], "set": {"snapshots": value}}
+        fleet.control("upstream", command)
+
+
+def _hosts_of(fleet: Fleet, data_centre: str) -> set[str]:
+    daemons = fleet.deployment.daemons.items()
+    return {host for host, value in daemons if value["data_centre"] == data_centre}
+
+
+ACTIONS: dict[str, Callable[..., None]] = {
+    function.__name__: function
+    for function in (
+        set_read_upstreams,
+        patch,
+        platform_mode,
+        start_host,
+        drain_upstream,
+        terminate,
+        cut,
+        heal,
+        hold_next_snapshot,
+        publish_next_snapshot,
+        drop_old_snapshot,
+        pause,
+        resume,
+        kill,
+    )
+}
--- /dev/null
+++ b/bench/_command.py
@@ -0,0 +1,64 @@
+"""Command line: run one scenario with both policies."""
+
+import json
+import tempfile
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from standins.deployment import PLANS
+
+from ._report import format_result, format_verdicts, write_plot
+from ._run import RunResult, run_policy
+from ._scenarios import NAMES, build_scenario
+from ._sizing import list_work
+from ._targets import judge
+
+POLICIES = ("baseline", "current")
+
+ScenarioName = StrEnum("ScenarioName", {name: name for name in NAMES})
+DeploymentName = StrEnum("DeploymentName", {name: name for name in PLANS})
+
+
+def run(
+    scenario: Annotated[ScenarioName, typer.Argument(help="What happens in the run.")],
+    seed: Annotated[int, typer.Option(help="Seed of load, faults and hosts.")] = 1,
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print one JSON object per policy.")
+    ] = False,
+    deployment: Annotated[
+        DeploymentName, typer.Option(help="Deployment to run.")
+    ] = DeploymentName.semenanjung,
+    plot: Annotated[
+        Path | None, typer.Option(help="Write p99 and service over time to this file.")
+    ] = None,
+    keep: Annotated[
+        Path | None,
+        typer.Option(help="Keep logs, records and the ledger in this directory."),
+    ] = None,
+) -> None:
+    """Run a scenario with real processes, first the baseline, then the current."""
+    built = build_scenario(str(scenario), str(deployment), seed)
+    results: dict[str, RunResult] = {}
+    with tempfile.TemporaryDirectory() as temporary:
+        for policy in POLICIES:
+            directory = (keep or Path(temporary)) / policy
+            results[policy] = run_policy(built, policy, directory)
+            figures = results[policy].figures
+            if as_json:
+                print(json.dumps(figures), flush=True)
+            else:
+                print(format_result(figures) + "\n", flush=True)
+    if not as_json:
+        current, baseline = results["current"].figures, results["baseline"].figures
+        work = list_work(str(deployment))
+        print(format_verdicts(judge(str(scenario), current, baseline, work)))
+    if plot is not None:
+        write_plot(results, plot)
+
+
+def main() -> None:
+    """Run the command line."""
+    typer.run(run)
--- /dev/null
+++ b/bench/_report.py
@@ -0,0 +1,123 @@
+"""Tables and plots of the figures of a run."""
+
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from ._measure import ANSWERED, RANKS, quantile
+from ._run import RunResult
+from ._targets import Verdict
+
+COLUMNS = (
+    ("offered", "offered"),
+    ("completed", "complete"),
+    ("partial", "partial"),
+    ("refused_not_run", "refused"),
+    ("unknown", "unknown"),
+    ("p50_ms", "p50 ms"),
+    ("p99_ms", "p99 ms"),
+    ("coverage_mean", "coverage"),
+    ("within_deadline", "in time"),
+)
+BUCKET_S = 1.0
+
+
+def format_result(figures: Mapping[str, Any]) -> str:
+    """Return the table of one policy."""
+    lines = [
+        f"{figures['scenario']}, seed {figures['seed']}, {figures['deployment']}, "
+        f"policy {figures['policy']}"
+    ]
+    capacity = figures["capacity_per_s"].items()
+    lines.append("capacity/s: " + ", ".join(f"{k} {v:g}" for k, v in capacity))
+    lines.append(_format_row("", [title for _, title in COLUMNS]))
+    for phase in ("", "steady", "flood"):
+        part = figures if not phase else figures.get(phase)
+        if part is None:
+            continue
+        for group in ("ranks", "routes"):
+            for name, values in part[group].items():
+                if values is not None:
+                    cells = [_cell(values[key]) for key, _ in COLUMNS]
+                    lines.append(_format_row(f"{phase} {name}".strip(), cells))
+    for name in ("extra_load", "upstreams_crashed", "config_in_force_s"):
+        lines.append(f"{name}: {_cell(figures[name])}")
+    violations = figures["violations"].items()
+    text = ", ".join(f"{name} {_cell(value)}" for name, value in violations)
+    lines.append(f"violations: {text}")
+    lines.append(_format_cpu(figures))
+    return "\n".join(lines)
+
+
+def format_verdicts(verdicts: Sequence[Verdict]) -> str:
+    """Return one line per target of the current policy."""
+    words = {True: "met", False: "missed", None: "not measured"}
+    return "\n".join(
+        f"target {v.target}: {v.measured} - {words[v.met]}" for v in verdicts
+    )
+
+
+def _format_cpu(figures: Mapping[str, Any]) -> str:
+    name, share = max(figures["cpu_max"].items(), key=lambda item: item[1])
+    line = f"cpu: at most {share:.2f} of a core ({name})"
+    line += f", machine busy {figures['machine_busy_mean']:.2f} in the mean"
+    line += f" ({figures['machine_own_mean']:.2f} by this run)"
+    if figures["machine_limited"]:
+        names = ", ".join(figures["cpu_saturated"]) or "all cores"
+        line += f"; THE MACHINE LIMITED THIS RUN ({names})"
+    return line
+
+
+def _format_row(title: str, cells: Sequence[str]) -> str:
+    return f"{title:20}" + "".join(f"{cell:>10}" for cell in cells)
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    return f"{value:g}" if isinstance(value, float) else str(value)
+
+
+def write_plot(results: Mapping[str, RunResult], path: Path) -> None:
+    """Write p99 and completed requests per rank over time; one colour per policy."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(
+        2, len(RANKS), figsize=(14, 7), sharex=True, constrained_layout=True
+    )
+    for policy, result in results.items():
+        for column, rank in enumerate(RANKS):
+            seconds, p99, service = series(result, rank)
+            axes[0][column].plot(seconds, p99, label=policy)
+            axes[1][column].plot(seconds, service, label=policy)
+            axes[0][column].set_title(rank)
+            axes[1][column].set_xlabel("time of arrival in s")
+    axes[0][0].set_ylabel("p99 in ms")
+    axes[1][0].set_ylabel("completed per s")
+    axes[0][0].legend()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def series(
+    result: RunResult, rank: str
+) -> tuple[list[float], list[float], list[float]]:
+    """Return seconds, p99 in ms and completed requests/s by time of arrival."""
+    buckets: dict[int, list] = {}
+    for record in result.records:
+        if record.rank == rank:
+            bucket = int((record.sent_unix - result.started) / BUCKET_S)
+            buckets.setdefault(bucket, []).append(record)
+    seconds, p99, service = [], [], []
+    for bucket in sorted(buckets):
+        group = buckets[bucket]
+        latencies = [r.latency_s for r in group if r.outcome in ANSWERED]
+        worst = quantile(latencies, 0.99)
+        seconds.append(bucket * BUCKET_S)
+        p99.append(float("nan") if worst is None else worst * 1000)
+        completed = sum(r.outcome == "complete" for r in group)
+        service.append(completed / BUCKET_S)
+    return seconds, p99, service
--- /dev/null
+++ b/bench/_run.py
@@ -0,0 +1,208 @@
+"""The shared runner: one scenario under one policy."""
+
+import json
+import random
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from standins.check import check, read_runs
+from standins.load import Record, read_records
+
+from ._actions import ACTIONS
+from ._fleet import CPU_SATURATED, CpuSampler, Fleet, FleetError
+from ._measure import Evidence, summarize_run
+from ._scenarios import Scenario, Stream
+from ._sizing import list_work
+
+LOAD_GRACE_S = 20.0
+# Reads that a caller no longer waits for are still running at the end of the load.
+SETTLE_S = 0.5
+LEDGER_PAGE = 20_000
+CLIENT_LATENCY_S = 0.003
+MACHINE_SATURATED = 0.95
+
+
+class RunResult(NamedTuple):
+    """The figures of one policy and the records behind them."""
+
+    figures: dict[str, Any]
+    records: list[Record]
+    started: float
+
+
+def run_policy(scenario: Scenario, policy: str, directory: Path) -> RunResult:
+    """Run ``scenario`` under ``policy``; all files go to ``directory``."""
+    directory.mkdir(parents=True, exist_ok=True)
+    fleet = Fleet(scenario, policy, directory, random.Random())
+    sampler = CpuSampler(fleet)
+    try:
+        fleet.start()
+        sampler.start()
+        evidence = _measure_load(fleet)
+        sampler.stop()
+    finally:
+        statuses = fleet.stop()
+    entries = {h: d["caller_address"] for h, d in fleet.deployment.daemons.items()}
+    figures = {
+        "scenario": scenario.name,
+        "seed": scenario.seed,
+        "deployment": scenario.deployment,
+        "policy": policy,
+        **summarize_run(evidence, scenario.phases, entries),
+        "capacity_per_s": {
+            w.route: round(w.capacity, 1)
+            for w in list_work(scenario.deployment).values()
+        },
+        "notes": {k: v for k, v in evidence.notes.items() if k != "next_snapshot"},
+        "actions": [
+            [round(at - evidence.started, 2), name, _short(arguments)]
+            for at, name, arguments in evidence.actions
+        ],
+        **_describe_cpu(sampler),
+    }
+    unclean = {name: s for name, s in statuses.items() if name in fleet.hosts and s}
+    figures["daemon_exit_statuses"] = unclean
+    _write_evidence(evidence, directory)
+    return RunResult(figures, list(evidence.records), evidence.started)
+
+
+def load_settings(fleet: Fleet, caller: str, streams: list[Stream]) -> dict:
+    """Return the settings of one load process."""
+    return {
+        "entries": fleet.deployment.entries,
+        "kinds": {
+            stream.name: {
+                "route": stream.work.route,
+                "rate": stream.rate,
+                "deadline_ms": stream.work.deadline_ms,
+                "rank": stream.work.rank,
+                "idempotent": stream.work.idempotent,
+                "parameters": stream.parameters,
+                "start_s": stream.start_s,
+                "end_s": stream.end_s,
+            }
+            for stream in streams
+        },
+        "duration_s": fleet.scenario.duration_s,
+        "seed": fleet.scenario.seed,
+        "caller": caller,
+        "client_latency_s": CLIENT_LATENCY_S,
+        "output": str(fleet.directory / f"records-{caller}.jsonl"),
+    }
+
+
+def _measure_load(fleet: Fleet) -> Evidence:
+    scenario = fleet.scenario
+    for action in scenario.actions:
+        if action.at_s <= 0:
+            ACTIONS[action.name](fleet, **action.arguments)
+    callers: dict[str, list[Stream]] = {}
+    for stream in scenario.streams:
+        callers.setdefault(stream.caller, []).append(stream)
+    started = time.time()
+    loads = [
+        fleet.start_load(caller, load_settings(fleet, caller, streams))
+        for caller, streams in callers.items()
+    ]
+    done = _do_actions(fleet, started)
+    _wait_for_load(loads, started + scenario.duration_s + LOAD_GRACE_S)
+    time.sleep(SETTLE_S)
+    records = []
+    for caller in callers:
+        records += read_records(fleet.directory / f"records-{caller}.jsonl")
+    return _collect(fleet, started, records, done)
+
+
+def _do_actions(fleet: Fleet, started: float) -> list[tuple[float, str, dict]]:
+    done = []
+    for action in fleet.scenario.actions:
+        if action.at_s > 0:
+            time.sleep(max(0.0, started + action.at_s - time.time()))
+            at = time.time()
+            ACTIONS[action.name](fleet, **action.arguments)
+        else:
+            at = started
+        done.append((at, action.name, action.arguments))
+    return done
+
+
+def _wait_for_load(loads: list, until: float) -> None:
+    for load in loads:
+        while load.is_running and time.time() < until:
+            time.sleep(0.05)
+        if load.is_running:
+            raise FleetError(f"{load.name} has not ended in time")
+
+
+def _collect(fleet: Fleet, started: float, records: list, done: list) -> Evidence:
+    ledger = _read_ledger(fleet)
+    connections = fleet.read("upstream", "/connections")
+    documents = [document for _, document in fleet.versions]
+    audits = {}
+    for host in fleet.hosts:
+        is_running = host in fleet.processes and fleet.processes[host].is_running
+        audits[host] = fleet.read_audit(host) if is_running else None
+    fleet.notes["upstream_refusals"] = fleet.read("upstream", "/ledger/summary")[
+        "refusals"
+    ]
+    fleet.notes["max_connections"] = max(c["max_seen"] for c in connections.values())
+    streams = fleet.scenario.streams
+    return Evidence(
+        started=started,
+        records=records,
+        runs=read_runs(ledger),
+        events=ledger["events"],
+        violations=check(records, ledger, connections, documents),
+        audits=audits,
+        patches=fleet.patches,
+        actions=done,
+        deadlines={s.name: s.work.deadline_ms / 1000 for s in streams},
+        notes=fleet.notes,
+    )
+
+
+def _read_ledger(fleet: Fleet) -> dict:
+    """Read the ledger in pages; the last page holds the events and the total."""
+    entries: list = []
+    while True:
+        path = f"/ledger?after={len(entries)}&limit={LEDGER_PAGE}"
+        page = fleet.read("upstream", path)
+        entries += page["entries"]
+        if len(entries) >= page["total"]:
+            return page | {"entries": entries}
+
+
+def _describe_cpu(sampler: CpuSampler) -> dict[str, Any]:
+    shares = {name: round(share, 2) for name, share in sampler.max_share().items()}
+    saturated = sorted(name for name, share in shares.items() if share > CPU_SATURATED)
+    busy = max(sampler.machine, default=0.0)
+    return {
+        "cpu_max": shares,
+        "cpu_saturated": saturated,
+        "machine_busy_mean": _mean(sampler.machine),
+        "machine_own_mean": _mean(sampler.own),
+        "machine_busy_max": round(busy, 2),
+        "machine_limited": bool(saturated) or busy > MACHINE_SATURATED,
+    }
+
+
+def _mean(values: list[float]) -> float:
+    return round(sum(values) / len(values), 2) if values else 0.0
+
+
+def _short(arguments: dict) -> dict:
+    return {k: v for k, v in arguments.items() if k not in ("values", "operations")}
+
+
+def _write_evidence(evidence: Evidence, directory: Path) -> None:
+    value = {
+        "started": evidence.started,
+        "runs": evidence.runs,
+        "events": evidence.events,
+        "violations": evidence.violations,
+        "audits": evidence.audits,
+        "patches": evidence.patches,
+        "actions": evidence.actions,
+    }
+    (directory / "evidence.json").write_text(json.dumps(value))
--- /dev/null
+++ b/bench/_scenarios.py
@@ -0,0 +1,339 @@
+"""The scenarios: a load profile and a list of timed actions, drawn from a seed."""
+
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from standins.deployment import (
+    DATA_CENTRES,
+    HOST_DATA_CENTRES,
+    PLANS,
+    build_deployment,
+)
+
+from ._sizing import Work, list_work
+
+WARM_UP_S = 4.0
+DURATION_S = 24.0
+FLOOD_STEADY_END_S = 13.0
+# The first second of a flood is not measured: queues and windows still adapt.
+FLOOD_START_S = 14.0
+FLOOD_END_S = 25.0
+STEADY_CALLER = "c"
+FLOOD_CALLER = "f"
+POISON_CALLER = "p"
+# Longer than the 0.5 s after which the balancer sees a draining host.
+LINGER_S = 2.0
+
+
+class Stream(NamedTuple):
+    """Requests of one route at a constant rate per second; times in s of the run.
+
+    Each ``caller`` is a process of its own.
+    """
+
+    caller: str
+    name: str
+    work: Work
+    rate: float
+    start_s: float = 0.0
+    end_s: float | None = None
+    parameters: dict[str, Any] = {}
+
+
+class Action(NamedTuple):
+    """One step at ``at_s`` of the run; ``name`` is a key of ``_actions.ACTIONS``."""
+
+    at_s: float
+    name: str
+    arguments: dict[str, Any] = {}
+
+
+class Phase(NamedTuple):
+    """A part of the run that is measured by itself."""
+
+    name: str
+    start_s: float
+    end_s: float
+
+
+class Scenario(NamedTuple):
+    """What one run does; ``absent`` hosts are neither started nor listed at first."""
+
+    name: str
+    deployment: str
+    seed: int
+    duration_s: float
+    streams: tuple[Stream, ...]
+    actions: tuple[Action, ...] = ()
+    phases: tuple[Phase, ...] = ()
+    absent: tuple[str, ...] = ()
+
+
+class Draw:
+    """Random choices of one scenario; the same seed gives the same choices."""
+
+    def __init__(self, name: str, deployment: str, seed: int):
+        self.name = name
+        self.deployment = deployment
+        self.seed = seed
+        self.rng = random.Random(f"{name}/{deployment}/{seed}")
+        self.work = list_work(deployment)
+        document = build_deployment(deployment, 0).document
+        self.services = sorted(document["services"])
+        self.replicas_of = {
+            name: sorted(service["replicas"])
+            for name, service in document["services"].items()
+        }
+        self.policy = document["policy"]
+
+    def host(self) -> str:
+        """Return one of the hosts."""
+        return f"{self.deployment}-{1 + self.rng.randrange(len(HOST_DATA_CENTRES))}"
+
+    def read_service(self) -> str:
+        """Return a service of the index that lookups read."""
+        index = PLANS[self.deployment].classes[0].index
+        return self.rng.choice([s for s in self.services if s.startswith(index)])
+
+    def time(self, low: float, high: float) -> float:
+        """Return a time of the run in seconds."""
+        return round(self.rng.uniform(low, high), 2)
+
+
+class Plot(NamedTuple):
+    """Actions and streams that one fault adds to the steady load."""
+
+    actions: tuple[Action, ...] = ()
+    streams: tuple[Stream, ...] = ()
+
+
+def steady_streams(work: dict[str, Work]) -> tuple[Stream, ...]:
+    """Return the steady mix of lookups, batch reads, runs and reports."""
+    return tuple(
+        Stream(STEADY_CALLER, label, item, item.rate) for label, item in work.items()
+    )
+
+
+def straggle(draw: Draw) -> Plot:
+    """Make 1 read in 100 take 20 times as long, on all upstreams that serve reads."""
+    change = {"straggler_fraction": 0.01, "straggler_factor": 20.0}
+    return Plot((Action(0.0, "set_read_upstreams", {"values": change}),))
+
+
+def roll_patches(draw: Draw) -> Plot:
+    """Submit accepted patches, and refused ones between them."""
+    actions = []
+    for number in range(6):
+        at_s = draw.time(5 + 3 * number, 6.5 + 3 * number)
+        value = round(draw.rng.uniform(0.90, 0.98), 3)
+        operation = {"op": "replace", "path": "/policy/hedge_quantile", "value": value}
+        arguments = {"patch_id": f"accepted-{number}", "operations": [operation]}
+        actions.append(Action(at_s, "patch", arguments))
+        refused = {"patch_id": f"refused-{number}", "operations": [operation]}
+        if draw.rng.random() < 0.5:
+            refused["against_offset"] = draw.rng.choice([-1, 1, 5])
+        else:
+            refused["operations"] = [operation | {"value": 7}]
+        actions.append(Action(round(at_s + 1.2, 2), "patch", refused))
+    return Plot(tuple(actions))
+
+
+def cut_platform(draw: Draw) -> Plot:
+    """Take the platform down for a while."""
+    start_s = draw.time(5, 6)
+    return Plot(
+        (
+            Action(start_s, "platform_mode", {"mode": "refuse"}),
+            Action(start_s + 13, "platform_mode", {"mode": "up"}),
+        )
+    )
+
+
+def drain_upstream(draw: Draw) -> Plot:
+    """Drain one replica; it refuses work 5 s later."""
+    replica = draw.rng.choice(draw.replicas_of[draw.read_service()])
+    return Plot((Action(draw.time(5, 7), "drain_upstream", {"upstream": replica}),))
+
+
+def stop_daemon(draw: Draw) -> Plot:
+    """Send SIGTERM to a daemon."""
+    return Plot((Action(draw.time(10, 12), "terminate", {"host": draw.host()}),))
+
+
+def cut_data_centre(draw: Draw) -> Plot:
+    """Cut one data centre from the others and the platform, patch, and heal."""
+    data_centre = draw.rng.choice(DATA_CENTRES)
+    start_s = draw.time(7, 8)
+    operation = {"op": "replace", "path": "/policy/hedge_quantile", "value": 0.94}
+    patch = {"patch_id": "during-partition", "operations": [operation]}
+    return Plot(
+        (
+            Action(start_s, "cut", {"data_centre": data_centre}),
+            Action(start_s + 4, "patch", patch),
+            Action(start_s + 9, "heal"),
+        )
+    )
+
+
+def poison(draw: Draw) -> Plot:
+    """Repeat two lookups and a batch read that crash each upstream that runs them.
+
+    Every repetition has a new id and goes through an entry drawn by the load tool.
+    """
+    streams = []
+    for number, label in enumerate(("lookup", "lookup", "batch")):
+        name = f"poison{number}"
+        key = f"{name}-{draw.rng.randrange(10**6)}"
+        parameters = {"key": key, "echo": key, "poison": 1}
+        start_s = draw.time(5 + 3 * number, 6 + 3 * number)
+        work = draw.work[label]
+        stream = Stream(POISON_CALLER, name, work, 3.0, start_s, 20.0, parameters)
+        streams.append(stream)
+    return Plot(streams=tuple(streams))
+
+
+def change_shard_map(draw: Draw) -> Plot:
+    """Publish a snapshot with another shard map; upstreams then drop the old one."""
+    start_s = draw.time(8, 9)
+    return Plot(
+        (
+            Action(start_s, "hold_next_snapshot", {"rotation": draw.rng.randint(1, 7)}),
+            Action(start_s + 1, "publish_next_snapshot"),
+            Action(start_s + 3, "drop_old_snapshot"),
+        )
+    )
+
+
+def pause_daemon(draw: Draw) -> Plot:
+    """Stop and continue two daemons, one for longer than the failure detector waits."""
+    actions = []
+    for start_s, length_s in ((6.0, 4.5), (15.0, 1.3)):
+        host = draw.host()
+        at_s = round(start_s + draw.rng.random(), 2)
+        actions.append(Action(at_s, "pause", {"host": host}))
+        actions.append(Action(round(at_s + length_s, 2), "resume", {"host": host}))
+    return Plot(tuple(actions))
+
+
+def lose_daemon(draw: Draw) -> Plot:
+    """Send SIGKILL to a daemon."""
+    return Plot((Action(draw.time(8, 10), "kill", {"host": draw.host()}),))
+
+
+FAULTS: dict[str, Callable[[Draw], Plot]] = {
+    "straggler": straggle,
+    "config-roll": roll_patches,
+    "platform-outage": cut_platform,
+    "upstream-drain": drain_upstream,
+    "daemon-stop": stop_daemon,
+    "partition": cut_data_centre,
+    "poison": poison,
+    "repartition": change_shard_map,
+    "pause": pause_daemon,
+    "host-loss": lose_daemon,
+}
+FAULTS_OF = {
+    "steady": (),
+    "straggler": ("straggler",),
+    "config-roll": ("config-roll",),
+    "drain": ("upstream-drain", "daemon-stop"),
+    "partition": ("partition",),
+    "poison": ("poison",),
+    "repartition": ("repartition",),
+    "pause": ("pause",),
+    "host-loss": ("host-loss",),
+}
+# Faults that change the configuration need the platform, and faults that end or stop
+# a daemon do not mix, since they could draw the same one.
+EXCLUSIVE = (
+    {"config-roll", "platform-outage", "partition", "repartition"},
+    {"daemon-stop", "pause", "host-loss"},
+)
+FLOODS = {"flood-reports": ("report", 10.0), "flood-lookups": ("lookup", 5.0)}
+NAMES = (
+    "steady",
+    "straggler",
+    "flood-reports",
+    "flood-lookups",
+    "config-roll",
+    "config-outage",
+    "drain",
+    "partition",
+    "poison",
+    "repartition",
+    "pause",
+    "host-loss",
+    "combined",
+)
+
+
+def build_scenario(name: str, deployment: str, seed: int) -> Scenario:
+    """Return a scenario; raises KeyError for an unknown name."""
+    draw = Draw(name, deployment, seed)
+    if name in FLOODS:
+        return _build_flood(draw)
+    if name == "config-outage":
+        return _build_outage(draw)
+    faults = draw_faults(draw.rng) if name == "combined" else FAULTS_OF[name]
+    return _build(draw, [FAULTS[fault](draw) for fault in faults])
+
+
+def draw_faults(rng: random.Random) -> tuple[str, ...]:
+    """Return two or three faults that can happen in one run."""
+    wanted = rng.choice((2, 3))
+    candidates = sorted(FAULTS)
+    rng.shuffle(candidates)
+    chosen: list[str] = []
+    for fault in candidates:
+        clashes = any(fault in group and group & set(chosen) for group in EXCLUSIVE)
+        if not clashes and len(chosen) < wanted:
+            chosen.append(fault)
+    return tuple(chosen)
+
+
+def _build(draw: Draw, plots: list[Plot]) -> Scenario:
+    streams = list(steady_streams(draw.work))
+    actions: list[Action] = []
+    for plot in plots:
+        streams += plot.streams
+        actions += plot.actions
+    actions.sort(key=lambda action: action.at_s)
+    return Scenario(
+        draw.name,
+        draw.deployment,
+        draw.seed,
+        DURATION_S,
+        tuple(streams),
+        tuple(actions),
+        (Phase("all", WARM_UP_S, DURATION_S),),
+    )
+
+
+def _build_flood(draw: Draw) -> Scenario:
+    label, factor = FLOODS[draw.name]
+    work = draw.work[label]
+    flood = Stream(
+        FLOOD_CALLER,
+        f"flood-{label}",
+        work,
+        work.capacity * factor - work.rate,
+        FLOOD_STEADY_END_S,
+        FLOOD_END_S,
+    )
+    phases = (
+        Phase("all", WARM_UP_S, FLOOD_END_S),
+        Phase("steady", WARM_UP_S, FLOOD_STEADY_END_S),
+        Phase("flood", FLOOD_START_S, FLOOD_END_S),
+    )
+    scenario = _build(draw, [Plot(streams=(flood,))])
+    return scenario._replace(duration_s=FLOOD_END_S, phases=phases)
+
+
+def _build_outage(draw: Draw) -> Scenario:
+    """Take the platform down; then a host that nobody listed starts."""
+    plot = cut_platform(draw)
+    host = draw.host()
+    start = Action(plot.actions[0].at_s + 4, "start_host", {"host": host})
+    scenario = _build(draw, [plot, Plot((start,))])
+    return scenario._replace(absent=(host,))
--- /dev/null
+++ b/bench/_targets.py
@@ -0,0 +1,168 @@
+"""The targets of section 1.3 of the design page and the verdicts on them."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from ._sizing import Work
+
+MAX_STRAGGLER_RATIO = 0.5
+MAX_EXTRA_LOAD = 0.05
+MAX_FLOOD_RATIO = 1.5
+MIN_FLOOD_BATCH = 0.95
+MIN_FLOOD_COMPLETED = 0.90
+MIN_BATCH_SHARE = 0.10
+MIN_REPORT_SHARE = 0.05
+MAX_IN_FORCE_S = 1.0
+MAX_HOST_START_S = 2.0
+MAX_CRASHES = 2
+
+
+class Verdict(NamedTuple):
+    """One target; ``met`` is None when the run cannot tell."""
+
+    target: str
+    measured: str
+    met: bool | None
+
+
+Result = Mapping[str, Any]
+
+
+def judge(
+    scenario: str, current: Result, baseline: Result | None, work: Mapping[str, Work]
+) -> list[Verdict]:
+    """Return the verdicts on the ``current`` policy; ``work`` is by label."""
+    verdicts = [_judge_violations(current["violations"])]
+    if scenario in _JUDGES:
+        verdicts += _JUDGES[scenario](current, baseline, work)
+    return verdicts
+
+
+def _judge_violations(violations: Mapping[str, int | None]) -> Verdict:
+    found = {name: count for name, count in violations.items() if count}
+    text = ", ".join(f"{name} {count}" for name, count in found.items()) or "0"
+    return Verdict("violations: 0", text, not found)
+
+
+def _at_most(target: str, value: float | None, limit: float) -> Verdict:
+    if value is None:
+        return Verdict(target, "not measured", None)
+    return Verdict(target, f"{value:.3g}", value <= limit)
+
+
+def _at_least(target: str, value: float | None, limit: float) -> Verdict:
+    if value is None:
+        return Verdict(target, "not measured", None)
+    return Verdict(target, f"{value:.3g}", value >= limit)
+
+
+def _ratio(value: float | None, base: float | None) -> float | None:
+    return None if value is None or not base else value / base
+
+
+def _figure(result: Result | None, route: str, name: str) -> float | None:
+    figures = ((result or {}).get("routes") or {}).get(route)
+    return None if figures is None else figures[name]
+
+
+def _judge_straggler(current, baseline, work) -> list[Verdict]:
+    route = work["lookup"].route
+    ratio = _ratio(
+        _figure(current, route, "p99_ms"), _figure(baseline, route, "p99_ms")
+    )
+    return [
+        _at_most(
+            "p99 of lookups at most 0.5 of the baseline's", ratio, MAX_STRAGGLER_RATIO
+        ),
+        _at_most("extra load at most 0.05", current["extra_load"], MAX_EXTRA_LOAD),
+    ]
+
+
+def _judge_flood_reports(current, baseline, work) -> list[Verdict]:
+    lookup, batch = work["lookup"].route, work["batch"].route
+    ratio = _ratio(
+        _figure(current["flood"], lookup, "p99_ms"),
+        _figure(current["steady"], lookup, "p99_ms"),
+    )
+    share = _ratio(
+        _figure(current["flood"], batch, "completed"),
+        _figure(current["flood"], batch, "offered"),
+    )
+    return [
+        _at_most("p99 of lookups at most 1.5 of steady", ratio, MAX_FLOOD_RATIO),
+        _at_least("batch reads completed at least 0.95", share, MIN_FLOOD_BATCH),
+    ]
+
+
+def _judge_flood_lookups(current, baseline, work) -> list[Verdict]:
+    def rate(label: str) -> float | None:
+        return _figure(current["flood"], work[label].route, "completed_per_s")
+
+    rates = [rate("lookup"), rate("batch")]
+    shared = sum(value or 0.0 for value in rates)
+    return [
+        _at_least(
+            "completed lookups and batch reads at least 0.9 of capacity",
+            shared / work["lookup"].capacity,
+            MIN_FLOOD_COMPLETED,
+        ),
+        _at_least(
+            "batch reads keep at least 0.1 of capacity",
+            _ratio(rate("batch"), work["batch"].capacity),
+            MIN_BATCH_SHARE,
+        ),
+        _at_least(
+            "reports keep at least 0.05 of capacity",
+            _ratio(rate("report"), work["report"].capacity),
+            MIN_REPORT_SHARE,
+        ),
+    ]
+
+
+def _judge_in_force(current, baseline, work) -> list[Verdict]:
+    verdict = _at_most(
+        "in force on every reachable host within 1 s",
+        current["config_in_force_s"],
+        MAX_IN_FORCE_S,
+    )
+    if current.get("config_never_in_force"):
+        missing = current["config_never_in_force"]
+        verdict = verdict._replace(measured=f"never on {missing} hosts", met=False)
+    return [verdict]
+
+
+def _judge_outage(current, baseline, work) -> list[Verdict]:
+    lost = sum((r or {}).get("unknown", 0) for r in current["ranks"].values())
+    start_s = current["notes"].get("new_host_serves_s")
+    return [
+        _at_most("no answer is lost", lost, 0),
+        _at_most("a new host serves within 2 s", start_s, MAX_HOST_START_S),
+    ]
+
+
+def _judge_drain(current, baseline, work) -> list[Verdict]:
+    status = current["notes"].get("exit_status")
+    met = None if status is None else status == 0
+    return [Verdict("the daemon ends with status 0", str(status), met)]
+
+
+def _judge_poison(current, baseline, work) -> list[Verdict]:
+    worst = max(current["crashed_by_request"].values(), default=None)
+    return [_at_most("at most 2 upstreams lost per request", worst, MAX_CRASHES)]
+
+
+def _judge_host_loss(current, baseline, work) -> list[Verdict]:
+    failed = current.get("failed_elsewhere")
+    return [_at_most("no request of other hosts fails", failed, 0)]
+
+
+_JUDGES: dict[str, Callable[..., list[Verdict]]] = {
+    "straggler": _judge_straggler,
+    "flood-reports": _judge_flood_reports,
+    "flood-lookups": _judge_flood_lookups,
+    "config-roll": _judge_in_force,
+    "config-outage": _judge_outage,
+    "drain": _judge_drain,
+    "poison": _judge_poison,
+    "host-loss": _judge_host_loss,
+}
