--- a/bench/_measure.py
+++ b/bench/_measure.py
@@ -1,5 +1,6 @@
 """Figures of one run, from the records of callers and the ledger of upstreams."""
 
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from itertools import pairwise
 from typing import Any, NamedTuple
@@ -14,6 +15,7 @@
 # The caller cannot know what became of a request without an answer.
 UNKNOWN = ("outcome_unknown", "no_answer")
 POISON_PREFIX = "poison"
+IN_FORCE = "version_in_force"
 SHUTDOWN_MARGIN_S = 1.0
 
 
@@ -42,7 +44,7 @@
     if not values:
         return None
     ordered = sorted(values)
-    position = max(0, -int(-fraction * len(ordered) // 1) - 1)
+    position = max(0, math.ceil(fraction * len(ordered)) - 1)
     return ordered[position]
 
 
@@ -152,8 +154,7 @@
             times = [
                 event["time_unix"]
                 for event in events
-                if event["kind"] == "version_in_force"
-                and event["version"] >= patch["version"]
+                if event["kind"] == IN_FORCE and event["version"] >= patch["version"]
             ]
             delays[host] = min(times) - patch["submitted"] if times else None
         result[patch["id"]] = delays
@@ -167,7 +168,7 @@
     """Count versions that went back on a host, by its audit trail and its answers."""
     reverts = 0
     for events in audits.values():
-        versions = [e["version"] for e in events or () if e["kind"] in _IN_FORCE]
+        versions = [e["version"] for e in events or () if e["kind"] == IN_FORCE]
         reverts += sum(later <= earlier for earlier, later in pairwise(versions))
     answered: dict[str, list[Record]] = {}
     for record in records:
@@ -176,9 +177,6 @@
     return reverts + sum(_count_old_answers(group) for group in answered.values())
 
 
-_IN_FORCE = ("version_in_force",)
-
-
 def _count_old_answers(records: list[Record]) -> int:
     """Count answers with an older version than one seen before they were sent."""
     marks = [(r.sent_unix + r.latency_s, 0, r.version) for r in records]
