--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -170,6 +170,17 @@
         except (ConnectionBroken, ValueError, LookupError):
             return None
 
+    def read_metrics(self, host: str) -> str | None:
+        """Return the metrics of a daemon, or None if it does not answer."""
+        address = self.deployment.daemons[host]["admin_address"]
+        client = HttpClient(address, timeout_s=CONTROL_TIMEOUT_S)
+        try:
+            return client.request("GET", "/metrics").body.decode()
+        except ConnectionBroken:
+            return None
+        finally:
+            client.close()
+
     def _request(self, method: str, address: str, path: str, value=None) -> dict:
         client = HttpClient(address, timeout_s=CONTROL_TIMEOUT_S)
         try:
--- a/bench/_measure.py
+++ b/bench/_measure.py
@@ -1,6 +1,7 @@
 """Figures of one run, from the records of callers and the ledger of upstreams."""
 
 import math
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from itertools import pairwise
 from typing import Any, NamedTuple
@@ -8,7 +9,7 @@
 from standins.check import KINDS, Run, Violation
 from standins.load import Record
 
-from ._scenarios import Phase
+from ._scenarios import WARM_UP_S, Phase
 
 RANKS = ("interactive", "batch", "report")
 ANSWERED = ("complete", "partial")
@@ -237,22 +238,28 @@
     return count_cut(evidence.records, min(times), end)
 
 
-def count_failed_elsewhere(
-    records: Iterable[Record], lost_at: float, lost_entry: str, until: float
-) -> int:
-    """Count requests that failed though another host than the lost one had them.
+def select_failed_elsewhere(
+    records: Iterable[Record], lost_at: float, lost_entry: str
+) -> list[Record]:
+    """Return the requests that failed though another host than the lost one had them.
 
     A request whose first entry broke was held by the lost host.
     """
-    return sum(
-        1
+    return [
+        record
         for record in records
         if record.sent_unix + record.latency_s >= lost_at
-        and record.sent_unix < until
         and record.outcome not in ("complete", "not_sent")
         and record.tries == 1
         and record.entry != lost_entry
-    )
+    ]
+
+
+def failed_share(records: Iterable[Record], begin: float, end: float) -> float | None:
+    """Return the share of the requests of a time that were not answered completely."""
+    selected = [r for r in records if begin <= r.sent_unix < end]
+    failed = sum(record.outcome != "complete" for record in selected)
+    return round(failed / len(selected), 4) if selected else None
 
 
 def summarize_run(
@@ -312,11 +319,18 @@
     kills = [(at, a["host"]) for at, name, a in evidence.actions if name == "kill"]
     if not kills:
         return {}
-    failed = [
-        count_failed_elsewhere(records, at, entries[host], float("inf"))
-        for at, host in kills
-    ]
-    return {"failed_elsewhere": sum(failed)}
+    failed: list[Record] = []
+    for at, host in kills:
+        failed += select_failed_elsewhere(records, at, entries[host])
+    first = min(at for at, _ in kills)
+    # A share that failed before the loss as well has another cause.
+    before = failed_share(records, evidence.started + WARM_UP_S, first)
+    return {
+        "failed_elsewhere": len(failed),
+        "failed_elsewhere_outcomes": Counter(record.outcome for record in failed),
+        "failed_share_before_loss": before,
+        "failed_share_after_loss": failed_share(records, first, math.inf),
+    }
 
 
 def _milliseconds(seconds: float | None) -> float | None:
--- a/bench/_run.py
+++ b/bench/_run.py
@@ -139,10 +139,12 @@
     ledger = _read_ledger(fleet)
     connections = fleet.read("upstream", "/connections")
     documents = [document for _, document in fleet.versions]
-    audits = {}
+    audits: dict[str, list[dict] | None] = dict.fromkeys(fleet.hosts)
     for host in fleet.hosts:
-        is_running = host in fleet.processes and fleet.processes[host].is_running
-        audits[host] = fleet.read_audit(host) if is_running else None
+        if host in fleet.processes and fleet.processes[host].is_running:
+            audits[host] = fleet.read_audit(host)
+            metrics = fleet.read_metrics(host) or ""
+            (fleet.directory / f"metrics-{host}.txt").write_text(metrics)
     fleet.notes["upstream_refusals"] = fleet.read("upstream", "/ledger/summary")[
         "refusals"
     ]
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -10,12 +10,13 @@
     aggregate,
     aggregate_by,
     count_cut,
-    count_failed_elsewhere,
     count_reverts,
     count_violations,
     crashes_by_request,
     extra_load,
+    failed_share,
     in_force_delays,
+    select_failed_elsewhere,
     select_phase,
     summarize_run,
 )
@@ -266,7 +267,9 @@
         resent = PARTIAL._replace(tries=2)
         early = PARTIAL._replace(sent_unix=90.0)
         records = [RECORD, PARTIAL, lost_host, resent, early]
-        self.assertEqual(count_failed_elsewhere(records, 99.0, "e2", 200.0), 1)
+        self.assertEqual(select_failed_elsewhere(records, 99.0, "e2"), [PARTIAL])
+        self.assertEqual(failed_share(records, 95.0, 101.0), 0.75)
+        self.assertIsNone(failed_share(records, 101.0, 102.0))
 
     def test_violations_not_exercised_are_null(self):
         """Guards against a promise that is reported as kept without a trial."""
