--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -226,7 +226,7 @@
 
 
 class CpuSample(NamedTuple):
-    """Seconds used and waited per process, and clock ticks of the machine, at ``at``."""
+    """Seconds used and waited per process, and clock ticks of the machine."""
 
     at: float
     used: dict[str, float]
