--- a/bench/_run.py
+++ b/bench/_run.py
@@ -187,6 +187,7 @@
         "cpu_saturated": saturated,
         "machine_busy_mean": _mean(sampler.machine),
         "machine_own_mean": _mean(sampler.own),
+        "machine_busy_by_s": [round(share, 2) for share in sampler.machine],
         "machine_busy_max": round(max(sampler.machine, default=0.0), 2),
         "cpu_wait_mean": waits,
         "machine_limited": bool(saturated) or max_wait > MAX_CPU_WAIT,
