Keep given-up connections closed at the end of a black hole

A client that sent a request into a black hole and closed its connection was connected to the upstream when the cut ended, since the proxy watched the client only until its first bytes. All such connections opened at once, which broke the connection limit of services in the partition scenario. The proxy now asks the socket whether the client is still connected.

--- a/bench/_scenarios.py
+++ b/bench/_scenarios.py
@@ -331,9 +331,18 @@
 
 
 def _build_outage(draw: Draw) -> Scenario:
-    """Take the platform down; then a host that nobody listed starts."""
+    """Take the platform down; then a host that nobody listed starts.
+
+    Half of the seeds submit a patch before: a peer passes on the first document, with
+    sequence 0, in another way than a later one.
+    """
     plot = cut_platform(draw)
     host = draw.host()
     start = Action(plot.actions[0].at_s + 4, "start_host", {"host": host})
-    scenario = _build(draw, [plot, Plot((start,))])
+    plots = [plot, Plot((start,))]
+    if draw.rng.random() < 0.5:
+        operation = {"op": "replace", "path": "/policy/hedge_quantile", "value": 0.94}
+        arguments = {"patch_id": "before-outage", "operations": [operation]}
+        plots.append(Plot((Action(3.0, "patch", arguments),)))
+    scenario = _build(draw, plots)
     return scenario._replace(absent=(host,))
--- a/standins/proxy/_link.py
+++ b/standins/proxy/_link.py
@@ -15,6 +15,7 @@
 socket = eventlet.patcher.original("socket")
 
 RECEIVE_BYTES = 65536
+TCP_ESTABLISHED = 1
 MAX_QUEUED_BYTES = 4 << 20
 FULL_QUEUE_POLL_S = 0.005
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -81,6 +82,8 @@
                 return False
             # Bytes that the client sent early would wake this wait again at once.
             reads = reads and wake is not Wake.READABLE
+        if not self._is_client_connected():
+            return False
         if self.pair.rule.new == "refuse":
             self.pair.refused += 1
             self._is_reset = True
@@ -95,6 +98,16 @@
         except OSError:
             return True
 
+    def _is_client_connected(self) -> bool:
+        """Tell whether the client has neither closed nor reset its connection.
+
+        A client may leave behind bytes that were never read. Without this check, the
+        connections given up during a black hole would all open at its end, while a
+        network would not have opened any of them.
+        """
+        information = self.client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return information[0] == TCP_ESTABLISHED
+
     def _connect(self) -> bool:
         server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         server.setblocking(False)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -449,6 +449,21 @@
         self.assertEqual(held.receive().status, 200)
         self.assertEqual(len(self.runs()), 4)
 
+    def test_connection_given_up_in_a_black_hole_never_opens(self):
+        """Guards against a burst of dead connections at the end of a cut."""
+        self.start_proxy()
+        self.set(rules={"dc1>dc3": {"new": "black_hole"}})
+        for number in range(3):
+            given_up = self.client(self.proxied, "127.0.1.2")
+            self.send(given_up, f"q{number}/0")
+            given_up.close()
+        self.set(restore=True)
+        self.assertEqual(self.ask(self.cut_side, "q9/0").status, 200)
+        self.assertEqual([run.request_id for run in self.runs()], ["q9/0"])
+        self.assertEqual(
+            self.proxy.request_json("GET", "/pairs")["dc1>dc3"]["opened"], 1
+        )
+
     def test_delay_and_bandwidth_keep_the_bytes_in_order(self):
         """Guards against delayed chunks that overtake each other or get lost."""
         self.start_proxy(latency_s=0.001, jitter_s=0.005, bytes_per_s=20_000_000)
