Probe a silent replica before its reads are given up

Change: a silent replica is probed on a spare connection and given up only if the probe stays unanswered; an answered probe doubles the time to the next alarm; reads use no more than the slots, so that a connection is left for probes and cancellation.

--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -55,7 +55,7 @@
     ):
         self.replica = replica
         self._queue = RankQueue(floors)
-        self._limit = AdaptiveLimit(replica.slots, maximum=replica.slots + 1)
+        self._limit = AdaptiveLimit(replica.slots, maximum=replica.slots)
         self._gate = TrialGate(proven)
         self._held: deque = deque()
         self._service_time_s = INITIAL_SERVICE_TIME_S
@@ -129,20 +129,24 @@
         """Whether the replica answers nothing, so that its reads are refused."""
         return self._unresponsive
 
-    def find_unresponsive(self, now: float) -> bool:
-        """Look whether the replica has stopped answering; tell whether it just has."""
-        if self._unresponsive or not self._responsiveness.is_stuck(
+    def seems_stuck(self, now: float) -> bool:
+        """Tell whether the replica leaves its reads unanswered and is to be probed."""
+        return self._responsiveness.is_stuck(
             now, self._limit.in_flight, self._service_time_s
-        ):
-            return False
+        )
+
+    def mark_unresponsive(self) -> None:
+        """Refuse all reads until a probe is answered."""
         self._unresponsive = True
-        return True
 
     def note_answer(self, now: float) -> None:
         """Record that the replica answered a probe."""
         self._answered_since_crash = True
-        self._unresponsive = False
-        self._responsiveness.answered(now)
+        if self._unresponsive:
+            self._unresponsive = False
+            self._responsiveness.answered(now)
+        elif self.seems_stuck(now):
+            self._responsiveness.false_alarm(now)
 
     def is_running(self, key: ReadKey) -> bool:
         """Tell whether read ``key`` runs on the replica."""
--- a/cicadalever/owners/_responsiveness.py
+++ b/cicadalever/owners/_responsiveness.py
@@ -5,14 +5,14 @@
 STUCK_SERVICE_TIMES = 10
 MIN_QUIET_S = 0.3
 MAX_TIMEOUTS = 3
+MAX_FALSE_ALARMS = 5
 
 
 class Responsiveness:
-    """Whether a replica answers at all.
+    """Whether a replica seems not to answer at all, so that it should be probed.
 
     A cut network or a hung process keeps connections open, so that only the missing
-    answers show it. While a replica is stuck its reads are refused at once instead of
-    waiting for their deadline one after the other. ``now`` is in seconds.
+    answers show it. ``now`` is in seconds.
 
     >>> state = Responsiveness()
     >>> state.started(0.0, running=0)
@@ -21,6 +21,7 @@
     """
 
     def __init__(self):
+        self._false_alarms = 0
         self._quiet_since = 0.0
         self._timeouts = 0
 
@@ -34,6 +35,14 @@
         self._quiet_since = now
         self._timeouts = 0
 
+    def false_alarm(self, now: float) -> None:
+        """Record that a probe was answered although the replica seemed stuck.
+
+        Its reads take longer than was measured, so the next alarm comes later.
+        """
+        self._false_alarms = min(self._false_alarms + 1, MAX_FALSE_ALARMS)
+        self.answered(now)
+
     def timed_out(self) -> None:
         """Record a read that got no answer by its deadline."""
         self._timeouts += 1
@@ -43,4 +52,5 @@
         if self._timeouts >= MAX_TIMEOUTS:
             return True
         quiet_s = max(MIN_QUIET_S, STUCK_SERVICE_TIMES * service_time_s)
+        quiet_s *= 2**self._false_alarms
         return running > 0 and now - self._quiet_since > quiet_s
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -38,6 +38,7 @@
 from ._replica import OwnedReplica
 
 UNRESPONSIVE_PROBE_S = 0.3
+CONNECTION_WAIT_S = 0.02
 SOURCE_ANSWER = "upstream"
 SOURCE_CONFIGURATION = "configuration"
 
@@ -90,6 +91,7 @@
         self._running: dict[ReadKey, QueuedRead] = {}
         self._connections: dict[ReadKey, UpstreamConnection] = {}
         self._abandoned: set[ReadKey] = set()
+        self._probed: set[str] = set()
         self._outbox: dict[tuple[str, str], list[ReadAnswer]] = defaultdict(list)
         self._flush_scheduled = False
 
@@ -204,7 +206,7 @@
                 self._answer_failure(
                     entry.item, Failure(FailureCode.DEADLINE, "expired in the queue")
                 )
-            self._find_unresponsive(owned, now)
+            self._watch_answers(owned, now)
             self._pump(owned)
         self._watch_drains(now)
 
@@ -364,10 +366,39 @@
             self._connections.pop(read.key, None)
             pool.give_back(connection)
 
-    def _find_unresponsive(self, owned: OwnedReplica, now: float) -> None:
-        """Free the reads of a replica that answers nothing, and probe it."""
-        if not owned.find_unresponsive(now):
+    def _watch_answers(self, owned: OwnedReplica, now: float) -> None:
+        """Probe a replica that leaves its reads unanswered."""
+        replica_id = owned.replica.id
+        if owned.unresponsive or replica_id in self._probed:
             return
+        if owned.seems_stuck(now):
+            self._probed.add(replica_id)
+            eventlet.spawn_n(self._probe_stuck, owned)
+
+    def _probe_stuck(self, owned: OwnedReplica) -> None:
+        replica_id = owned.replica.id
+        try:
+            while self._replicas.get(replica_id) is owned:
+                state = self._ask_state(replica_id)
+                if state is not None:
+                    self._note_probe_answer(owned)
+                    return
+                if not owned.unresponsive:
+                    self._give_up_reads(owned)
+                eventlet.sleep(UNRESPONSIVE_PROBE_S)
+        finally:
+            self._probed.discard(replica_id)
+
+    def _note_probe_answer(self, owned: OwnedReplica) -> None:
+        if owned.unresponsive:
+            replica_id = owned.replica.id
+            self.audit.record(AuditKind.REPLICA_RECOVERED, 0, replica=replica_id)
+        owned.note_answer(time.monotonic())
+        self._pump(owned)
+
+    def _give_up_reads(self, owned: OwnedReplica) -> None:
+        """Free the reads of a replica that answers nothing."""
+        owned.mark_unresponsive()
         replica_id = owned.replica.id
         reason = f"{replica_id} does not answer"
         self.audit.record(AuditKind.REPLICA_LOST, 0, replica=replica_id, reason=reason)
@@ -380,27 +411,21 @@
                 connection = self._connections.get(key)
                 if connection is not None:
                     connection.abort()
-        eventlet.spawn_n(self._probe_unresponsive, owned)
 
-    def _probe_unresponsive(self, owned: OwnedReplica) -> None:
-        replica_id = owned.replica.id
-        while self._replicas.get(replica_id) is owned and owned.unresponsive:
-            connection = self._pools[replica_id].take()
+    def _ask_state(self, replica_id: str) -> str | None:
+        """Return the state that the health endpoint names, None without an answer.
+
+        Without a free connection nothing is known, which is not a missing answer.
+        """
+        while (pool := self._pools.get(replica_id)) is not None:
+            connection = pool.take()
             if connection is not None:
-                is_answered = connection.probe() is not None
-                pool = self._pools.get(replica_id)
-                if pool is None:
-                    connection.close()
-                    return
-                pool.give_back(connection)
-                if is_answered:
-                    owned.note_answer(time.monotonic())
-                    self.audit.record(
-                        AuditKind.REPLICA_RECOVERED, 0, replica=replica_id
-                    )
-                    self._pump(owned)
-                    return
-            eventlet.sleep(UNRESPONSIVE_PROBE_S)
+                try:
+                    return connection.probe()
+                finally:
+                    pool.give_back(connection)
+            eventlet.sleep(CONNECTION_WAIT_S)
+        return None
 
     def _cancel_running(self, key: ReadKey) -> None:
         read = self._running.get(key)
@@ -451,14 +476,7 @@
         self._drains.forget_old(now)
 
     def _probe(self, replica_id: str) -> None:
-        pool = self._pools.get(replica_id)
-        connection = pool.take() if pool else None
-        if connection is None:
-            return
-        try:
-            is_serving = connection.probe() == STATE_READY
-        finally:
-            pool.give_back(connection)
+        is_serving = self._ask_state(replica_id) == STATE_READY
         owned = self._replicas.get(replica_id)
         if owned is None or not self._drains.probed(replica_id, is_serving):
             return
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -6,6 +6,7 @@
 from cicadalever.owners import OwnedReplica, QueuedRead
 from cicadalever.owners._drains import FORGET_S, GOOD_PROBES, DrainingReplicas
 from cicadalever.owners._read import ReadKey
+from cicadalever.owners._responsiveness import MAX_TIMEOUTS, Responsiveness
 from cicadalever.scheduling import Rank
 from cicadalever.topology import Replica
 from cicadalever.transport import Trial
@@ -154,3 +155,32 @@
         self.assertIsNone(taken[2])
         pool.give_back(taken[0])
         self.assertIs(pool.take(), taken[0])
+
+
+class TestResponsiveness(unittest.TestCase):
+    """When a replica that does not answer is probed."""
+
+    def setUp(self):
+        self.state = Responsiveness()
+        self.state.started(0.0, running=0)
+
+    def test_quiet_replica_is_stuck(self):
+        """Guards against reads that wait for their deadline one after the other."""
+        self.assertFalse(self.state.is_stuck(0.2, 1, 0.01))
+        self.assertTrue(self.state.is_stuck(0.4, 1, 0.01))
+        self.assertFalse(self.state.is_stuck(0.4, 0, 0.01), "nothing runs")
+        self.state.answered(0.35)
+        self.assertFalse(self.state.is_stuck(0.4, 1, 0.01))
+
+    def test_reads_with_short_deadlines_add_up(self):
+        """Guards against a stuck replica that each short read seems to leave idle."""
+        for number in range(MAX_TIMEOUTS):
+            self.assertFalse(self.state.is_stuck(0.0, 0, 0.01), number)
+            self.state.timed_out()
+        self.assertTrue(self.state.is_stuck(0.0, 0, 0.01))
+
+    def test_slow_reads_are_learnt_from_false_alarms(self):
+        """Guards against long reads that are given up again and again."""
+        self.state.false_alarm(0.4)
+        self.assertFalse(self.state.is_stuck(0.8, 1, 0.01))
+        self.assertTrue(self.state.is_stuck(1.1, 1, 0.01))
