--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -111,6 +111,10 @@
         """Connect failures in a row."""
         return self._connect_failures
 
+    def update(self, replica: Replica) -> None:
+        """Take over what the configuration in force says of the replica."""
+        self.replica = replica
+
     def running_reads(self) -> list[RunningRead]:
         """Return the reads that run now, for blame after a crash."""
         return self._gate.running()
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -1,12 +1,10 @@
 """Receives read batches, runs the reads and answers the entries."""
 
 import time
-from collections import defaultdict
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 import eventlet
-from loguru import logger
 
 from cicadalever.audit import AuditKind, AuditTrail
 from cicadalever.metrics import Metrics
@@ -17,28 +15,21 @@
 from cicadalever.transport import (
     CancelReads,
     QuarantineNotice,
-    ReadAnswer,
-    ReadAnswers,
     ReadBatch,
     ReadRequest,
     ReplicaNotice,
     ReplicaRelease,
     Trial,
 )
-from cicadalever.upstreams import (
-    STATE_READY,
-    ConnectionPool,
-    UpstreamAnswer,
-    UpstreamCall,
-    UpstreamConnection,
-)
+from cicadalever.upstreams import ConnectionPool, UpstreamAnswer
 
 from ._drains import DrainingReplicas
+from ._outbox import AnswerOutbox
 from ._read import QueuedRead, ReadKey
 from ._replica import OwnedReplica
+from ._runner import ReadRunner
+from ._watch import ReplicaWatch
 
-UNRESPONSIVE_PROBE_S = 0.3
-CONNECTION_WAIT_S = 0.02
 SOURCE_ANSWER = "upstream"
 SOURCE_CONFIGURATION = "configuration"
 
@@ -85,15 +76,18 @@
         self.metrics = metrics
         self.source_ip = source_ip
         self.is_baseline = is_baseline
-        self._drains = DrainingReplicas()
         self._replicas: dict[str, OwnedReplica] = {}
         self._pools: dict[str, ConnectionPool] = {}
-        self._running: dict[ReadKey, QueuedRead] = {}
-        self._connections: dict[ReadKey, UpstreamConnection] = {}
-        self._abandoned: set[ReadKey] = set()
-        self._probed: set[str] = set()
-        self._outbox: dict[tuple[str, str], list[ReadAnswer]] = defaultdict(list)
-        self._flush_scheduled = False
+        self._outbox = AnswerOutbox(send, metrics)
+        self._runner = ReadRunner(self._outbox, self._blame, self._read_finished)
+        self._watch = ReplicaWatch(
+            self._replicas,
+            self._pools,
+            audit,
+            self._give_up_reads,
+            self._pump,
+            self._notify,
+        )
 
     @property
     def replicas(self) -> Mapping[str, OwnedReplica]:
@@ -103,12 +97,12 @@
     @property
     def drains(self) -> DrainingReplicas:
         """Replicas that said that they drain."""
-        return self._drains
+        return self._watch.drains
 
     @property
     def running(self) -> int:
         """Number of reads that run on upstreams."""
-        return len(self._running)
+        return len(self._runner)
 
     @property
     def waiting(self) -> int:
@@ -134,7 +128,7 @@
             read = _queued_read(batch, request, deadline)
             owned = self._accept(read, request.replica, now)
             if isinstance(owned, Failure):
-                self._answer_failure(read, owned)
+                self._outbox.refuse(read, owned)
                 continue
             touched.add(request.replica)
         for replica_id in touched:
@@ -143,14 +137,7 @@
     def handle_cancel(self, message: CancelReads) -> None:
         """Drop waiting reads and stop running ones that nobody needs."""
         for number in message.reads:
-            key = ReadKey(message.sender, message.query, number)
-            read = self._running.get(key)
-            if read is not None:
-                eventlet.spawn_n(self._cancel_running, key)
-                continue
-            for replica in self._replicas.values():
-                if replica.cancel(key):
-                    break
+            self._cancel(ReadKey(message.sender, message.query, number))
 
     def handle_quarantine(self, notice: QuarantineNotice) -> None:
         """Take over a suspicion or quarantine that another owner decided."""
@@ -166,7 +153,9 @@
     def handle_replica_notice(self, notice: ReplicaNotice) -> None:
         """Learn from the owner of a replica that it drains or serves again."""
         if notice.replica not in self._replicas:
-            self._drains.note_remote(notice.replica, notice.draining, time.monotonic())
+            self._watch.drains.note_remote(
+                notice.replica, notice.draining, time.monotonic()
+            )
 
     def handle_release(self, message: ReplicaRelease) -> None:
         """Use all slots of a replica that its former owner released."""
@@ -185,13 +174,13 @@
                 continue
             if replica.draining:
                 self._set_draining(owned, SOURCE_CONFIGURATION)
-            elif owned.replica.draining and replica_id not in self._drains:
+            elif owned.replica.draining and replica_id not in self._watch.drains:
                 owned.set_draining(False)
             if replica.address != owned.replica.address:
                 self._refuse_queue(owned, FailureCode.UNAVAILABLE, "replica moved")
                 self._give_up(replica_id, None)
                 continue
-            owned.replica = replica
+            owned.update(replica)
             owner = self.view.owner_of(replica)
             if owner is None or owner.id != self.host.id:
                 hint = owner.id if owner else "none"
@@ -203,12 +192,11 @@
         now = time.monotonic()
         for owned in list(self._replicas.values()):
             for entry in owned.take_expired(now):
-                self._answer_failure(
+                self._outbox.refuse(
                     entry.item, Failure(FailureCode.DEADLINE, "expired in the queue")
                 )
-            self._watch_answers(owned, now)
             self._pump(owned)
-        self._watch_drains(now)
+        self._watch.tick(now)
 
     def refuse_waiting(self, code: FailureCode, reason: str) -> None:
         """Refuse all reads that have not started."""
@@ -220,10 +208,19 @@
         for pool in self._pools.values():
             pool.close_idle()
 
+    def _cancel(self, key: ReadKey) -> None:
+        for replica_id, owned in self._replicas.items():
+            if owned.is_running(key):
+                pool = self._pools[replica_id]
+                eventlet.spawn_n(self._runner.cancel, key, pool)
+                return
+            if owned.cancel(key):
+                return
+
     def _accept(
         self, read: QueuedRead, replica_id: str, now: float
     ) -> OwnedReplica | Failure:
-        if read.key in self._running:
+        if read.key in self._runner:
             return Failure(FailureCode.DUPLICATE_ID, "read runs already")
         blocked = self._check_fingerprint(read, now)
         if blocked is not None:
@@ -265,9 +262,9 @@
         if owned is None:
             quota = max(1, self.view.quota(replica))
             owned = self._own(replica, quota, now)
-            if replica_id in self._drains:
+            if replica_id in self._watch.drains:
                 owned.set_draining(True)
-                self._drains.note_own(replica_id, now)
+                self._watch.drains.note_own(replica_id, now)
             self._replicas[replica_id] = owned
             self._pools[replica_id] = ConnectionPool(
                 replica.address, quota, source_ip=self.source_ip
@@ -289,7 +286,7 @@
         return OwnedReplica(replica, {}, now=now, takeover=False)
 
     def _pump(self, owned: OwnedReplica) -> None:
-        if not self.view.is_fresh():
+        if not self.view.is_fresh() or owned.replica.id not in self._pools:
             return
         while True:
             now = time.monotonic()
@@ -299,153 +296,36 @@
             blocked = self._check_start(owned, entry.item, now)
             if blocked is not None:
                 owned.finish(entry.item, blocked, 0.0, now)
-                self._answer_failure(entry.item, blocked)
+                self._outbox.refuse(entry.item, blocked)
                 continue
-            self._running[entry.item.key] = entry.item
-            eventlet.spawn_n(self._run, owned, entry)
-
-    def _run(self, owned: OwnedReplica, entry) -> None:
-        read: QueuedRead = entry.item
-        started = time.monotonic()
-        pool = self._pools.get(owned.replica.id)
-        result = self._call(owned, pool, read, started)
-        now = time.monotonic()
-        if read.key in self._abandoned:
-            self._finish_abandoned(owned, read, now)
-            return
-        if isinstance(result, Failure) and result.code == FailureCode.LOST:
-            if owned.take_crash(read.key):
-                self._blame(owned, now)
-        elif isinstance(result, UpstreamAnswer):
+            self._runner.start(owned, self._pools[owned.replica.id], entry)
+
+    def _read_finished(
+        self, owned: OwnedReplica, read: QueuedRead, result: UpstreamAnswer | Failure
+    ) -> None:
+        if isinstance(result, Failure):
+            is_draining = result.code == FailureCode.DRAINING
+        else:
+            is_draining = result.draining
             self.quarantine.succeeded(read.fingerprint)
             self.proven.add(read.fingerprint)
-        owned.finish(read, result, now - started, now)
-        self._running.pop(read.key, None)
-        self._answer(owned, read, result, started - entry.queued_at, now - started)
-        if _shows_draining(result):
+        if is_draining:
             self._set_draining(owned, SOURCE_ANSWER)
         self._pump(owned)
 
-    def _finish_abandoned(
-        self, owned: OwnedReplica, read: QueuedRead, now: float
-    ) -> None:
-        """End a read that was answered as lost when its replica fell silent."""
-        self._abandoned.discard(read.key)
-        owned.finish(read, Failure(FailureCode.UNREACHABLE, "abandoned"), 0.0, now)
-        self._running.pop(read.key, None)
-        self._pump(owned)
-
-    def _call(
-        self,
-        owned: OwnedReplica,
-        pool: ConnectionPool | None,
-        read: QueuedRead,
-        now: float,
-    ) -> UpstreamAnswer | Failure:
-        connection = pool.take() if pool else None
-        if connection is None:
-            return Failure(FailureCode.OVERLOAD, "no connection is free")
-        try:
-            if not owned.answered_since_crash:
-                if connection.probe() is None:
-                    reason = f"{owned.replica.id} has not answered since its crash"
-                    return Failure(FailureCode.UNREACHABLE, reason)
-                owned.note_answer(time.monotonic())
-            self._connections[read.key] = connection
-            return connection.call(
-                UpstreamCall(
-                    read.operation,
-                    read.upstream_request_id,
-                    read.shard,
-                    read.snapshot,
-                    read.parameters,
-                    read.deadline - now,
-                )
-            )
-        finally:
-            self._connections.pop(read.key, None)
-            pool.give_back(connection)
-
-    def _watch_answers(self, owned: OwnedReplica, now: float) -> None:
-        """Probe a replica that leaves its reads unanswered."""
-        replica_id = owned.replica.id
-        if owned.unresponsive or replica_id in self._probed:
-            return
-        if owned.seems_stuck(now):
-            self._probed.add(replica_id)
-            eventlet.spawn_n(self._probe_stuck, owned)
-
-    def _probe_stuck(self, owned: OwnedReplica) -> None:
-        replica_id = owned.replica.id
-        try:
-            while self._replicas.get(replica_id) is owned:
-                state = self._ask_state(replica_id)
-                if state is not None:
-                    self._note_probe_answer(owned)
-                    return
-                if not owned.unresponsive:
-                    self._give_up_reads(owned)
-                eventlet.sleep(UNRESPONSIVE_PROBE_S)
-        finally:
-            self._probed.discard(replica_id)
-
-    def _note_probe_answer(self, owned: OwnedReplica) -> None:
-        if owned.unresponsive:
-            replica_id = owned.replica.id
-            self.audit.record(AuditKind.REPLICA_RECOVERED, 0, replica=replica_id)
-        owned.note_answer(time.monotonic())
-        self._pump(owned)
-
     def _give_up_reads(self, owned: OwnedReplica) -> None:
         """Free the reads of a replica that answers nothing."""
-        owned.mark_unresponsive()
-        replica_id = owned.replica.id
-        reason = f"{replica_id} does not answer"
-        self.audit.record(AuditKind.REPLICA_LOST, 0, replica=replica_id, reason=reason)
+        reason = f"{owned.replica.id} does not answer"
         self._refuse_queue(owned, FailureCode.UNREACHABLE, reason)
-        for key, read in list(self._running.items()):
-            # A run that is not idempotent is left to its end: it may still answer.
-            if owned.is_running(key) and read.operation == "read":
-                self._abandoned.add(key)
-                self._answer_failure(read, Failure(FailureCode.HOST_LOST, reason))
-                connection = self._connections.get(key)
-                if connection is not None:
-                    connection.abort()
-
-    def _ask_state(self, replica_id: str) -> str | None:
-        """Return the state that the health endpoint names, None without an answer.
-
-        Without a free connection nothing is known, which is not a missing answer.
-        """
-        while (pool := self._pools.get(replica_id)) is not None:
-            connection = pool.take()
-            if connection is not None:
-                try:
-                    return connection.probe()
-                finally:
-                    pool.give_back(connection)
-            eventlet.sleep(CONNECTION_WAIT_S)
-        return None
+        self._runner.abandon(owned, Failure(FailureCode.HOST_LOST, reason))
 
-    def _cancel_running(self, key: ReadKey) -> None:
-        read = self._running.get(key)
-        if read is None:
-            return
-        for owned in self._replicas.values():
-            if owned.is_running(key):
-                break
-        else:
-            return
-        pool = self._pools.get(owned.replica.id)
-        connection = pool.take() if pool else None
-        if connection is None:
-            return
-        try:
-            connection.cancel(read.upstream_request_id)
-        finally:
-            pool.give_back(connection)
+    def _notify(self, replica_id: str, draining: bool) -> None:
+        notice = ReplicaNotice(self.host.address, replica_id, draining)
+        for address in self.view.live_addresses():
+            self.send(address, notice)
 
-    def _blame(self, owned: OwnedReplica, now: float) -> None:
+    def _blame(self, owned: OwnedReplica) -> None:
+        now = time.monotonic()
         for verdict in self.quarantine.crashed(owned.running_reads(), now):
             quarantined = verdict.state is FingerprintState.QUARANTINED
             kind = AuditKind.QUARANTINED if quarantined else AuditKind.SUSPECT
@@ -466,40 +346,17 @@
             for address in self.view.live_addresses():
                 self.send(address, notice)
 
-    def _watch_drains(self, now: float) -> None:
-        for replica_id in self._drains.due_probes(now):
-            if replica_id in self._replicas:
-                eventlet.spawn_n(self._probe, replica_id)
-        for replica_id in self._drains.due_repeats(now):
-            if replica_id in self._replicas:
-                self._notify(replica_id, True, "repeated")
-        self._drains.forget_old(now)
-
-    def _probe(self, replica_id: str) -> None:
-        is_serving = self._ask_state(replica_id) == STATE_READY
-        owned = self._replicas.get(replica_id)
-        if owned is None or not self._drains.probed(replica_id, is_serving):
-            return
-        owned.set_draining(owned.replica.draining)
-        self.audit.record(AuditKind.REPLICA_RECOVERED, 0, replica=replica_id)
-        self._notify(replica_id, False, "health")
-
-    def _notify(self, replica_id: str, draining: bool, source: str) -> None:
-        notice = ReplicaNotice(self.host.address, replica_id, draining, source)
-        for address in self.view.live_addresses():
-            self.send(address, notice)
-
     def _set_draining(self, owned: OwnedReplica, source: str) -> None:
         replica_id = owned.replica.id
         if source == SOURCE_ANSWER:
-            self._drains.note_own(replica_id, time.monotonic())
+            self._watch.drains.note_own(replica_id, time.monotonic())
         if not owned.set_draining(True):
             return
         self.audit.record(
             AuditKind.REPLICA_DRAINING, 0, replica=replica_id, source=source
         )
         self._refuse_queue(owned, FailureCode.DRAINING, f"{replica_id} is draining")
-        self._notify(replica_id, True, source)
+        self._notify(replica_id, True)
 
     def _give_up(self, replica_id: str, owner: Host | None) -> None:
         self._replicas.pop(replica_id)
@@ -521,67 +378,7 @@
         self, owned: OwnedReplica, code: FailureCode, reason: str
     ) -> None:
         for entry in owned.drain_queue():
-            self._answer_failure(entry.item, Failure(code, reason))
-
-    def _answer(
-        self,
-        owned: OwnedReplica,
-        read: QueuedRead,
-        result: UpstreamAnswer | Failure,
-        queued_s: float,
-        service_s: float,
-    ) -> None:
-        code = result.code if isinstance(result, Failure) else ""
-        reason = result.reason if isinstance(result, Failure) else ""
-        rows = b"" if isinstance(result, Failure) else result.rows
-        snapshot = read.snapshot if isinstance(result, Failure) else result.snapshot
-        self.metrics.read_finished(code or "ok", queued_s, service_s)
-        self._post(
-            read,
-            ReadAnswer(
-                read.key.read,
-                code,
-                reason,
-                snapshot,
-                rows,
-                queued_s,
-                service_s,
-                owned.is_pressed(),
-            ),
-        )
-
-    def _answer_failure(self, read: QueuedRead, failure: Failure) -> None:
-        pressed = failure.code in (FailureCode.DEADLINE, FailureCode.OVERLOAD)
-        self.metrics.read_finished(failure.code, 0.0, 0.0)
-        self._post(
-            read,
-            ReadAnswer(
-                read.key.read,
-                failure.code,
-                failure.reason,
-                read.snapshot,
-                b"",
-                0.0,
-                0.0,
-                pressed,
-            ),
-        )
-
-    def _post(self, read: QueuedRead, answer: ReadAnswer) -> None:
-        # Answers of one loop turn to one query share a message.
-        self._outbox[(read.key.sender, read.key.query)].append(answer)
-        if not self._flush_scheduled:
-            self._flush_scheduled = True
-            eventlet.spawn_n(self._flush)
-
-    def _flush(self) -> None:
-        self._flush_scheduled = False
-        outbox = self._outbox
-        self._outbox = defaultdict(list)
-        for (sender, query), answers in outbox.items():
-            failure = self.send(sender, ReadAnswers(query, answers))
-            if failure is not None:
-                logger.warning("answer to {} not sent: {}", sender, failure.reason)
+            self._outbox.refuse(entry.item, Failure(code, reason))
 
 
 def _queued_read(batch: ReadBatch, request: ReadRequest, deadline: float) -> QueuedRead:
@@ -597,9 +394,3 @@
         Trial(request.trial),
         batch.parameters,
     )
-
-
-def _shows_draining(result: UpstreamAnswer | Failure) -> bool:
-    if isinstance(result, Failure):
-        return result.code == FailureCode.DRAINING
-    return result.draining
--- a/cicadalever/transport/_messages.py
+++ b/cicadalever/transport/_messages.py
@@ -137,7 +137,6 @@
     sender: str
     replica: str
     draining: bool
-    reason: str
 
 
 class ReplicaRelease(NamedTuple):
