Do not send a request whose deadline passed while its headers were sent

Change: the body is sent only if the deadline has not passed; an upstream cannot start a request without its body.

--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -4,6 +4,7 @@
 import http.client
 import socket
 import time
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import msgspec
@@ -86,15 +87,15 @@
             failure = self._connect(call.remaining_s)
             if failure is not None:
                 return failure
-        # The process may have been paused while it connected.
         call = call._replace(remaining_s=deadline - time.monotonic())
-        if call.remaining_s <= 0:
-            return Failure(FailureCode.DEADLINE, "the deadline passed before the call")
         # urllib3 sets the timeout of the connection on the socket with each request.
-        self._connection.timeout = call.remaining_s + DEADLINE_MARGIN_S
+        self._connection.timeout = max(call.remaining_s, 0.0) + DEADLINE_MARGIN_S
         try:
-            response = self._exchange(call)
+            response = self._exchange(call, deadline)
             body = response.data
+        except _DeadlinePassedError:
+            self.close()
+            return Failure(FailureCode.DEADLINE, "the deadline passed before the call")
         except (TimeoutError, urllib3.exceptions.TimeoutError):
             self.close()
             return Failure(FailureCode.TIMEOUT, f"no answer from {self.address}")
@@ -171,19 +172,36 @@
         finally:
             raw.setblocking(True)
 
-    def _exchange(self, call: UpstreamCall):
+    def _exchange(self, call: UpstreamCall, deadline: float):
         headers = {
             "Content-Type": "application/json",
             "X-Request-Id": call.request_id,
             "X-Shard": call.shard,
             "X-Snapshot": str(call.snapshot),
             "X-Deadline-Ms": str(max(1, int(call.remaining_s * 1000))),
+            "Content-Length": str(len(call.parameters)),
         }
         path = f"/v1/{call.operation}"
-        self._connection.request("POST", path, body=call.parameters, headers=headers)
+        body = _body_before(deadline, call.parameters)
+        self._connection.request("POST", path, body=body, headers=headers)
         return self._connection.getresponse()
 
 
+class _DeadlinePassedError(Exception):
+    """The body of a request was not sent, so the request cannot run."""
+
+
+def _body_before(deadline: float, body: bytes) -> Iterator[bytes]:
+    """Give the body of a request unless ``deadline`` has passed.
+
+    The process may be paused while it connects or sends the headers; the upstream
+    would then count the remaining time in the headers from the end of the pause.
+    """
+    if time.monotonic() >= deadline:
+        raise _DeadlinePassedError
+    yield body
+
+
 def _read_response(response, body: bytes, address: str) -> UpstreamAnswer | Failure:
     if response.status == 200:
         try:
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -523,7 +523,7 @@
         runs = checks.read_runs(self.fleet.ledger())
         # The slack covers the way to the upstream, not the rest of the pause.
         late = [
-            (run.request_id, run.upstream, run.started - sent[run.caller_id])
+            (run, run.started - sent[run.caller_id])
             for run in runs
             if run.caller_id in sent
             and run.started > sent[run.caller_id] + self.DEADLINE_S + 0.5
