--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -293,11 +293,12 @@
         self.set_upstreams(["storefront-01", "shipping"], service_s=0.03)
         deadlines = {"rate": 150, "deadline_ms": 60}
         load = fleet.load(2.0, lookup=deadlines, order=deadlines, report=deadlines)
-        outcomes = Counter((r.kind, r.outcome) for r in load.result())
+        records = load.result()
+        outcomes = Counter((r.kind, r.outcome) for r in records)
         for kind in ("lookup", "order", "report"):
             self.assertGreater(outcomes[kind, "refused_not_run"], 0, outcomes)
         self.assertGreater(outcomes["lookup", "complete"], 0, outcomes)
-        self.assertGreater(outcomes["order", "complete"], 0, outcomes)
+        self.assertGreater(outcomes["order", "complete"], 0, Counter((r.reason) for r in records if r.kind=="order"))
 
     def test_deadlines_that_differ(self):
         """A connection opened by an urgent request must not cut a slow one short."""
@@ -309,7 +310,9 @@
         asked += [
             fleet.ask_soon(h, "order", id=fleet.issue(h)) for h in fleet.hosts[2:]
         ]
-        self.assertEqual({each.result().outcome for each in asked}, {"complete"})
+        failed = [each.result() for each in asked]
+        failed = [reply for reply in failed if reply.outcome != "complete"]
+        self.assertEqual(failed, [])
 
     def test_upstreams_that_shed(self):
         """An upstream that sheds, is cold or stops must not hide a run."""
