Ping a quiet owner before it counts as silent; catch up from sequence 0; end at once

A new host got no document from peers while the log was empty (served 9.2 s after its start). A host in a cut data centre did not end after its last request, since closing its sockets waited. Change: a quiet owner is pinged and is silent only if it does not answer within 0.2 s; a host without a configuration asks with sequence -1; the process ends 0.2 s after its last answer without closing sockets.

--- a/cicadalever/daemon/_configuration.py
+++ b/cicadalever/daemon/_configuration.py
@@ -35,6 +35,8 @@
 # Log entries kept for peers that are a little behind.
 KEPT_ENTRIES = 64
 REQUEST_INTERVAL_S = 0.2
+# What a host without a configuration says that it has.
+NO_SEQUENCE = -1
 # The log cannot be read from where this host is; the full document leads past it.
 _NEEDS_FULL_DOCUMENT = frozenset(
     {FailureCode.EXPIRED, FailureCode.INVALID, FailureCode.TOO_LARGE}
@@ -87,6 +89,11 @@
         """Unix time at which the version in force was put in force."""
         return self._in_force_since
 
+    @property
+    def _known_sequence(self) -> int:
+        """Sequence of the configuration in force; a first document may have 0."""
+        return NO_SEQUENCE if self.history.current is None else self.history.sequence
+
     def start(self) -> None:
         """Start the loops that watch the platform."""
         eventlet.spawn(self._watch_log)
@@ -97,14 +104,16 @@
         self.fleet.set_versions(self.history.sequence, self.history.version)
         newest = self.fleet.prober.newest_peer_digest
         now = time.monotonic()
-        if newest is None or newest.digest.sequence <= self.history.sequence:
+        if newest is None or newest.digest.version == 0:
+            return
+        if newest.digest.sequence <= self._known_sequence:
             return
         if now - self._requested_at < REQUEST_INTERVAL_S:
             return
         self._requested_at = now
         self.send(
             newest.address,
-            ConfigurationRequest(self.fleet.own.address, self.history.sequence),
+            ConfigurationRequest(self.fleet.own.address, self._known_sequence),
         )
 
     def handle_request(self, message: ConfigurationRequest) -> None:
@@ -113,7 +122,7 @@
             return
         wanted = range(message.sequence + 1, self.history.sequence + 1)
         kept = {entry.sequence: entry for entry in self._entries}
-        if message.sequence and all(sequence in kept for sequence in wanted):
+        if message.sequence >= 0 and all(sequence in kept for sequence in wanted):
             entries = [msgspec.json.encode(tuple(kept[number])) for number in wanted]
             reply = ConfigurationReply(entries, b"")
         else:
--- a/cicadalever/daemon/_daemon.py
+++ b/cicadalever/daemon/_daemon.py
@@ -31,6 +31,7 @@
 MEMBERSHIP_TICKS = 5
 SHUTDOWN_TIMEOUT_S = 60.0
 DRAIN_POLL_S = 0.05
+SEND_GRACE_S = 0.2
 
 
 class Daemon:
@@ -225,7 +226,8 @@
         self.audit.record(AuditKind.STOPPED, self.keeper.history.version)
         logger.info("all requests are finished")
         self.owners.close()
-        self.network.close()
+        # The sockets send in the background.
+        eventlet.sleep(SEND_GRACE_S)
         self._stopped.send(None)
 
     def _has_work(self) -> bool:
--- a/cicadalever/daemon/_fleet.py
+++ b/cicadalever/daemon/_fleet.py
@@ -78,6 +78,10 @@
         self._send_all(self.prober.tick(time.monotonic()))
         self._apply_changes()
 
+    def ping(self, address: str) -> None:
+        """Ask a host for a sign of life."""
+        self._send_all(self.prober.ping(address, time.monotonic()))
+
     def host_silent(self, address: str) -> None:
         """Suspect a host that leaves reads unanswered."""
         self.on_host_lost(address)
--- a/cicadalever/daemon/_main.py
+++ b/cicadalever/daemon/_main.py
@@ -1,6 +1,7 @@
 """Command ``cicadaleverd``."""
 
 import gc
+import os
 import sys
 import warnings
 from pathlib import Path
@@ -79,3 +80,7 @@
     signal.signal(signal.SIGINT, stop)
     logger.info("listening for callers on {}", settings["caller_address"])
     daemon.wait()
+    # Peer sockets with messages for a host that cannot be reached delay a normal end of
+    # the process by many seconds, although all requests are answered.
+    sys.stderr.flush()
+    os._exit(0)
--- a/cicadalever/membership/_prober.py
+++ b/cicadalever/membership/_prober.py
@@ -209,6 +209,14 @@
         )
         return self._answer(message, now, is_stranger)
 
+    def ping(self, address: str, now: float) -> Outgoing:
+        """Return a ping to the member at ``address``, which accuses nobody."""
+        self._observe(now)
+        for member in self.table.members():
+            if member.host.address == address:
+                return [self._ping(member.host.id)]
+        return []
+
     def suspect(self, address: str, suspicion_s: float, now: float) -> Outgoing:
         """Suspect the member at ``address`` without waiting for the next probe.
 
--- a/cicadalever/queries/_coordinator.py
+++ b/cicadalever/queries/_coordinator.py
@@ -98,6 +98,7 @@
         self.rng = rng
         self.max_answer_bytes = max_answer_bytes
         self.silence = SilenceDetector()
+        self.on_host_quiet: Callable[[str], None] = _ignore
         self.on_host_silent: Callable[[str], None] = _ignore
         self._gathers: dict[str, Gather] = {}
         self._admissions: dict[int, Event] = {}
@@ -170,17 +171,16 @@
 
     def is_reachable(self, address: str) -> bool:
         """Tell whether reads should be sent to an owner."""
-        is_silent = address != self.view.self_address and self.silence.is_silent(
-            address
-        )
-        return not is_silent and self.view.is_reachable(address)
+        return not self.silence.is_silent(address) and self.view.is_reachable(address)
 
     def tick(self) -> None:
         """Admit or refuse waiting queries and look for silent owners."""
         self._wake_waiting()
-        for address in self.silence.take_silent(time.monotonic()):
-            if address != self.view.self_address:
-                self.on_host_silent(address)
+        report = self.silence.check(time.monotonic())
+        for address in report.to_ping:
+            self.on_host_quiet(address)
+        for address in report.silent:
+            self.on_host_silent(address)
 
     def _admit(self, work: Work) -> Failure | None:
         if not self.policy.admission:
--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -241,7 +241,8 @@
             )
             self._schedule_hedge(read)
         for address, reads in by_owner.items():
-            coordinator.silence.sent(address, len(reads), now)
+            if address != coordinator.view.self_address:
+                coordinator.silence.sent(address, len(reads), now)
             failure = coordinator.send(address, self._batch(reads))
             if failure is not None:
                 self.mailbox.put([_synthetic_answer(read, failure) for read in reads])
--- a/cicadalever/queries/_silence.py
+++ b/cicadalever/queries/_silence.py
@@ -1,32 +1,47 @@
 """Detection of owners that have stopped answering."""
 
+from typing import NamedTuple
+
 # A busy owner answers many reads a second. A paused or cut-off one answers none, and
 # keeps its connections, so only its silence shows.
-SILENCE_S = 0.2
+QUIET_S = 0.2
 MIN_OUTSTANDING = 4
+# The reads of a quiet owner may only be slow. It is silent if it does not answer a ping
+# in this time either.
+PING_TIMEOUT_S = 0.2
+
+
+class SilenceReport(NamedTuple):
+    """Peer addresses of owners to ping now, and of those found silent now."""
+
+    to_ping: list[str]
+    silent: list[str]
 
 
 class _Owner:
     """Reads on the way to one owner and when it was heard last, in seconds."""
 
-    __slots__ = ("is_silent", "outstanding", "quiet_since")
+    __slots__ = ("is_silent", "outstanding", "pinged_at", "quiet_since")
 
     def __init__(self, now: float):
         self.outstanding = 0
         self.quiet_since = now
+        self.pinged_at: float | None = None
         self.is_silent = False
 
 
 class SilenceDetector:
-    """Tells which owners have many reads outstanding and answer none.
+    """Tells which owners have many reads outstanding and answer neither them nor pings.
 
     >>> detector = SilenceDetector()
     >>> detector.sent("127.0.0.1:7001", 4, 0.0)
-    >>> detector.take_silent(0.3)
+    >>> detector.check(0.3).to_ping
+    ['127.0.0.1:7001']
+    >>> detector.check(0.6).silent
     ['127.0.0.1:7001']
     >>> detector.is_silent("127.0.0.1:7001")
     True
-    >>> detector.heard("127.0.0.1:7001", 0.4)
+    >>> detector.heard("127.0.0.1:7001", 0.7)
     >>> detector.is_silent("127.0.0.1:7001")
     False
     """
@@ -54,6 +69,7 @@
         owner = self._owners.get(address)
         if owner is not None:
             owner.quiet_since = now
+            owner.pinged_at = None
             owner.is_silent = False
 
     def is_silent(self, address: str) -> bool:
@@ -61,16 +77,20 @@
         owner = self._owners.get(address)
         return owner is not None and owner.is_silent
 
-    def take_silent(self, now: float) -> list[str]:
-        """Return the owners that are found silent now."""
-        found = []
+    def check(self, now: float) -> SilenceReport:
+        """Return the owners that have become quiet, and those that are silent."""
+        report = SilenceReport([], [])
         for address, owner in self._owners.items():
-            if owner.is_silent or owner.outstanding < MIN_OUTSTANDING:
+            if owner.is_silent or now - owner.quiet_since <= QUIET_S:
                 continue
-            if now - owner.quiet_since > SILENCE_S:
-                owner.is_silent = True
-                found.append(address)
-        return found
+            if owner.pinged_at is not None:
+                if now - owner.pinged_at > PING_TIMEOUT_S:
+                    owner.is_silent = True
+                    report.silent.append(address)
+            elif owner.outstanding >= MIN_OUTSTANDING:
+                owner.pinged_at = now
+                report.to_ping.append(address)
+        return report
 
     def forget(self, address: str) -> None:
         """Drop what is known of an owner that is gone."""
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -6,7 +6,8 @@
 from cicadalever.queries import Query, fingerprint_of
 from cicadalever.queries._silence import (
     MIN_OUTSTANDING,
-    SILENCE_S,
+    PING_TIMEOUT_S,
+    QUIET_S,
     SilenceDetector,
 )
 from cicadalever.transport import ReadAnswer, Trial
@@ -87,18 +88,29 @@
         self.detector = SilenceDetector()
 
     def test_answers_and_few_reads_are_no_silence(self):
-        """Guards against giving up an owner that is slow or hardly used."""
+        """Guards against giving up an owner that is busy or hardly used."""
         self.detector.sent("a", MIN_OUTSTANDING + 1, 0.0)
-        self.detector.heard("a", SILENCE_S)
-        self.assertEqual(self.detector.take_silent(1.5 * SILENCE_S), [])
+        self.detector.heard("a", QUIET_S)
+        self.assertEqual(self.detector.check(1.5 * QUIET_S), ([], []))
         self.detector.sent("b", MIN_OUTSTANDING - 1, 0.0)
         self.detector.ended("a", 2)
-        self.assertEqual(self.detector.take_silent(9.0), [])
+        self.assertEqual(self.detector.check(9.0), ([], []))
+
+    def test_slow_reads_of_an_owner_that_answers_pings(self):
+        """Guards against giving up an owner whose reads take long."""
+        self.detector.sent("a", MIN_OUTSTANDING, 0.0)
+        self.assertEqual(self.detector.check(2 * QUIET_S), (["a"], []))
+        self.detector.heard("a", 2 * QUIET_S + 0.01)
+        self.assertEqual(self.detector.check(2 * QUIET_S + 0.02), ([], []))
+        self.assertFalse(self.detector.is_silent("a"))
 
     def test_silent_owner_is_reported_once_until_heard(self):
         """Guards against a paused owner that keeps all reads sent to it."""
         self.detector.sent("a", MIN_OUTSTANDING, 0.0)
-        self.assertEqual(self.detector.take_silent(2 * SILENCE_S), ["a"])
-        self.assertEqual(self.detector.take_silent(3 * SILENCE_S), [])
-        self.detector.heard("a", 1.0)
+        self.assertEqual(self.detector.check(2 * QUIET_S), (["a"], []))
+        late = 2 * QUIET_S + 2 * PING_TIMEOUT_S
+        self.assertEqual(self.detector.check(late), ([], ["a"]))
+        self.assertEqual(self.detector.check(2 * late), ([], []))
+        self.assertTrue(self.detector.is_silent("a"))
+        self.detector.heard("a", 2 * late)
         self.assertFalse(self.detector.is_silent("a"))
