--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -769,7 +769,6 @@
 
     def test_queries(self):
         """Each wrong body gets its status and a reason that names the fault."""
-        fleet = self.fleet
         good = {"id": "a", "route": "lookup", "parameters": {}}
         cases = (
             (good | {"colour": "red"}, 400, "colour"),
