Start a benchmark with other ports when one is taken

Between the search for free ports and the start of a process, another program can take a port. One scenario of a series ended with 'Address already in use'.

--- a/bench/_run.py
+++ b/bench/_run.py
@@ -15,6 +15,8 @@
 from ._scenarios import Scenario, Stream
 from ._sizing import list_work
 
+# Ports that were free when they were drawn may be taken when a process binds them.
+START_TRIES = 3
 LOAD_GRACE_S = 20.0
 # Reads that a caller no longer waits for are still running at the end of the load.
 SETTLE_S = 0.5
@@ -36,10 +38,9 @@
 def run_policy(scenario: Scenario, policy: str, directory: Path) -> RunResult:
     """Run ``scenario`` under ``policy``; all files go to ``directory``."""
     directory.mkdir(parents=True, exist_ok=True)
-    fleet = Fleet(scenario, policy, directory, random.Random())
+    fleet = _start_fleet(scenario, policy, directory)
     sampler = CpuSampler(fleet)
     try:
-        fleet.start()
         sampler.start()
         evidence = _measure_load(fleet)
         sampler.stop()
@@ -69,6 +70,21 @@
     return RunResult(figures, list(evidence.records), evidence.started)
 
 
+def _start_fleet(scenario: Scenario, policy: str, directory: Path) -> Fleet:
+    """Start all processes, with other ports when another program took one."""
+    tries = 0
+    while True:
+        fleet = Fleet(scenario, policy, directory, random.Random())
+        tries += 1
+        try:
+            fleet.start()
+            return fleet
+        except BaseException as error:
+            fleet.stop()
+            if not isinstance(error, FleetError) or tries == START_TRIES:
+                raise
+
+
 def load_settings(fleet: Fleet, caller: str, streams: list[Stream]) -> dict:
     """Return the settings of one load process."""
     return {
