--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -2,9 +2,10 @@
 
 import random
 import unittest
+from unittest import mock
 
 from bench._actions import ACTIONS, rotate_snapshot
-from bench._fleet import build_fleet_settings, max_of_pairs, rates
+from bench._fleet import FleetError, build_fleet_settings, max_of_pairs, rates
 from bench._measure import (
     Evidence,
     aggregate,
@@ -20,6 +21,7 @@
     select_phase,
     summarize_run,
 )
+from bench._run import START_TRIES, _start_fleet
 from bench._scenarios import EXCLUSIVE, NAMES, Phase, build_scenario, draw_faults
 from bench._sizing import list_work
 from bench._targets import judge
@@ -327,6 +329,37 @@
         self.assertEqual(rates({"a": 1.0}, {"a": 2.0, "b": 9.0}, 2.0), {"a": 0.5})
 
 
+class TestStart(unittest.TestCase):
+    """Start of the processes of a run."""
+
+    def start(self, *fleets):
+        with mock.patch("bench._run.Fleet", side_effect=fleets):
+            return _start_fleet(None, "current", None)
+
+    def make_fleet(self, error=None):
+        fleet = mock.Mock()
+        fleet.start.side_effect = error
+        return fleet
+
+    def test_other_ports_when_one_is_taken(self):
+        """Guards against a run that ends when another program took a free port."""
+        broken, good = self.make_fleet(FleetError("in use")), self.make_fleet()
+        self.assertIs(self.start(broken, good), good)
+        broken.stop.assert_called_once_with()
+        good.stop.assert_not_called()
+
+    def test_failed_start_leaves_no_process(self):
+        """Guards against processes left over, and against starts without an end."""
+        fleets = [self.make_fleet(FleetError("broken")) for _ in range(START_TRIES)]
+        with self.assertRaises(FleetError):
+            self.start(*fleets)
+        interrupted = self.make_fleet(KeyboardInterrupt)
+        with self.assertRaises(KeyboardInterrupt):
+            self.start(interrupted)
+        for fleet in [*fleets, interrupted]:
+            fleet.stop.assert_called_once_with()
+
+
 class TestTargets(unittest.TestCase):
     """Verdicts against the targets of the design page."""
 
