--- a/bench/_command.py
+++ b/bench/_command.py
@@ -1,6 +1,7 @@
 """Command line: run one scenario with both policies."""
 
 import json
+import sys
 import tempfile
 from enum import StrEnum
 from pathlib import Path
@@ -10,6 +11,7 @@
 
 from standins.deployment import PLANS
 
+from ._fleet import FleetError
 from ._report import format_result, format_verdicts, write_plot
 from ._run import RunResult, run_policy
 from ._scenarios import NAMES, build_scenario
@@ -17,6 +19,7 @@
 from ._targets import judge
 
 POLICIES = ("baseline", "current")
+EXIT_FAILED = 1
 
 ScenarioName = StrEnum("ScenarioName", {name: name for name in NAMES})
 DeploymentName = StrEnum("DeploymentName", {name: name for name in PLANS})
@@ -45,7 +48,11 @@
     with tempfile.TemporaryDirectory() as temporary:
         for policy in POLICIES:
             directory = (keep or Path(temporary)) / policy
-            results[policy] = run_policy(built, policy, directory)
+            try:
+                results[policy] = run_policy(built, policy, directory)
+            except FleetError as error:
+                print(f"bench: {policy}: {error}", file=sys.stderr)
+                raise typer.Exit(EXIT_FAILED) from error
             figures = results[policy].figures
             if as_json:
                 print(json.dumps(figures), flush=True)
