Add slopes and the capacity page

Cause: the two-year size of the design page had no derivation. Nothing measured how cost grows with reads, shards, members, replicas or the size of the configuration.

Change: bench/slopes measures 45 slopes with at least four points each, fits a line to each and prints one JSON object a line.

--- /dev/null
+++ b/bench/slopes/_capacity.py
@@ -0,0 +1,289 @@
+"""The capacity page: figures at the two-year size, worked out from slopes."""
+
+import json
+import math
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import NamedTuple
+
+from cicadalever.membership._members import MAX_MEMBERS
+from cicadalever.membership._ownership import candidate_count, connection_quota
+from cicadalever.topology import Replica
+
+from ._fit import Fit, Points
+
+TEMPLATE = Path(__file__).with_name("capacity.md")
+DAY_S = 86_400
+CORES_AT = 0.7
+CENTRES_PER_REGION = (4, 4, 3)
+
+
+class Size(NamedTuple):
+    """The two-year size of the design page, section 1.4."""
+
+    nodes: int = 570
+    replicas: int = 3200
+    data_centres: int = 11
+    regions: int = 3
+    queries_per_s: float = 130_000
+    shards_per_query: int = 190
+    changes_per_day: float = 330
+    losses_per_day: float = 6
+    restarts_per_day: float = 1200
+    latency_ms: float = 73
+
+
+class Measured(NamedTuple):
+    """One slope as read from its line of JSON."""
+
+    fit: Fit
+    points: Points
+
+    def point(self, x: float) -> float:
+        """Return the measured value at ``x``; raises KeyError if there is none."""
+        return dict(self.points)[x]
+
+
+def read_slopes(lines: Iterable[str]) -> dict[str, Measured]:
+    """Return the slopes in the output of ``python -m bench.slopes --json``."""
+    result = {}
+    for line in lines:
+        value = json.loads(line)
+        fields = ("slope", "intercept", "residual", "residual_relative")
+        fit = Fit(*(value[field] for field in fields))
+        points = [(x, y) for x, y in value["points"]]
+        result[value["name"]] = Measured(fit, points)
+    return result
+
+
+def render(slopes: Mapping[str, Measured], template: str) -> str:
+    """Fill a template whose fields are the names in ``work_out``."""
+    return template.format_map(work_out(slopes, Size()))
+
+
+def work_out(slopes: Mapping[str, Measured], size: Size) -> dict[str, float]:
+    """Return all figures of the page by name."""
+    figures = _describe_size(size)
+    for part in (_work_out_reads, _work_out_control, _work_out_memory):
+        figures |= part(slopes, size, figures)
+    for part in (_work_out_platform, _work_out_failures, _work_out_latency):
+        figures |= part(slopes, size, figures)
+    for name, measured in slopes.items():
+        key = name.replace("-", "_")
+        figures[f"{key}__slope"] = measured.fit.slope
+        figures[f"{key}__intercept"] = measured.fit.intercept
+        figures[f"{key}__residual"] = 100 * measured.fit.relative_residual
+    return figures
+
+
+def _describe_size(size: Size) -> dict[str, float]:
+    reads_per_s = size.queries_per_s * size.shards_per_query
+    own_share = 1 / size.nodes
+    return {
+        **size._asdict(),
+        "node_queries": size.queries_per_s / size.nodes,
+        "fleet_reads_m": reads_per_s / 1e6,
+        "node_reads": reads_per_s / size.nodes,
+        "replica_reads": reads_per_s / size.replicas,
+        "node_owner_reads": reads_per_s / size.nodes**2,
+        "owners_per_query": size.nodes * (1 - (1 - own_share) ** size.shards_per_query),
+        "hosts_per_centre": size.nodes / size.data_centres,
+        "replicas_per_node": size.replicas / size.nodes,
+        "max_members": MAX_MEMBERS,
+    }
+
+
+def _work_out_reads(slopes, size: Size, known) -> dict[str, float]:
+    entry = slopes["entry-query"].fit
+    owner = slopes["owner-read"].fit
+    queue = slopes["owner-queue"].fit
+    sent = slopes["entry-bytes-sent"].fit.at(size.shards_per_query)
+    received = slopes["entry-bytes-received"].fit.at(size.shards_per_query)
+    entry_s = entry.at(size.shards_per_query)
+    entry_cores = entry_s * known["node_queries"]
+    owner_cores = owner.slope * known["node_reads"]
+    cores = entry_cores + owner_cores
+    node_bytes = (sent + received) * known["node_queries"]
+    read_s = owner.slope + entry_s / size.shards_per_query
+    near, region = _split_reads()
+    return {
+        "entry_query_ms": 1000 * entry_s,
+        "entry_shard_us": 1e6 * entry.slope,
+        "entry_base_ms": 1000 * entry.intercept,
+        "entry_cores": entry_cores,
+        "owner_read_us": 1e6 * owner.slope,
+        "owner_tens_us": 1e6 * slopes["owner-read-in-tens"].fit.slope,
+        "owner_cores": owner_cores,
+        "queue_us": 1e6 * queue.slope,
+        "queue_cores": queue.slope * known["node_reads"],
+        "cores": cores,
+        "daemons": cores / CORES_AT,
+        "fleet_daemons": cores / CORES_AT * size.nodes,
+        "core_reads": 1 / read_s,
+        "ratio": known["node_reads"] * read_s,
+        "owner_core_reads": 1 / owner.slope,
+        "owners_per_replica": known["replica_reads"] * owner.slope,
+        "slot_us": 2e6 / known["replica_reads"],
+        "query_sent_kb": sent / 1000,
+        "query_received_kb": received / 1000,
+        "node_mb": node_bytes / 1e6,
+        "near_share": 100 * near,
+        "region_share": 100 * region,
+        "far_share": 100 * (1 - near - region),
+        "near_mb": near * node_bytes / 1e6,
+        "region_mb": region * node_bytes / 1e6,
+        "far_mb": (1 - near - region) * node_bytes / 1e6,
+    }
+
+
+def _split_reads() -> tuple[float, float]:
+    """Return the shares of reads in the own data centre and elsewhere in the region.
+
+    A service has replicas in two data centres at random. An entry uses those of its
+    region, the own data centre and the others alike, and else any.
+    """
+    total = sum(CENTRES_PER_REGION)
+    near = region = 0.0
+    for centres in CENTRES_PER_REGION:
+        outside = math.comb(total - centres, 2) / math.comb(total, 2)
+        in_own = 2 / total
+        both_near = (centres - 1) / (total - 1)
+        own = in_own * (1 - both_near / 2)
+        share = centres / total
+        near += share * own
+        region += share * (1 - outside - own)
+    return near, region
+
+
+def _work_out_control(slopes, size: Size, known) -> dict[str, float]:
+    idle = slopes["daemon-idle-cpu"].fit.at(known["hosts_per_centre"])
+    small = slopes["membership-cpu"].point(48)
+    ordinary = slopes["membership-cpu"].point(size.nodes)
+    delegate = slopes["membership-cpu-delegate"].point(size.nodes)
+    pings = slopes["membership-pings-delegate"].point(size.nodes)
+    ping_s = slopes["daemon-ping"].fit.slope
+    digests_s = slopes["membership-digests"].point(size.nodes)
+    choice_s = slopes["ownership-choice"].point(size.nodes)
+    choice_all_s = choice_s * size.replicas
+    # Each replacement changes the list twice: a host goes and another comes.
+    list_changes = 2 * size.restarts_per_day / DAY_S
+    change_s = slopes["configuration-change"].fit.at(_document_kb(slopes, size))
+    ordinary_cpu = idle + ordinary - small
+    delegate_cpu = idle + delegate - small + (pings - 2) * ping_s
+    return {
+        "idle_percent": 100 * idle,
+        "member_small_percent": 100 * small,
+        "member_percent": 100 * ordinary,
+        "delegate_percent": 100 * delegate,
+        "delegate_pings": pings,
+        "ping_us": 1e6 * ping_s,
+        "digests_us": 1e6 * digests_s,
+        "digests_percent": 100 * 10 * digests_s,
+        "ordinary_cpu_percent": 100 * ordinary_cpu,
+        "delegate_cpu_percent": 100 * delegate_cpu,
+        "choice_us": 1e6 * choice_s,
+        "choice_all_s": choice_all_s,
+        "choice_query_ms": 1000 * choice_s * 2 * size.shards_per_query,
+        "list_change_interval_s": 1 / list_changes,
+        "choice_percent": 100 * choice_all_s * list_changes,
+        "document_kb": _document_kb(slopes, size),
+        "change_ms": 1000 * change_s,
+        "changes_percent": 100 * change_s * size.changes_per_day / DAY_S,
+        "node_control_percent": 100 * delegate_cpu * known["daemons"],
+        "member_bytes": slopes["membership-bytes"].point(size.nodes),
+        "delegate_bytes": slopes["membership-bytes-delegate"].point(size.nodes),
+        "remote_bytes": slopes["membership-bytes-remote"].point(size.nodes),
+        "region_bytes": slopes["membership-bytes-region"].point(size.nodes),
+        "daemon_bytes": slopes["daemon-idle-bytes"].point(24),
+        "entry_bytes": slopes["configuration-entry-bytes"].fit.at(0),
+        "fullest": slopes["ownership-fullest"].point(size.replicas),
+        "fullest_ratio": slopes["ownership-fullest"].point(size.replicas)
+        / known["replicas_per_node"],
+    }
+
+
+def _document_kb(slopes, size: Size) -> float:
+    return slopes["document-bytes"].fit.at(size.replicas) / 1000
+
+
+def _work_out_memory(slopes, size: Size, known) -> dict[str, float]:
+    base = slopes["daemon-resident"].fit.intercept
+    counts = {
+        "member": size.nodes,
+        "replica": size.replicas,
+        "peer-connection": size.nodes,
+        "audit-event": 10_000,
+        "issued-id": 100_000,
+        "queued-read": 4096,
+        "upstream-connection": 3 * known["fullest"],
+    }
+    figures = {"resident_mb": base / 1e6}
+    for name, count in counts.items():
+        each = slopes[f"memory-{name}"].fit.slope
+        key = name.replace("-", "_")
+        figures[f"{key}_each"] = each
+        figures[f"{key}_count"] = count
+        figures[f"{key}_mb"] = each * count / 1e6
+    total = figures["resident_mb"]
+    total += sum(figures[f"{name.replace('-', '_')}_mb"] for name in counts)
+    return figures | {"memory_mb": total, "node_memory_mb": total * known["daemons"]}
+
+
+def _work_out_platform(slopes, size: Size, known) -> dict[str, float]:
+    steady = slopes["platform-reads-steady"].fit.at(known["hosts_per_centre"])
+    total = slopes["platform-reads-restart-total"].fit.at(known["hosts_per_centre"])
+    others = (size.data_centres - 1) * steady
+    replica = Replica("r", "s", "127.0.0.1:1", "dc", 2, 12)
+    return {
+        "steady_reads": steady,
+        "fleet_steady_reads": size.data_centres * steady,
+        "restart_reads": total,
+        "centre_restart_reads": total + others,
+        "fleet_restart_reads": size.data_centres * total,
+        "quota": connection_quota(replica),
+        "candidates": candidate_count(replica),
+        "local_connections": connection_quota(replica) * candidate_count(replica),
+    }
+
+
+def _work_out_failures(slopes, size: Size, known) -> dict[str, float]:
+    doublings = math.log2(size.nodes)
+    loss_bytes = slopes["spread-loss-bytes"].point(size.nodes)
+    centre_bytes = slopes["spread-centre-loss-bytes"].point(52)
+    centre_s = slopes["spread-centre-loss"].point(52)
+    changes_per_s = (size.losses_per_day + 2 * size.restarts_per_day) / DAY_S
+    return {
+        "change_s": slopes["spread-change"].fit.at(doublings),
+        "loss_s": slopes["spread-loss"].fit.at(doublings),
+        "loss_kb": loss_bytes / 1000,
+        "loss_fleet_mb": loss_bytes * size.nodes / 1e6,
+        "churn_bytes": loss_bytes * changes_per_s,
+        "rack_s": slopes["spread-mass-loss"].fit.at(26),
+        "rack_kb": slopes["spread-mass-loss-bytes"].fit.at(26) / 1000,
+        "centre_s": centre_s,
+        "centre_kb": centre_bytes / 1000,
+        "centre_rate_kb": centre_bytes / centre_s / 1000,
+        "reunion_s": slopes["spread-reunion"].fit.at(size.nodes),
+        "reunion_96_s": slopes["spread-reunion"].point(96),
+        "restart_kb_per_s": size.restarts_per_day * known["document_kb"] / DAY_S,
+        "unreached_share": 100 / size.data_centres,
+    }
+
+
+def _work_out_latency(slopes, size: Size, known) -> dict[str, float]:
+    entry_ms = known["entry_query_ms"]
+    # Mean wait of a queue with one server, Poisson arrivals and equal service times.
+    wait_ms = entry_ms * CORES_AT / (2 * (1 - CORES_AT))
+    owner_ms = known["owner_read_us"] / 1000
+    owner_wait_ms = owner_ms * CORES_AT / (2 * (1 - CORES_AT))
+    near_ms = 2 * 3 + entry_ms + wait_ms + 2 * 1 + owner_ms + owner_wait_ms + 5
+    return {
+        "entry_wait_ms": wait_ms,
+        "owner_ms": owner_ms,
+        "owner_wait_ms": owner_wait_ms,
+        "path_ms": near_ms,
+        "path_far_ms": near_ms + 60 - 2,
+        "path_left_ms": size.latency_ms - near_ms,
+        "path_p50_ms": slopes["path-latency-p50"].point(size.shards_per_query),
+        "path_p99_ms": slopes["path-latency-p99"].point(size.shards_per_query),
+    }
--- /dev/null
+++ b/bench/slopes/_fleet.py
@@ -0,0 +1,235 @@
+"""A fleet of the real failure detectors in memory, with simulated time."""
+
+import heapq
+import itertools
+import random
+import time
+from collections import Counter
+
+import cicadalever.daemon._composition  # noqa: F401 - registers the message types
+from cicadalever.membership import (
+    MemberState,
+    MemberTable,
+    Ping,
+    Prober,
+    Update,
+    VersionDigest,
+)
+from cicadalever.topology import Host, HostList, ListedHost
+from cicadalever.transport import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    decode,
+    encode,
+)
+
+TICK_S = 0.1
+HOSTS_PER_DATA_CENTRE = 52
+REGIONS = 3
+# One-way delays of the simulation in seconds, by how far apart two hosts are. Those
+# inside a region are those of the nz-north deployment; 30 ms joins regions.
+DELAYS_S = {"near": 0.0003, "remote": 0.001, "region": 0.030}
+INCARNATION = 1_700_000_000_000
+REQUEST_INTERVAL_S = 0.2
+LOG_ENTRY = (
+    b'[2,{"id":"patch-2","against":1,"author":"operator","operations":[{"op":'
+    b'"replace","path":"/services/u000/replicas/u000-a/draining","value":true}]}]'
+)
+
+
+class SimulatedMember:
+    """One host: its table, its failure detector and its configuration sequence.
+
+    The configuration part follows ``ConfigurationKeeper``: a host that is behind asks
+    the peer that is ahead, at most every ``REQUEST_INTERVAL_S``, and announces what
+    it took over.
+    """
+
+    def __init__(self, host: Host, rng: random.Random):
+        self.host = host
+        self.table = MemberTable(host, INCARNATION)
+        self.prober = Prober(self.table, rng)
+        self.sequence = 1
+        self.is_up = True
+        self.cpu_ns = 0
+        self.counts: Counter[str] = Counter()
+        self._requested_at = -1.0
+
+    def tick(self, now: float) -> list[tuple[str, object]]:
+        """Do what the daemon's membership tick does."""
+        age_s = min(0.0, self.prober.platform_contact_age(now))
+        self._set_digest(age_s)
+        outgoing = self.prober.tick(now)
+        self.prober.take_events()
+        newest = self.prober.newest_peer_digest
+        is_due = now - self._requested_at >= REQUEST_INTERVAL_S
+        if newest is not None and newest.digest.sequence > self.sequence and is_due:
+            self._requested_at = now
+            request = ConfigurationRequest(self.host.address, self.sequence)
+            outgoing.append((newest.address, request))
+        return outgoing
+
+    def receive(self, message: object, now: float) -> list[tuple[str, object]]:
+        """Handle one message."""
+        if isinstance(message, ConfigurationRequest):
+            if message.sequence >= self.sequence:
+                return []
+            return [(message.sender, ConfigurationReply([LOG_ENTRY], b""))]
+        if isinstance(message, ConfigurationReply):
+            return self.take_version(2, now)
+        outgoing = self.prober.receive(message, now)
+        self.prober.take_events()
+        return outgoing
+
+    def take_version(self, sequence: int, now: float) -> list[tuple[str, object]]:
+        """Put a version in force and announce it."""
+        if sequence <= self.sequence:
+            return []
+        self.sequence = sequence
+        self._set_digest(0.0)
+        return self.prober.announce(now)
+
+    def _set_digest(self, age_s: float) -> None:
+        self.prober.set_digest(VersionDigest(self.sequence, self.sequence, age_s))
+
+
+class SimulatedFleet:
+    """All members, the messages on their way and the simulated clock.
+
+    Every message passes the real codec, and the CPU time of each member is counted.
+    """
+
+    def __init__(self, size: int, seed: int, *, data_centres: int | None = None):
+        self.size = size
+        self.now = 0.0
+        count = data_centres or max(1, round(size / HOSTS_PER_DATA_CENTRE))
+        rng = random.Random(seed)
+        hosts = [_build_host(number, count) for number in range(size)]
+        self.members = [
+            SimulatedMember(host, random.Random(rng.getrandbits(64))) for host in hosts
+        ]
+        self.by_address = {member.host.address: member for member in self.members}
+        self.rng = rng
+        self._parted: str | None = None
+        self._order = itertools.count()
+        self._queue: list[tuple[float, int, str, bytes]] = []
+        self._learn_all(hosts)
+        self._schedule_ticks()
+
+    def run(self, seconds: float) -> None:
+        """Advance the simulated time."""
+        self.run_until(self.now + seconds, lambda: False)
+
+    def run_until(self, end: float, is_done) -> float | None:
+        """Advance until ``is_done`` after a step of a tick; None at ``end``."""
+        step_end = self.now
+        while step_end < end:
+            step_end = min(step_end + TICK_S, end)
+            while self._queue and self._queue[0][0] <= step_end:
+                self.now, _, address, frame = heapq.heappop(self._queue)
+                self._deliver(self.by_address[address], frame)
+            self.now = step_end
+            if is_done():
+                return self.now
+        return None
+
+    def introduce(self, member: SimulatedMember) -> None:
+        """Give a member the digests that its peers send it over a long time.
+
+        A delegate hears from every member, the others from their data centre and the
+        delegates of the other data centres.
+        """
+        table = member.table
+        delegates = self.delegates()
+        for other in self.members:
+            is_near = other.host.data_centre == member.host.data_centre
+            is_heard = is_near or {member.host.id, other.host.id} & delegates
+            if other is member or not is_heard:
+                continue
+            ping = Ping(
+                other.host, INCARNATION, 0, False, 0, VersionDigest(1, 1, 0.0), ()
+            )
+            member.prober.receive(ping, self.now)
+        table.take_changed()
+
+    def delegates(self) -> set[str]:
+        """Return the ids of the delegates of all data centres."""
+        table = self.members[0].table
+        centres = {member.host.data_centre for member in self.members}
+        return {host.id for centre in centres for host in table.delegates(centre)}
+
+    def part_region(self, region: str | None) -> None:
+        """Drop all messages that enter or leave a region; None heals."""
+        self._parted = region
+
+    def send_all(self, member: SimulatedMember, outgoing) -> None:
+        """Encode messages and put them on their way."""
+        for address, message in outgoing:
+            frame = encode(message)
+            receiver = self.by_address[address]
+            if self._is_parted(member.host, receiver.host):
+                continue
+            distance = _distance(member.host, receiver.host)
+            member.counts["sent"] += len(frame)
+            if distance != "near":
+                member.counts["remote"] += len(frame)
+            if distance == "region":
+                member.counts["region"] += len(frame)
+            item = (self.now + DELAYS_S[distance], next(self._order), address, frame)
+            heapq.heappush(self._queue, item)
+
+    def _is_parted(self, one: Host, other: Host) -> bool:
+        sides = {one.region == self._parted, other.region == self._parted}
+        return self._parted is not None and len(sides) == 2
+
+    def _deliver(self, member: SimulatedMember, frame: bytes) -> None:
+        """Hand over a frame; an empty one is the member's tick."""
+        if not member.is_up:
+            return
+        started = time.thread_time_ns()
+        if frame:
+            member.counts["received"] += len(frame)
+            message = decode(frame)
+            member.counts[type(message).__name__] += 1
+            outgoing = member.receive(message, self.now)
+        else:
+            outgoing = member.tick(self.now)
+        self.send_all(member, outgoing)
+        member.cpu_ns += time.thread_time_ns() - started
+        if not frame:
+            self._schedule_tick(member, self.now + TICK_S)
+
+    def _schedule_ticks(self) -> None:
+        for member in self.members:
+            self._schedule_tick(member, self.rng.random() * TICK_S)
+
+    def _schedule_tick(self, member: SimulatedMember, at: float) -> None:
+        item = (at, next(self._order), member.host.address, b"")
+        heapq.heappush(self._queue, item)
+
+    def _learn_all(self, hosts: list[Host]) -> None:
+        """Start in the steady state: all know all, with nothing left to spread."""
+        listed = HostList(1, tuple(ListedHost(host) for host in hosts))
+        updates = [Update(host, MemberState.ALIVE, INCARNATION) for host in hosts]
+        for member in self.members:
+            for update in updates:
+                if update.host is not member.host:
+                    member.table.apply(update, 0.0)
+            member.table.list_hosts(listed, 0.0)
+            member.table.take_changed()
+
+
+def _build_host(number: int, data_centres: int) -> Host:
+    centre = number % data_centres
+    return Host(
+        f"host-{number:04}",
+        f"10.{centre}.{number // 200}.{number % 200}:7002",
+        f"dc{centre:02}",
+        f"region-{centre % REGIONS}",
+    )
+
+
+def _distance(one: Host, other: Host) -> str:
+    if one.data_centre == other.data_centre:
+        return "near"
+    return "remote" if one.region == other.region else "region"
--- /dev/null
+++ b/bench/slopes/_main.py
@@ -0,0 +1,170 @@
+"""Command line of the slopes."""
+
+import argparse
+import sys
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from fnmatch import fnmatch
+from pathlib import Path
+from typing import NamedTuple
+
+from ._capacity import TEMPLATE, read_slopes, render
+from ._configuration import measure_configuration, measure_document
+from ._daemons import measure_daemons
+from ._entry import measure_entry, measure_latency
+from ._fit import Slope, fit_line, to_json
+from ._membership import measure_digests, measure_membership
+from ._memory import measure_memory, measure_peer_memory
+from ._owner import measure_owner, measure_queue
+from ._ownership import measure_ownership
+from ._spread import (
+    measure_centre_loss,
+    measure_mass_loss,
+    measure_reunion,
+    measure_spread,
+)
+
+SIMULATIONS_AT_ONCE = 3
+
+Measurement = Callable[[], list[Slope]]
+
+
+class _Group(NamedTuple):
+    """A measurement and the names of the slopes that it gives.
+
+    Simulations use no other process and count CPU time, so they run side by side.
+    """
+
+    measure: Measurement
+    names: tuple[str, ...]
+    is_simulation: bool = False
+
+
+MEASUREMENTS = (
+    _Group(measure_owner, ("owner-read", "owner-read-in-tens", "daemon-ping")),
+    _Group(measure_queue, ("owner-queue",)),
+    _Group(
+        measure_entry,
+        (
+            "entry-query",
+            "entry-query-ten-owners",
+            "entry-bytes-sent",
+            "entry-bytes-received",
+        ),
+    ),
+    _Group(measure_latency, ("path-latency-p50", "path-latency-p99")),
+    _Group(
+        measure_daemons,
+        (
+            "daemon-idle-cpu",
+            "daemon-idle-bytes",
+            "daemon-resident",
+            "platform-reads-steady",
+            "platform-reads-restart",
+            "platform-reads-restart-total",
+        ),
+    ),
+    _Group(
+        measure_memory,
+        (
+            "memory-member",
+            "memory-replica",
+            "memory-queued-read",
+            "memory-issued-id",
+            "memory-audit-event",
+            "memory-upstream-connection",
+        ),
+    ),
+    _Group(measure_peer_memory, ("memory-peer-connection",)),
+    _Group(
+        measure_configuration,
+        (
+            "configuration-change",
+            "configuration-entry-bytes",
+            "configuration-full-bytes",
+        ),
+    ),
+    _Group(measure_document, ("document-bytes",)),
+    _Group(measure_digests, ("membership-digests",)),
+    _Group(measure_ownership, ("ownership-choice", "ownership-fullest")),
+    _Group(
+        measure_membership,
+        (
+            "membership-cpu",
+            "membership-cpu-delegate",
+            "membership-bytes",
+            "membership-bytes-delegate",
+            "membership-bytes-remote",
+            "membership-bytes-region",
+            "membership-pings-delegate",
+        ),
+        is_simulation=True,
+    ),
+    _Group(
+        measure_spread,
+        ("spread-change", "spread-loss", "spread-loss-bytes"),
+        is_simulation=True,
+    ),
+    _Group(
+        measure_mass_loss,
+        ("spread-mass-loss", "spread-mass-loss-bytes"),
+        is_simulation=True,
+    ),
+    _Group(
+        measure_centre_loss,
+        ("spread-centre-loss", "spread-centre-loss-bytes"),
+        is_simulation=True,
+    ),
+    _Group(measure_reunion, ("spread-reunion",), is_simulation=True),
+)
+
+
+def main(arguments: list[str]) -> int:
+    """Measure the slopes and print each one on a line."""
+    parser = argparse.ArgumentParser(prog="slopes", description=__doc__)
+    parser.add_argument("--json", action="store_true", help="one JSON object a line")
+    parser.add_argument("--only", metavar="NAME", default="*", help="name or pattern")
+    parser.add_argument("--list", action="store_true", help="print the names only")
+    parser.add_argument(
+        "--capacity", metavar="FILE", help="print the capacity page from saved JSON"
+    )
+    options = parser.parse_args(arguments)
+    if options.capacity:
+        lines = Path(options.capacity).read_text().splitlines()
+        print(render(read_slopes(lines), TEMPLATE.read_text()), end="")
+        return 0
+    names = [name for group in MEASUREMENTS for name in group.names]
+    chosen = {name for name in names if fnmatch(name, options.only)}
+    if not chosen:
+        print(f"slopes: no slope is named {options.only}", file=sys.stderr)
+        return 2
+    if options.list:
+        print("\n".join(name for name in names if name in chosen))
+        return 0
+    groups = [group for group in MEASUREMENTS if not chosen.isdisjoint(group.names)]
+    for slope in _measure_all(groups):
+        if slope.name in chosen:
+            print(to_json(slope) if options.json else _line(slope), flush=True)
+    return 0
+
+
+def _measure_all(groups: list[_Group]) -> Iterator[Slope]:
+    for group in groups:
+        if not group.is_simulation:
+            yield from group.measure()
+    simulations = [group.measure for group in groups if group.is_simulation]
+    with ProcessPoolExecutor(SIMULATIONS_AT_ONCE) as pool:
+        for slopes in pool.map(_call, simulations):
+            yield from slopes
+
+
+def _call(measure: Measurement) -> list[Slope]:
+    return measure()
+
+
+def _line(slope: Slope) -> str:
+    fit = fit_line(slope.points)
+    return (
+        f"{slope.name}: {fit.slope:.4g} {slope.unit_y} per {slope.unit_x}, intercept"
+        f" {fit.intercept:.4g}, residual {fit.relative_residual:.1%} of the mean"
+    )
