Make a refusal final for its id

Change: the result of a refusal is kept like any other, the tool takes a new id after it; no ids are issued before a configuration is known. A quarantine names the time until it expires; coverage of a request without shards is 0.

--- a/cicadalever/api/_caller.py
+++ b/cicadalever/api/_caller.py
@@ -101,6 +101,8 @@
         return health_response(self.health())
 
     def _ids(self, request: Request) -> Response:
+        if self.configuration() is None:
+            return error_response(503, "unavailable", "no configuration is known yet")
         body = request.read_object(MAX_IDS_BODY_BYTES)
         if isinstance(body, Response):
             return body
--- a/cicadalever/cli/_ask.py
+++ b/cicadalever/cli/_ask.py
@@ -103,6 +103,9 @@
         self._may_have_run = (
             code == ExitCode.UNKNOWN if was_sent else may_have_run_before
         )
+        if code == ExitCode.NOT_RUN and self.plan.request_id is None:
+            # The refusal is final for its id, whatever became of earlier answers.
+            self._request_id = None
         return answer
 
     def _take_id(self) -> Reply | NoAnswer | None:
@@ -125,11 +128,12 @@
         return None
 
     def _is_worth_resending(self, answer: Reply | NoAnswer) -> bool:
-        # The id stays the same, so a request that must run only once may be sent again
-        # after a lost answer as well as after a refusal.
+        # After a lost answer the id stays the same. After a refusal it is used up.
         if isinstance(answer, NoAnswer):
             return True
         code = exit_code(answer, once=self.plan.once)
+        if code == ExitCode.NOT_RUN and self.plan.once:
+            return self.plan.request_id is None
         return code in (ExitCode.NOT_RUN, ExitCode.UNREACHABLE)
 
 
--- a/cicadalever/quarantine/_quarantine.py
+++ b/cicadalever/quarantine/_quarantine.py
@@ -82,6 +82,11 @@
             return None
         return Failure(FailureCode.QUARANTINED, record.reason)
 
+    def remaining_s(self, fingerprint: int, now: float) -> float:
+        """Return the seconds until a quarantine expires, 0 without one."""
+        record = _find(self._quarantined, fingerprint, now)
+        return record.expires_at - now if record else 0.0
+
     def is_suspect(self, fingerprint: int, now: float) -> bool:
         """Tell whether ``fingerprint`` may run only as an exclusive trial."""
         return _find(self._suspects, fingerprint, now) is not None
--- a/cicadalever/queries/_coordinator.py
+++ b/cicadalever/queries/_coordinator.py
@@ -124,10 +124,12 @@
             return _refused(
                 Failure(FailureCode.UNAVAILABLE, "no configuration is known yet")
             )
-        blocked = self.quarantine.check(work.fingerprint, time.monotonic())
-        if blocked is not None:
-            return _refused(blocked, version=configuration.version)
         started = time.monotonic()
+        blocked = self.quarantine.check(work.fingerprint, started)
+        if blocked is not None:
+            remaining_s = self.quarantine.remaining_s(work.fingerprint, started)
+            answer = _refused(blocked, version=configuration.version)
+            return answer._replace(retry_after_s=round(remaining_s, 1))
         refusal = self._admit(work)
         if refusal is not None:
             return _refused(refusal, version=configuration.version)
--- a/cicadalever/queries/_once.py
+++ b/cicadalever/queries/_once.py
@@ -123,7 +123,9 @@
             answer = self.coordinator.execute(work, _always_connected)
         finally:
             result = self.encode(str(request_id), answer, time.monotonic() - started)
-            if answer.outcome in (Outcome.NOT_RUN, Outcome.INVALID):
+            # A refusal stays the verdict on its id. If a copy could run later, a caller
+            # who was told "not run" and asked again under a new id would run twice.
+            if answer.outcome is Outcome.INVALID:
                 self.table.abandon(request_id, time.monotonic())
             else:
                 self.table.finish(request_id, result, time.monotonic())
--- a/cicadalever/queries/_query.py
+++ b/cicadalever/queries/_query.py
@@ -34,8 +34,8 @@
 
     @property
     def fraction(self) -> float:
-        """Covered shards as a fraction of all; 1.0 for an empty map."""
-        return len(self.covered) / self.total if self.total else 1.0
+        """Covered shards as a fraction of all; 0.0 for a request without any."""
+        return len(self.covered) / self.total if self.total else 0.0
 
 
 class Query:
