Split replica choice from the fan-out; move a refused trial to another shard

Change: ReadPlanner chooses replicas; a trial that every replica of its shard refused moves to another shard, at most 5 times.

--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -4,15 +4,12 @@
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from typing import NamedTuple
 
 from eventlet.queue import Empty, LightQueue
 
 from cicadalever.configuration import Configuration
 from cicadalever.outcomes import Failure, FailureCode, is_not_run
-from cicadalever.quarantine import canary_order
 from cicadalever.scheduling import Rank
-from cicadalever.topology import Replica
 from cicadalever.transport import (
     CancelReads,
     ReadAnswer,
@@ -21,6 +18,7 @@
     Trial,
 )
 
+from ._planner import PlannedRead, ReadPlanner
 from ._query import Query, ShardRead
 
 # Reads of one shard that are refused and sent again. An interactive query gives up
@@ -37,28 +35,22 @@
 CONGESTED_SHARE = 0.1
 RETRY_DELAY_S = 0.01
 RETRY_DELAY_MAX_S = 0.5
+MAX_DOUBLINGS = 10
 # An interactive query does not wait longer for a shard without a reachable replica:
 # during a partition a partial answer now is worth more than one at the deadline.
 MAX_INTERACTIVE_POSTPONEMENTS = 3
+# Shards to which the first read of a query moves when it is refused.
+MAX_TRIAL_MOVES = 5
 # Hedge delays after which a trial is hedged without budget.
 TRIAL_HEDGE_DELAYS = 4
 POSTPONE_DELAY_S = 0.02
 # The caller's connection is looked at this often while a query waits.
 CONNECTION_CHECK_S = 0.1
 
-_RESTART_CODES = frozenset({FailureCode.SNAPSHOT_GONE})
 _REFUSAL_CODES = frozenset({FailureCode.DEADLINE, FailureCode.OVERLOAD})
 _FINAL_CODES = frozenset({FailureCode.QUARANTINED, FailureCode.INVALID})
 
 
-class PlannedRead(NamedTuple):
-    """A read that is to be sent."""
-
-    shard: str
-    trial: Trial
-    replica: Replica
-
-
 class Gather:
     """Drives one ``Query`` until it is complete, hopeless or out of time."""
 
@@ -73,8 +65,8 @@
         self.coordinator = coordinator
         self.work = work
         self.query = query
-        self.configuration = configuration
         self.mailbox = mailbox
+        self._planner = ReadPlanner(coordinator, query, configuration, work.fingerprint)
         self.hedges = 0
         self.retries = 0
         self.restart_wanted = False
@@ -85,6 +77,7 @@
         self._postponements: Counter[str] = Counter()
         self._max_queued_s = QUEUE_SHARE * (work.deadline - time.monotonic())
         self._congested: set[str] = set()
+        self._trial_moves = 0
 
     @property
     def is_congested(self) -> bool:
@@ -141,58 +134,20 @@
 
     def _send_trial(self, shards: list[str], trial: Trial) -> None:
         """Send the one read that must succeed before the others are sent."""
-        chosen = shards[self.work.fingerprint % len(shards)]
+        chosen = self._planner.choose_trial_shard(shards)
         self._unsent = [shard for shard in shards if shard != chosen]
-        self._send([self._plan_trial(chosen, trial)])
+        self._send([self._plan(chosen, trial)])
 
     def _send_normal(self, shards: list[str]) -> None:
-        plans = [self._plan(shard) for shard in shards]
+        plans = [self._plan(shard, Trial.NORMAL) for shard in shards]
         self.coordinator.budget.earn(len(plans), time.monotonic())
         self._send(plans)
 
-    def _plan(self, shard: str) -> PlannedRead | None:
-        """Choose a replica for a read, preferring one that was not tried."""
-        coordinator = self.coordinator
-        candidates = self._usable_replicas(shard)
-        if not candidates:
-            self._postpone(shard, Trial.NORMAL)
-            return None
-        now = time.monotonic()
-        tried = self.query.tried_replicas(shard)
-        replica = coordinator.selector.choose(candidates, now, exclude=tried)
-        if replica is None:
-            replica = coordinator.selector.choose(candidates, now)
-        return PlannedRead(shard, Trial.NORMAL, replica)
-
-    def _plan_trial(self, shard: str, trial: Trial) -> PlannedRead | None:
-        """Choose the replica that the fingerprint names for a trial.
-
-        All copies of a request meet at the same two replicas, so that it costs no
-        more than these two if it crashes them.
-        """
-        replicas = self._usable_replicas(shard)
-        if not replicas:
+    def _plan(self, shard: str, trial: Trial) -> PlannedRead | None:
+        plan = self._planner.plan(shard, trial)
+        if plan is None:
             self._postpone(shard, trial)
-            return None
-        order = canary_order(self.work.fingerprint, replicas)
-        position = 0
-        if trial == Trial.CANARY:
-            # A canary that was refused did not run, so the next replica may have it.
-            position = self.query.tries(shard)
-        elif self._may_use_second_replica(shard):
-            position = 1
-        return PlannedRead(shard, trial, order[position % len(order)])
-
-    def _may_use_second_replica(self, shard: str) -> bool:
-        """Tell whether a suspect may be tried where no upstream was lost yet.
-
-        If both replicas of a shard crashed within a second, it would be missing from
-        all answers. The first replica, which is restarting, is therefore tried first.
-        A trial that is only slow is hedged on the second replica.
-        """
-        return self.query.tries(
-            shard
-        ) >= MAX_TRIES_INTERACTIVE or not self.query.is_open(shard)
+        return plan
 
     def _postpone(self, shard: str, trial: Trial) -> None:
         """Look again later for a replica whose owner can be reached."""
@@ -208,22 +163,6 @@
         delay_s = min(POSTPONE_DELAY_S * 2**count, RETRY_DELAY_MAX_S)
         heapq.heappush(self._retry_at, (time.monotonic() + delay_s, shard, trial))
 
-    def _usable_replicas(self, shard: str) -> list[Replica]:
-        """Return the replicas that can be asked, those of the own region if any.
-
-        The way to another region takes longer than a read.
-        """
-        view = self.coordinator.view
-        near = []
-        far = []
-        for replica in self.configuration.replicas_of(self.query.shards[shard]):
-            draining = replica.draining or view.is_draining(replica.id)
-            owner = None if draining else view.owner_of(replica)
-            if owner is None or not self.coordinator.is_reachable(owner.address):
-                continue
-            (near if owner.region == view.region else far).append(replica)
-        return near or far
-
     def _send(self, plans: list[PlannedRead | None]) -> None:
         coordinator = self.coordinator
         now = time.monotonic()
@@ -317,13 +256,16 @@
     def _handle_failure(self, read: ShardRead, failure: Failure, now: float) -> None:
         if failure.code in _REFUSAL_CODES:
             self._congested.add(read.shard)
-        if failure.code in _RESTART_CODES:
-            self._note_gone(read)
+        is_gone = failure.code == FailureCode.SNAPSHOT_GONE
+        if is_gone and self._planner.is_tried_everywhere(read.shard):
+            self._gone.add(read.shard)
         if failure.code in _FINAL_CODES:
             self._stop_sending()
             return
         if not self.query.is_open(read.shard):
             return
+        if self._move_trial(read, failure):
+            return
         if not self._may_retry(read, failure, now):
             self._fail_trial(failure)
             return
@@ -357,19 +299,13 @@
 
     def _retry_delay(self, shard: str) -> float:
         tries = self.query.tries(shard)
-        replicas = self.configuration.replicas_of(self.query.shards[shard])
-        if tries < len(replicas):
+        replicas = self._planner.replica_count(shard)
+        if tries < replicas:
             return 0.0
-        delay_s = RETRY_DELAY_S * 2 ** min(tries - len(replicas), 10)
+        delay_s = RETRY_DELAY_S * 2 ** min(tries - replicas, MAX_DOUBLINGS)
         jitter = 0.5 + self.coordinator.rng.random()
         return min(delay_s, RETRY_DELAY_MAX_S) * jitter
 
-    def _note_gone(self, read: ShardRead) -> None:
-        service = self.query.shards[read.shard]
-        replicas = {replica.id for replica in self.configuration.replicas_of(service)}
-        if replicas <= self.query.tried_replicas(read.shard):
-            self._gone.add(read.shard)
-
     def _is_snapshot_gone(self) -> bool:
         if not self._gone:
             return False
@@ -384,10 +320,28 @@
             trial = Trial.EXCLUSIVE
             if failure.code != FailureCode.SUSPECT:
                 trial = Trial.CANARY
-            self._send([self._plan_trial(self._unsent.pop(), trial)])
+            self._send([self._plan(self._unsent.pop(), trial)])
             return
         self._stop_sending_because(failure)
 
+    def _move_trial(self, read: ShardRead, failure: Failure) -> bool:
+        """Send the first read to another shard; tell whether that was possible.
+
+        A shard whose replicas all refuse must not keep the others from being read. It
+        is read with them once the trial has succeeded elsewhere.
+        """
+        is_refused = is_not_run(failure.code) and failure.code != FailureCode.SUSPECT
+        if read.trial != Trial.CANARY or not self._unsent or not is_refused:
+            return False
+        if self._trial_moves >= MAX_TRIAL_MOVES:
+            return False
+        if self.query.tries(read.shard) < self._planner.replica_count(read.shard):
+            return False
+        self._trial_moves += 1
+        self._unsent.append(read.shard)
+        self._send([self._plan(self._unsent.pop(0), Trial.CANARY)])
+        return True
+
     def _stop_sending_because(self, failure: Failure) -> None:
         for shard in self._unsent:
             self.query.fail_shard(shard, failure)
@@ -405,11 +359,7 @@
             _, shard, trial = heapq.heappop(self._retry_at)
             if not self.query.is_open(shard):
                 continue
-            plans.append(
-                self._plan(shard)
-                if trial == Trial.NORMAL
-                else self._plan_trial(shard, trial)
-            )
+            plans.append(self._plan(shard, trial))
         while self._hedge_at and self._hedge_at[0][0] <= now:
             _, number = heapq.heappop(self._hedge_at)
             plans.append(self._plan_hedge(number, now))
@@ -423,12 +373,7 @@
         read = self.query.outstanding.get(number)
         if read is None or self.query.is_covered(read.shard):
             return None
-        if len(self._usable_replicas(read.shard)) < 2:
-            return None
-        if read.trial != Trial.NORMAL:
-            plan = self._plan_trial(read.shard, Trial.EXCLUSIVE)
-        else:
-            plan = self._plan(read.shard)
+        plan = self._planner.plan_hedge(read.shard, read.trial)
         if plan is None or plan.replica.id == read.replica:
             return None
         if not self._may_hedge(read, now):
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -1,15 +1,20 @@
 """Tests of the query aggregate."""
 
 import unittest
+from random import Random
+from types import SimpleNamespace
 
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.queries import Query, fingerprint_of
+from cicadalever.queries._planner import ReadPlanner
 from cicadalever.queries._silence import (
     MIN_OUTSTANDING,
     PING_TIMEOUT_S,
     QUIET_S,
     SilenceDetector,
 )
+from cicadalever.scheduling import ReplicaSelector
+from cicadalever.topology import Host, Replica
 from cicadalever.transport import ReadAnswer, Trial
 
 SHARDS = {"i/a": "s1", "i/b": "s2", "i/c": "s3"}
@@ -114,3 +119,63 @@
         self.assertTrue(self.detector.is_silent("a"))
         self.detector.heard("a", 2 * late)
         self.assertFalse(self.detector.is_silent("a"))
+
+
+class TestReadPlanner(unittest.TestCase):
+    """The replica of each read."""
+
+    HOST = Host("h", "127.0.0.1:7", "dc1", "region-1")
+
+    def setUp(self):
+        self.unreachable = set()
+        self.query = Query("q", 7, SHARDS)
+        replicas = {
+            service: tuple(
+                Replica(f"{service}-{letter}", service, "", "dc1", 2, 12)
+                for letter in "ab"
+            )
+            for service in SHARDS.values()
+        }
+        view = SimpleNamespace(
+            is_draining=self.unreachable.__contains__,
+            owner_of=lambda replica: self.HOST,
+            region="region-1",
+        )
+        coordinator = SimpleNamespace(
+            view=view,
+            is_reachable=lambda address: True,
+            selector=ReplicaSelector(Random(1)),
+        )
+        configuration = SimpleNamespace(replicas_of=replicas.__getitem__)
+        self.planner = ReadPlanner(coordinator, self.query, configuration, 4)
+
+    def send(self, plan):
+        return self.query.start_read(plan.shard, plan.replica.id, "h", plan.trial, 0.0)
+
+    def test_copies_meet_at_one_replica(self):
+        """Guards against a crashing request that is tried on many replicas."""
+        plans = {self.planner.plan("i/a", Trial.CANARY).replica.id for _ in range(9)}
+        self.assertEqual(len(plans), 1)
+        suspect = self.planner.plan("i/a", Trial.EXCLUSIVE)
+        self.assertEqual({suspect.replica.id}, plans)
+
+    def test_trial_leaves_a_shard_without_replicas(self):
+        """Guards against a query that is refused because one shard is down."""
+        named = self.planner.choose_trial_shard(list(SHARDS))
+        self.unreachable |= {f"{SHARDS[named]}-{letter}" for letter in "ab"}
+        self.assertNotEqual(self.planner.choose_trial_shard(list(SHARDS)), named)
+        self.assertIsNone(self.planner.plan(named, Trial.CANARY))
+
+    def test_hedge_goes_elsewhere(self):
+        """Guards against a hedge to the replica that is late."""
+        for trial in (Trial.NORMAL, Trial.CANARY):
+            self.setUp()
+            first = self.planner.plan("i/b", trial)
+            self.send(first)
+            hedge = self.planner.plan_hedge("i/b", trial)
+            self.assertNotEqual(hedge.replica, first.replica)
+
+    def test_single_replica_is_not_hedged(self):
+        """Guards against an extra read that cannot help."""
+        self.unreachable.add("s1-a")
+        self.assertIsNone(self.planner.plan_hedge("i/a", Trial.NORMAL))
