--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -140,7 +140,7 @@
 
     def _send_normal(self, shards: list[str]) -> None:
         plans = [self._plan(shard, Trial.NORMAL) for shard in shards]
-        self.coordinator.budget.earn(len(plans), time.monotonic())
+        self.coordinator.budget.earn(len(plans))
         self._send(plans)
 
     def _plan(self, shard: str, trial: Trial) -> PlannedRead | None:
@@ -212,8 +212,7 @@
     def _receive(self, answers) -> None:
         now = time.monotonic()
         for answer in answers:
-            if answer.pressure:
-                self.coordinator.budget.note_pressure(now)
+            self.coordinator.budget.note_answer(answer.pressure)
             accepted = self.query.accept(answer)
             if accepted is None:
                 continue
@@ -289,9 +288,7 @@
         if failure.code == FailureCode.HOST_LOST:
             # The loss of a host fails many reads at once, more than the budget holds.
             return True
-        return not coordinator.policy.budgeted_retries or coordinator.budget.try_spend(
-            now
-        )
+        return not coordinator.policy.budgeted_retries or coordinator.budget.try_spend()
 
     def _max_tries(self) -> int:
         interactive = self.work.rank == Rank.INTERACTIVE
@@ -387,7 +384,7 @@
         All other reads of a query wait for its trial. One that is very late is sent
         again even if the budget is empty, as it is on an entry with few queries.
         """
-        if self.coordinator.budget.try_spend(now):
+        if self.coordinator.budget.try_spend():
             return True
         delay_s = self.coordinator.latencies.hedge_delay(read.shard, now)
         if read.trial == Trial.NORMAL:
