--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -30,12 +30,15 @@
     ConnectionPool,
     UpstreamAnswer,
     UpstreamCall,
+    UpstreamConnection,
 )
 
 from ._drains import DrainingReplicas
 from ._read import QueuedRead, ReadKey
 from ._replica import OwnedReplica
 
+UNRESPONSIVE_PROBE_S = 0.3
+CONNECTION_WAIT_S = 0.02
 SOURCE_ANSWER = "upstream"
 SOURCE_CONFIGURATION = "configuration"
 
@@ -86,6 +89,9 @@
         self._replicas: dict[str, OwnedReplica] = {}
         self._pools: dict[str, ConnectionPool] = {}
         self._running: dict[ReadKey, QueuedRead] = {}
+        self._connections: dict[ReadKey, UpstreamConnection] = {}
+        self._abandoned: set[ReadKey] = set()
+        self._probed: set[str] = set()
         self._outbox: dict[tuple[str, str], list[ReadAnswer]] = defaultdict(list)
         self._flush_scheduled = False
 
@@ -200,6 +206,7 @@
                 self._answer_failure(
                     entry.item, Failure(FailureCode.DEADLINE, "expired in the queue")
                 )
+            self._watch_answers(owned, now)
             self._pump(owned)
         self._watch_drains(now)
 
@@ -303,6 +310,9 @@
         pool = self._pools.get(owned.replica.id)
         result = self._call(owned, pool, read, started)
         now = time.monotonic()
+        if read.key in self._abandoned:
+            self._finish_abandoned(owned, read, now)
+            return
         if isinstance(result, Failure) and result.code == FailureCode.LOST:
             if owned.take_crash(read.key):
                 self._blame(owned, now)
@@ -316,6 +326,15 @@
             self._set_draining(owned, SOURCE_ANSWER)
         self._pump(owned)
 
+    def _finish_abandoned(
+        self, owned: OwnedReplica, read: QueuedRead, now: float
+    ) -> None:
+        """End a read that was answered as lost when its replica fell silent."""
+        self._abandoned.discard(read.key)
+        owned.finish(read, Failure(FailureCode.UNREACHABLE, "abandoned"), 0.0, now)
+        self._running.pop(read.key, None)
+        self._pump(owned)
+
     def _call(
         self,
         owned: OwnedReplica,
@@ -331,7 +350,8 @@
                 if connection.probe() is None:
                     reason = f"{owned.replica.id} has not answered since its crash"
                     return Failure(FailureCode.UNREACHABLE, reason)
-                owned.note_answer()
+                owned.note_answer(time.monotonic())
+            self._connections[read.key] = connection
             return connection.call(
                 UpstreamCall(
                     read.operation,
@@ -343,8 +363,70 @@
                 )
             )
         finally:
+            self._connections.pop(read.key, None)
             pool.give_back(connection)
 
+    def _watch_answers(self, owned: OwnedReplica, now: float) -> None:
+        """Probe a replica that leaves its reads unanswered."""
+        replica_id = owned.replica.id
+        if owned.unresponsive or replica_id in self._probed:
+            return
+        if owned.seems_stuck(now):
+            self._probed.add(replica_id)
+            eventlet.spawn_n(self._probe_stuck, owned)
+
+    def _probe_stuck(self, owned: OwnedReplica) -> None:
+        replica_id = owned.replica.id
+        try:
+            while self._replicas.get(replica_id) is owned:
+                state = self._ask_state(replica_id)
+                if state is not None:
+                    self._note_probe_answer(owned)
+                    return
+                if not owned.unresponsive:
+                    self._give_up_reads(owned)
+                eventlet.sleep(UNRESPONSIVE_PROBE_S)
+        finally:
+            self._probed.discard(replica_id)
+
+    def _note_probe_answer(self, owned: OwnedReplica) -> None:
+        if owned.unresponsive:
+            replica_id = owned.replica.id
+            self.audit.record(AuditKind.REPLICA_RECOVERED, 0, replica=replica_id)
+        owned.note_answer(time.monotonic())
+        self._pump(owned)
+
+    def _give_up_reads(self, owned: OwnedReplica) -> None:
+        """Free the reads of a replica that answers nothing."""
+        owned.mark_unresponsive()
+        replica_id = owned.replica.id
+        reason = f"{replica_id} does not answer"
+        self.audit.record(AuditKind.REPLICA_LOST, 0, replica=replica_id, reason=reason)
+        self._refuse_queue(owned, FailureCode.UNREACHABLE, reason)
+        for key, read in list(self._running.items()):
+            # A run that is not idempotent is left to its end: it may still answer.
+            if owned.is_running(key) and read.operation == "read":
+                self._abandoned.add(key)
+                self._answer_failure(read, Failure(FailureCode.HOST_LOST, reason))
+                connection = self._connections.get(key)
+                if connection is not None:
+                    connection.abort()
+
+    def _ask_state(self, replica_id: str) -> str | None:
+        """Return the state that the health endpoint names, None without an answer.
+
+        Without a free connection nothing is known, which is not a missing answer.
+        """
+        while (pool := self._pools.get(replica_id)) is not None:
+            connection = pool.take()
+            if connection is not None:
+                try:
+                    return connection.probe()
+                finally:
+                    pool.give_back(connection)
+            eventlet.sleep(CONNECTION_WAIT_S)
+        return None
+
     def _cancel_running(self, key: ReadKey) -> None:
         read = self._running.get(key)
         if read is None:
@@ -394,14 +476,7 @@
         self._drains.forget_old(now)
 
     def _probe(self, replica_id: str) -> None:
-        pool = self._pools.get(replica_id)
-        connection = pool.take() if pool else None
-        if connection is None:
-            return
-        try:
-            is_serving = connection.probe() == STATE_READY
-        finally:
-            pool.give_back(connection)
+        is_serving = self._ask_state(replica_id) == STATE_READY
         owned = self._replicas.get(replica_id)
         if owned is None or not self._drains.probed(replica_id, is_serving):
             return
--- a/standins/proxy/_link.py
+++ b/standins/proxy/_link.py
@@ -13,8 +13,10 @@
 
 # The pumps wait by themselves, so they need sockets that eventlet has not patched.
 socket = eventlet.patcher.original("socket")
+select = eventlet.patcher.original("select")
 
 RECEIVE_BYTES = 65536
+TCP_ESTABLISHED = 1
 MAX_QUEUED_BYTES = 4 << 20
 FULL_QUEUE_POLL_S = 0.005
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -77,10 +79,12 @@
         reads = True
         while self.pair.rule.new == "black_hole":
             wake = self._client_wait.park(read=reads)
-            if wake is Wake.ABORTED or (wake is Wake.READABLE and self._client_left()):
+            if wake is Wake.ABORTED or self._client_left():
                 return False
             # Bytes that the client sent early would wake this wait again at once.
             reads = reads and wake is not Wake.READABLE
+        if not self._is_client_connected():
+            return False
         if self.pair.rule.new == "refuse":
             self.pair.refused += 1
             self._is_reset = True
@@ -88,12 +92,20 @@
         return True
 
     def _client_left(self) -> bool:
-        try:
-            return not self.client.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        """Whether the client has closed its end, even with unread bytes before it."""
+        poll = select.poll()
+        poll.register(self.client, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def _is_client_connected(self) -> bool:
+        """Tell whether the client has neither closed nor reset its connection.
+
+        A client may leave behind bytes that were never read. Without this check, the
+        connections given up during a black hole would all open at its end, while a
+        network would not have opened any of them.
+        """
+        information = self.client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return information[0] == TCP_ESTABLISHED
 
     def _connect(self) -> bool:
         server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
