Parse the head of upstream answers without the e-mail parser

Change: UpstreamResponse, a subclass of http.client.HTTPResponse, reads the fields into a dictionary. The reader of the body, chunked ones included, stays that of the library. An answer that ends inside its head, or that has a line without a colon, now counts as lost; the e-mail parser took it for a complete head.

--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -13,6 +13,8 @@
 
 from cicadalever.outcomes import Failure, FailureCode
 
+from ._response import UpstreamResponse
+
 CONNECT_TIMEOUT_S = 1.0
 # The upstream enforces the deadline too; the margin lets its answer arrive first.
 DEADLINE_MARGIN_S = 0.05
@@ -20,7 +22,7 @@
 PROBE_TIMEOUT_S = 0.5
 STATE_READY = "ready"
 
-_HEADER_NOT_RUN = "X-Not-Run"
+_HEADER_NOT_RUN = "x-not-run"
 _NOT_RUN_CODES = {
     "shed": FailureCode.SHED,
     "draining": FailureCode.DRAINING,
@@ -198,10 +200,10 @@
             f"X-Deadline-Ms: {remaining_ms}\r\n\r\n"
         ).encode()
 
-    def _exchange(self, request: bytes) -> http.client.HTTPResponse:
+    def _exchange(self, request: bytes) -> UpstreamResponse:
         raw = self._connection.sock
         raw.sendall(request)
-        response = http.client.HTTPResponse(raw, method="POST")
+        response = UpstreamResponse(raw, method="POST")
         response.begin()
         return response
 
@@ -209,10 +211,10 @@
 def _read_response(response, body: bytes, address: str) -> UpstreamAnswer | Failure:
     if response.status == 200:
         try:
-            snapshot = int(response.headers.get("X-Snapshot", ""))
+            snapshot = int(response.headers.get("x-snapshot", ""))
         except ValueError:
             return Failure(FailureCode.UNKNOWN, f"{address}: no X-Snapshot in answer")
-        return UpstreamAnswer(body, snapshot, response.headers.get("X-Draining") == "1")
+        return UpstreamAnswer(body, snapshot, response.headers.get("x-draining") == "1")
     code = _NOT_RUN_CODES.get(response.headers.get(_HEADER_NOT_RUN, ""))
     if code is None:
         return Failure(FailureCode.UNKNOWN, f"{address}: status {response.status}")
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -103,7 +103,9 @@
     def test_broken_answers_are_lost(self):
         for answer in (
             b"",
+            b"HTTP/1.1 200 OK\r\nX-Snap",
             HEAD_OK + b"Content-Length: 9\r\n\r\n[]",
+            HEAD_OK + b"no colon\r\n\r\n",
             HEAD_OK + b"A: b\r\n" * 200 + b"\r\n",
             b"not HTTP\r\n\r\n",
         ):
