--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -91,14 +91,15 @@
             failure = self._connect(call.remaining_s)
             if failure is not None:
                 return failure
-        # The process may have been paused while it connected.
         call = call._replace(remaining_s=deadline - time.monotonic())
-        if call.remaining_s <= 0:
-            return Failure(FailureCode.DEADLINE, "the deadline passed before the call")
         head = self._format_head(call)
         if isinstance(head, Failure):
             return head
-        self._connection.sock.settimeout(call.remaining_s + DEADLINE_MARGIN_S)
+        self._connection.sock.settimeout(max(call.remaining_s, 0) + DEADLINE_MARGIN_S)
+        # The process may have been paused since the remaining time was computed. The
+        # upstream would count it from the end of the pause.
+        if time.monotonic() >= deadline:
+            return Failure(FailureCode.DEADLINE, "the deadline passed before the call")
         try:
             response = self._exchange(head + call.parameters)
             body = response.read()
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -2,12 +2,14 @@
 
 import socket
 import threading
+import time
 import unittest
 
 from cicadalever.outcomes import FailureCode
 from cicadalever.upstreams import UpstreamAnswer, UpstreamCall, UpstreamConnection
 
 HEAD_OK = b"HTTP/1.1 200 OK\r\nX-Snapshot: 41\r\n"
+PAUSE_S = 0.2
 COMPLETE = HEAD_OK + b"Content-Length: 2\r\n\r\n[]"
 
 
@@ -32,7 +34,8 @@
         with connection:
             for answer in self._answers:
                 self.requests.append(self._read_request(connection))
-                connection.sendall(answer)
+                if self.requests[-1]:
+                    connection.sendall(answer)
 
     @staticmethod
     def _read_request(connection: socket.socket) -> bytes:
@@ -45,6 +48,14 @@
         return data
 
 
+class PausedConnection(UpstreamConnection):
+    """A connection whose process is paused while it prepares a request."""
+
+    def _format_head(self, call: UpstreamCall):
+        time.sleep(PAUSE_S)
+        return super()._format_head(call)
+
+
 class UpstreamConnectionTest(unittest.TestCase):
     """Guards against answers that are misread and requests that break the head."""
 
@@ -78,6 +89,18 @@
         # The upstream's thread still waits for a request.
         self.connection.close()
 
+    def test_pause_before_the_request_is_sent(self):
+        # An upstream counts the remaining time from the arrival of the request, so it
+        # would run one that was sent after its deadline.
+        upstream = CannedUpstream(COMPLETE)
+        self.addCleanup(upstream.close)
+        connection = PausedConnection(upstream.address)
+        call = UpstreamCall("read", "r1", "storefront/s00", 41, b"{}", PAUSE_S / 2)
+        self.assertEqual(connection.call(call).code, FailureCode.DEADLINE)
+        connection.close()
+        upstream.close()
+        self.assertEqual(upstream.requests, [b""])
+
     def test_field_names_in_any_case(self):
         answer = b"HTTP/1.1 200 OK\r\nx-SNAPSHOT:41\r\ncontent-length: 2\r\n\r\n[]"
         self.assertEqual(self.call(answer), UpstreamAnswer(b"[]", 41, False))
