--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import http.client
-import re
 import socket
 import time
 from typing import NamedTuple
@@ -13,8 +12,6 @@
 
 from cicadalever.outcomes import Failure, FailureCode
 
-from ._response import UpstreamResponse
-
 CONNECT_TIMEOUT_S = 1.0
 # The upstream enforces the deadline too; the margin lets its answer arrive first.
 DEADLINE_MARGIN_S = 0.05
@@ -22,7 +19,7 @@
 PROBE_TIMEOUT_S = 0.5
 STATE_READY = "ready"
 
-_HEADER_NOT_RUN = "x-not-run"
+_HEADER_NOT_RUN = "X-Not-Run"
 _NOT_RUN_CODES = {
     "shed": FailureCode.SHED,
     "draining": FailureCode.DRAINING,
@@ -31,8 +28,6 @@
     "snapshot": FailureCode.SNAPSHOT_GONE,
     "cancelled": FailureCode.CANCELLED,
 }
-# A line break in a value would let it add fields to the request.
-_CONTROL_CHARACTERS = re.compile(r"[\x00-\x1f\x7f]")
 _LIBRARY_ERRORS = (
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
@@ -92,16 +87,24 @@
             if failure is not None:
                 return failure
         call = call._replace(remaining_s=deadline - time.monotonic())
-        head = self._format_head(call)
-        if isinstance(head, Failure):
-            return head
         self._connection.sock.settimeout(max(call.remaining_s, 0) + DEADLINE_MARGIN_S)
-        # The process may have been paused since the remaining time was computed. The
-        # upstream would count it from the end of the pause.
-        if time.monotonic() >= deadline:
-            return Failure(FailureCode.DEADLINE, "the deadline passed before the call")
         try:
-            response = self._exchange(head + call.parameters)
+            self._put_head(call)
+        except ValueError as error:
+            # The next request must not follow a head that is half written.
+            self.close()
+            return Failure(FailureCode.INVALID, f"request head: {error}")
+        try:
+            # The process may have been paused since the remaining time was computed.
+            # The upstream would count it from the end of the pause.
+            if time.monotonic() >= deadline:
+                self.close()
+                reason = "the deadline passed before the call"
+                return Failure(FailureCode.DEADLINE, reason)
+            self._connection.endheaders(call.parameters)
+            # The reader of the base class; urllib3's wrapper around it costs as much
+            # again and adds only what a short answer does not need.
+            response = http.client.HTTPConnection.getresponse(self._connection)
             body = response.read()
         except (TimeoutError, urllib3.exceptions.TimeoutError):
             self.close()
@@ -179,43 +182,28 @@
         finally:
             raw.setblocking(True)
 
-    def _format_head(self, call: UpstreamCall) -> bytes | Failure:
-        """Return the head of a request, up to the empty line.
-
-        The fields are written at once, since ``HTTPConnection.request`` checks and
-        stores each one on its own. In a profile of an owner that took 20 times as long.
-        """
-        values = (call.operation, call.request_id, call.shard)
-        if any(map(_CONTROL_CHARACTERS.search, values)):
-            return Failure(FailureCode.INVALID, f"control character in {values}")
+    def _put_head(self, call: UpstreamCall) -> None:
+        """Buffer the head of a request; nothing is sent yet."""
+        connection = self._connection
         remaining_ms = max(1, int(call.remaining_s * 1000))
-        return (
-            f"POST /v1/{call.operation} HTTP/1.1\r\n"
-            f"Host: {self.address}\r\n"
-            "Accept-Encoding: identity\r\n"
-            "Content-Type: application/json\r\n"
-            f"Content-Length: {len(call.parameters)}\r\n"
-            f"X-Request-Id: {call.request_id}\r\n"
-            f"X-Shard: {call.shard}\r\n"
-            f"X-Snapshot: {call.snapshot}\r\n"
-            f"X-Deadline-Ms: {remaining_ms}\r\n\r\n"
-        ).encode()
-
-    def _exchange(self, request: bytes) -> UpstreamResponse:
-        raw = self._connection.sock
-        raw.sendall(request)
-        response = UpstreamResponse(raw, method="POST")
-        response.begin()
-        return response
+        connection.putrequest(
+            "POST", f"/v1/{call.operation}", skip_accept_encoding=True
+        )
+        connection.putheader("Content-Type", "application/json")
+        connection.putheader("Content-Length", str(len(call.parameters)))
+        connection.putheader("X-Request-Id", call.request_id)
+        connection.putheader("X-Shard", call.shard)
+        connection.putheader("X-Snapshot", str(call.snapshot))
+        connection.putheader("X-Deadline-Ms", str(remaining_ms))
 
 
 def _read_response(response, body: bytes, address: str) -> UpstreamAnswer | Failure:
     if response.status == 200:
         try:
-            snapshot = int(response.headers.get("x-snapshot", ""))
+            snapshot = int(response.headers.get("X-Snapshot", ""))
         except ValueError:
             return Failure(FailureCode.UNKNOWN, f"{address}: no X-Snapshot in answer")
-        return UpstreamAnswer(body, snapshot, response.headers.get("x-draining") == "1")
+        return UpstreamAnswer(body, snapshot, response.headers.get("X-Draining") == "1")
     code = _NOT_RUN_CODES.get(response.headers.get(_HEADER_NOT_RUN, ""))
     if code is None:
         return Failure(FailureCode.UNKNOWN, f"{address}: status {response.status}")
