Skip the search for a read to start when none waits

Cause: owner-read is the dearest slope of the query path. In a cProfile of an owner that runs 4,000 reads, OwnedReplica.start_next was called 20,080 times, five times per read: after each batch, after each start, after each end and at each tick of all owned replicas. It took 0.48 s of 5.24 s, mostly to take a slot, look through an empty queue and give the slot back.

Change: start_next returns at once when nothing waits.

--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -208,7 +208,8 @@
 
     def start_next(self, now: float):
         """Return the queue entry of the read that starts now, or None."""
-        if self._unresponsive:
+        # Most calls find an empty queue: each read and each tick looks once too often.
+        if self._unresponsive or not self.waiting:
             return None
         if now < self._retry_at and self._limit.in_flight:
             return None
