--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -90,6 +90,11 @@
         self._connection.sock.settimeout(max(call.remaining_s, 0) + DEADLINE_MARGIN_S)
         try:
             self._put_head(call)
+        except ValueError as error:
+            # The next request must not follow a head that is half written.
+            self.close()
+            return Failure(FailureCode.INVALID, f"request head: {error}")
+        try:
             # The process may have been paused since the remaining time was computed.
             # The upstream would count it from the end of the pause.
             if time.monotonic() >= deadline:
