Refund hedges that were cancelled before they started

Cause: in the straggler scenario the budget was spent while extra load was 0.0265 of 0.05 allowed: of a read and its hedge the one still in a queue is cancelled and causes no load. Change: owners confirm such cancellations and the entry takes the extra read back.

--- a/cicadalever/owners/_replica.py
+++ b/cicadalever/owners/_replica.py
@@ -249,15 +249,16 @@
         self._service_time_s += SERVICE_TIME_WEIGHT * (service_s - self._service_time_s)
         self._limit.release(Feedback.OK, now, service_s)
 
-    def cancel(self, key: ReadKey) -> bool:
-        """Remove a waiting read; tell whether it was waiting."""
-        if self._queue.remove(key) is not None:
-            return True
+    def cancel(self, key: ReadKey) -> QueuedRead | None:
+        """Remove and return a waiting read; None if it does not wait."""
+        entry = self._queue.remove(key)
+        if entry is not None:
+            return entry.item
         for entry in self._held:
             if entry.item.key == key:
                 self._drop_held(entry)
-                return True
-        return False
+                return entry.item
+        return None
 
     def take_expired(self, now: float) -> list:
         """Remove and return the entries whose deadline passed while they waited."""
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -137,7 +137,11 @@
     def handle_cancel(self, message: CancelReads) -> None:
         """Drop waiting reads and stop running ones that nobody needs."""
         for number in message.reads:
-            self._cancel(ReadKey(message.sender, message.query, number))
+            key = ReadKey(message.sender, message.query, number)
+            read = self._cancel(key)
+            if read is not None and message.confirm:
+                failure = Failure(FailureCode.CANCELLED, "cancelled before its start")
+                self._outbox.refuse(read, failure)
 
     def handle_quarantine(self, notice: QuarantineNotice) -> None:
         """Take over a suspicion or quarantine that another owner decided."""
@@ -208,14 +212,17 @@
         for pool in self._pools.values():
             pool.close_idle()
 
-    def _cancel(self, key: ReadKey) -> None:
+    def _cancel(self, key: ReadKey) -> QueuedRead | None:
+        """Cancel a read; return it if it had not started."""
         for replica_id, owned in self._replicas.items():
             if owned.is_running(key):
                 pool = self._pools[replica_id]
                 eventlet.spawn_n(self._runner.cancel, key, pool)
-                return
-            if owned.cancel(key):
-                return
+                return None
+            read = owned.cancel(key)
+            if read is not None:
+                return read
+        return None
 
     def _accept(
         self, read: QueuedRead, replica_id: str, now: float
--- a/cicadalever/queries/_coordinator.py
+++ b/cicadalever/queries/_coordinator.py
@@ -148,7 +148,14 @@
         self._canary = self.policy.canary and policy.canary is CanaryMode.ALWAYS
 
     def receive(self, message: ReadAnswers) -> None:
-        """Hand answers to the query that waits for them; drop late ones."""
+        """Hand answers to the query that waits for them; drop late ones.
+
+        Of a read and its hedge, the one that was cancelled before its start caused no
+        extra load.
+        """
+        for answer in message.answers:
+            if answer.code == FailureCode.CANCELLED:
+                self.budget.refund()
         gather = self._gathers.get(message.query)
         if gather is not None:
             gather.mailbox.put(message.answers)
--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -250,7 +250,7 @@
         # A cancelled read says nothing about its replica: one read in a hundred being
         # slow must not turn the load away from it.
         self.coordinator.selector.finished(rival.replica, None, True, now)
-        self._send_cancel(rival.owner, [rival.number])
+        self._send_cancel(rival.owner, [rival.number], confirm=True)
 
     def _handle_failure(self, read: ShardRead, failure: Failure, now: float) -> None:
         if failure.code in _REFUSAL_CODES:
@@ -406,13 +406,12 @@
             if self.work.idempotent:
                 self._send_cancel(address, numbers)
 
-    def _send_cancel(self, address: str, numbers: list[int]) -> None:
-        self.coordinator.send(
-            address,
-            CancelReads(
-                self.coordinator.view.self_address, self.query.query_id, numbers
-            ),
-        )
+    def _send_cancel(
+        self, address: str, numbers: list[int], *, confirm: bool = False
+    ) -> None:
+        sender = self.coordinator.view.self_address
+        message = CancelReads(sender, self.query.query_id, numbers, confirm)
+        self.coordinator.send(address, message)
 
 
 def _next_trial(read: ShardRead, failure: Failure) -> Trial:
--- a/cicadalever/scheduling/_extra_load.py
+++ b/cicadalever/scheduling/_extra_load.py
@@ -47,6 +47,10 @@
         self._stock -= amount
         return True
 
+    def refund(self, amount: float = 1) -> None:
+        """Give back extra reads that were cancelled before they started."""
+        self._stock = min(self.max_stock, self._stock + amount)
+
     def note_answer(self, pressed: bool) -> None:
         """Count an answer; ``pressed`` tells whether its replica is overloaded."""
         self._pressed_share += PRESSURE_WEIGHT * (pressed - self._pressed_share)
--- a/cicadalever/transport/_messages.py
+++ b/cicadalever/transport/_messages.py
@@ -72,11 +72,15 @@
 
 
 class CancelReads(NamedTuple):
-    """The entry no longer needs these reads."""
+    """The entry no longer needs these reads.
+
+    With ``confirm``, those that had not started are answered as cancelled.
+    """
 
     sender: str
     query: str
     reads: list[int]
+    confirm: bool = False
 
 
 class RunOnce(NamedTuple):
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -97,7 +97,7 @@
         self.start_all()
         self.submit(trial, last)
         self.start_all()
-        self.assertTrue(self.owned.cancel(trial.key))
+        self.assertEqual(self.owned.cancel(trial.key), trial)
         self.assertEqual(self.start_all(), [last])
 
     def test_one_crash_is_counted_once(self):
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -270,6 +270,16 @@
                 spent += 1
         self.assertLessEqual(spent, earned + 1e-6)
 
+    def test_refund_restores_what_was_spent(self):
+        """Guards against a budget that hedges use up without causing load."""
+        budget = scheduling.ExtraLoadBudget(0.05, max_stock=2)
+        budget.earn(40)
+        self.assertTrue(budget.try_spend())
+        budget.refund()
+        self.assertEqual(budget.stock, 2)
+        budget.refund()
+        self.assertEqual(budget.stock, 2, "the stock stays bounded")
+
     def test_pressure_ends_the_earning(self):
         """Guards against extra reads under overload, and against none without it."""
         for pressed_of_ten, factor in ((0, 1.0), (1, 1.0), (2, 0.5), (4, 0.0)):
