--- a/bench/slopes/_capacity.py
+++ b/bench/slopes/_capacity.py
@@ -231,15 +231,17 @@
 
 def _work_out_platform(slopes, size: Size, known) -> dict[str, float]:
     steady = slopes["platform-reads-steady"].fit.at(known["hosts_per_centre"])
+    restart = slopes["platform-reads-restart"].fit.at(known["hosts_per_centre"])
     total = slopes["platform-reads-restart-total"].fit.at(known["hosts_per_centre"])
     others = (size.data_centres - 1) * steady
     replica = Replica("r", "s", "127.0.0.1:1", "dc", 2, 12)
     return {
         "steady_reads": steady,
         "fleet_steady_reads": size.data_centres * steady,
-        "restart_reads": total,
-        "centre_restart_reads": total + others,
-        "fleet_restart_reads": size.data_centres * total,
+        "restart_reads": restart,
+        "restart_total": total,
+        "centre_restart_reads": restart + others,
+        "fleet_restart_reads": size.data_centres * restart,
         "quota": connection_quota(replica),
         "candidates": candidate_count(replica),
         "local_connections": connection_quota(replica) * candidate_count(replica),
