--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -1,7 +1,13 @@
 #!/usr/bin/env bash
-# Runs one scenario with both policies. Usage: tools/bench.sh SCENARIO [--seed N]
-# [--json] [--deployment semenanjung|nz-north] [--plot FILE] [--keep DIRECTORY]
+# Runs a scenario of the benchmark, or "slopes", which measures how cost grows.
+# Usage: tools/bench.sh SCENARIO [--seed N] [--json] [--deployment semenanjung|nz-north]
+#            [--plot FILE] [--keep DIRECTORY]
+#        tools/bench.sh slopes [--json] [--only NAME]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash tools/setup.sh
+if [ "${1:-}" = slopes ]; then
+  shift
+  exec .venv/bin/python -m bench.slopes "$@"
+fi
 exec .venv/bin/python -m bench "$@"
