Use native locks in the callbacks of the peer sockets

Also: a canary whose replica hung made the whole query end after 0.3 s, since a hang counted like a crash; an isolated host then answered 0 of 4 shards. Change: pynng gets the unpatched threading module; a hang is no crash, so the trial moves on; a silent replica is probed after 0.25 s for 0.25 s; SIGUSR2 prints the stacks of a host.

--- a/cicadalever/daemon/_main.py
+++ b/cicadalever/daemon/_main.py
@@ -1,5 +1,6 @@
 """Command ``cicadaleverd``."""
 
+import faulthandler
 import gc
 import os
 import sys
@@ -75,6 +76,8 @@
     # Objects loaded at the start live as long as the process; leaving them out of
     # collections shortens the pauses of the one thread.
     gc.freeze()
+    # Shows where a host hangs that no longer answers its administration interface.
+    faulthandler.register(signal.SIGUSR2)
     daemon.start(admin_server)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
--- a/cicadalever/owners/_responsiveness.py
+++ b/cicadalever/owners/_responsiveness.py
@@ -3,7 +3,7 @@
 # A replica is stuck when reads run and none ended for this many service times, but not
 # earlier than MIN_QUIET_S, or when this many reads in a row ran into their timeout.
 STUCK_SERVICE_TIMES = 10
-MIN_QUIET_S = 0.3
+MIN_QUIET_S = 0.25
 MAX_TIMEOUTS = 3
 MAX_FALSE_ALARMS = 5
 
--- a/cicadalever/queries/_gather.py
+++ b/cicadalever/queries/_gather.py
@@ -78,6 +78,7 @@
         self._max_queued_s = QUEUE_SHARE * (work.deadline - time.monotonic())
         self._congested: set[str] = set()
         self._trial_moves = 0
+        self._trial_may_have_crashed = False
 
     @property
     def is_congested(self) -> bool:
@@ -263,6 +264,8 @@
             return
         if not self.query.is_open(read.shard):
             return
+        if read.trial != Trial.NORMAL and not _is_harmless(failure):
+            self._trial_may_have_crashed = True
         if self._move_trial(read, failure):
             return
         if not self._may_retry(read, failure, now):
@@ -313,11 +316,8 @@
         """Try another shard if the trial did not run; else give the query up."""
         if not self._unsent or self.query.outstanding or self._retry_at:
             return
-        if is_not_run(failure.code) and not self.query.may_have_run:
-            trial = Trial.EXCLUSIVE
-            if failure.code != FailureCode.SUSPECT:
-                trial = Trial.CANARY
-            self._send([self._plan(self._unsent.pop(), trial)])
+        if _is_harmless(failure) and not self._trial_may_have_crashed:
+            self._send([self._plan(self._unsent.pop(), Trial.CANARY)])
             return
         self._stop_sending_because(failure)
 
@@ -327,8 +327,9 @@
         A shard whose replicas all refuse must not keep the others from being read. It
         is read with them once the trial has succeeded elsewhere.
         """
-        is_refused = is_not_run(failure.code) and failure.code != FailureCode.SUSPECT
-        if read.trial != Trial.CANARY or not self._unsent or not is_refused:
+        if read.trial != Trial.CANARY or not self._unsent:
+            return False
+        if not _is_harmless(failure):
             return False
         if self._trial_moves >= MAX_TRIAL_MOVES:
             return False
@@ -421,11 +422,21 @@
     """
     if failure.code == FailureCode.SUSPECT:
         return Trial.EXCLUSIVE
-    if read.trial == Trial.CANARY and not is_not_run(failure.code):
+    if read.trial == Trial.CANARY and not _is_harmless(failure):
         return Trial.EXCLUSIVE
     return read.trial
 
 
+def _is_harmless(failure: Failure) -> bool:
+    """Tell whether a failed read certainly crashed no upstream.
+
+    A lost host, or an upstream that hangs, has not crashed during the read.
+    """
+    if failure.code == FailureCode.SUSPECT:
+        return False
+    return is_not_run(failure.code) or failure.code == FailureCode.HOST_LOST
+
+
 def _synthetic_answer(request: ReadRequest, failure: Failure) -> ReadAnswer:
     return ReadAnswer(
         request.read, failure.code, failure.reason, 0, b"", 0.0, 0.0, False
--- a/cicadalever/transport/_network.py
+++ b/cicadalever/transport/_network.py
@@ -7,6 +7,7 @@
 
 import eventlet
 import pynng
+from eventlet import patcher
 from eventlet.hubs import trampoline
 from loguru import logger
 
@@ -14,6 +15,12 @@
 
 from ._codec import decode, encode
 
+# nng calls pynng's pipe callbacks on threads of its own. Under eventlet's patching
+# their lock would be a green one, which blocks for ever when two threads want it at
+# once: a host then stopped hearing its peers after a partition had healed.
+pynng.nng.threading = patcher.original("threading")
+pynng.nng.logger.disabled = True
+
 SEND_BUFFER_MESSAGES = 1024
 RECEIVE_BUFFER_MESSAGES = 4096
 RECONNECT_MIN_MS = 50
--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -16,7 +16,7 @@
 # The upstream enforces the deadline too; the margin lets its answer arrive first.
 DEADLINE_MARGIN_S = 0.05
 CANCEL_TIMEOUT_S = 1.0
-PROBE_TIMEOUT_S = 0.5
+PROBE_TIMEOUT_S = 0.25
 STATE_READY = "ready"
 
 _HEADER_NOT_RUN = "X-Not-Run"
