Remove unused parts and share the record of two test files

Cause: the last read-through found a method, a property, a constructor, a factory and a docstring that nothing used, and the same record written out in two test files.

--- a/cicadalever/daemon/_baseline.py
+++ b/cicadalever/daemon/_baseline.py
@@ -8,7 +8,7 @@
 from collections.abc import Container, Sequence
 from itertools import count
 
-from cicadalever.membership import MemberTable, Ownership
+from cicadalever.membership import Ownership
 from cicadalever.queries import QueryPolicy
 from cicadalever.topology import Host, Replica
 
@@ -23,9 +23,6 @@
 class SelfOwnership(Ownership):
     """Lets every host own every replica with its share of the connections."""
 
-    def __init__(self, table: MemberTable):
-        super().__init__(table)
-
     def owner_of(self, replica: Replica) -> Host | None:
         """Return this host."""
         return self.table.self_host
@@ -55,8 +52,3 @@
         self, replica_id: str, latency_s: float | None, ok: bool, now: float
     ) -> None:
         """Do nothing; the choice depends on no measurement."""
-
-
-def build_baseline_selector() -> RoundRobinSelector:
-    """Return the selector of the baseline policy."""
-    return RoundRobinSelector()
--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -37,7 +37,7 @@
 from cicadalever.topology import Host
 from cicadalever.transport import PeerNetwork, register
 
-from ._baseline import SelfOwnership, baseline_policy, build_baseline_selector
+from ._baseline import RoundRobinSelector, SelfOwnership, baseline_policy
 from ._configuration import ConfigurationKeeper
 from ._daemon import Daemon
 from ._fleet import Fleet
@@ -222,7 +222,7 @@
     selector = ReplicaSelector(rng)
     if settings["policy"] == "baseline":
         policy = baseline_policy()
-        selector = build_baseline_selector()
+        selector = RoundRobinSelector()
     return QueryCoordinator(
         EntryView(
             lambda: keeper.current,
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -109,11 +109,6 @@
         """Number of reads that wait in the queues."""
         return sum(replica.waiting for replica in self._replicas.values())
 
-    @property
-    def open_connections(self) -> int:
-        """Connections to upstreams that are open."""
-        return sum(pool.open_connections for pool in self._pools.values())
-
     def open_connections_of(self, replica_id: str) -> int:
         """Return the number of open connections to one upstream."""
         pool = self._pools.get(replica_id)
--- a/cicadalever/queries/_query.py
+++ b/cicadalever/queries/_query.py
@@ -151,10 +151,6 @@
         """Record why no read could be sent for a shard."""
         self._failures[shard] = failure
 
-    def failure_of(self, shard: str) -> Failure | None:
-        """Return the last failure of a shard."""
-        return self._failures.get(shard)
-
     def coverage(self) -> Coverage:
         """Count the coverage against the pinned shard map."""
         covered = tuple(shard for shard in self.shards if shard in self._rows)
--- a/cicadalever/queries/_silence.py
+++ b/cicadalever/queries/_silence.py
@@ -91,7 +91,3 @@
                 owner.pinged_at = now
                 report.to_ping.append(address)
         return report
-
-    def forget(self, address: str) -> None:
-        """Drop what is known of an owner that is gone."""
-        self._owners.pop(address, None)
--- a/cicadalever/upstreams/_pool.py
+++ b/cicadalever/upstreams/_pool.py
@@ -7,7 +7,7 @@
     """Keeps at most ``quota`` connections to one upstream.
 
     ``take`` returns None when all are in use. The most recently used idle connection
-    is taken first, so that connections that are not needed are closed by ``trim``.
+    is taken first.
     """
 
     def __init__(self, address: str, quota: int, *, source_ip: str | None = None):
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -26,31 +26,8 @@
 from bench._sizing import list_work
 from bench._targets import judge
 from standins.check import Run, Violation
-from standins.load import Record
-
-RECORD = Record(
-    id="c-lookup-1.1",
-    kind="lookup",
-    route="lookup",
-    rank="interactive",
-    idempotent=True,
-    sent_unix=100.0,
-    latency_s=0.1,
-    status=200,
-    outcome="complete",
-    reason="",
-    snapshot=41,
-    version=1,
-    total=4,
-    covered=("x/s0", "x/s1", "x/s2", "x/s3"),
-    missing=(),
-    rows_own=True,
-    rows_one_snapshot=True,
-    rows_match_coverage=True,
-    tries=1,
-    entry="e1",
-    host="h1",
-)
+from tests.records import RECORD
+
 PARTIAL = RECORD._replace(
     outcome="partial", covered=("x/s0",), missing=("x/s1", "x/s2", "x/s3")
 )
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -17,8 +17,9 @@
 from standins import check as checks
 from standins._client import ConnectionBroken, HttpClient
 from standins.deployment import PLANS, build_deployment, find_base_port
-from standins.load import Record, read_records
+from standins.load import read_records
 from standins.process import Process, python_module
+from tests.records import RECORD
 
 ENDLESS_S = 3600
 WATCHDOG_S = 60
@@ -616,28 +617,8 @@
         "snapshots": [{"id": 41, "indexes": {"x": {"s0": "x-1", "s1": "x-2"}}}],
         "routes": {"lookup": {"indexes": ["x"]}, "order": {"indexes": ["x"]}},
     }
-    read = Record(
-        id="c-1",
-        kind="lookup",
-        route="lookup",
-        rank="interactive",
-        idempotent=True,
-        sent_unix=100.0,
-        latency_s=0.1,
-        status=200,
-        outcome="complete",
-        reason="",
-        snapshot=41,
-        version=1,
-        total=2,
-        covered=("x/s0", "x/s1"),
-        missing=(),
-        rows_own=True,
-        rows_one_snapshot=True,
-        rows_match_coverage=True,
-        tries=1,
-        entry="",
-        host="",
+    read = RECORD._replace(
+        id="c-1", total=2, covered=("x/s0", "x/s1"), entry="", host=""
     )
     order = read._replace(
         id="h.1.1", route="order", idempotent=False, total=1, covered=("x/s0",)
