Let larger hosts of the data centre gather wide queries

Cause: at 63 and 86 hosts a query over 90 or 135 shards is limited by the host that got it. Ruled out: the allowance for extra reads (not used up at under one query a second and host), the replicas (3 ms of work).

Change: hosts find each other by beats (UDP) through the seeds; a query over 32 shards or more is passed to a host of the data centre whose link or processor is at least twice as large, over a kept connection. It acknowledges at once; otherwise, or when it falls silent, the host that got the query gathers itself, under the allowance. Only a host with the same configuration version is asked.

On sites with equal hosts nothing is passed on.

--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from cicadalever.discovery import UpstreamDirectory
+from cicadalever.peers import PeerTable
 from cicadalever.placement import Placement
 from cicadalever.retries import SLACK_PER_HOST, RetryAllowance
 from cicadalever.routing import Limits
@@ -12,6 +13,7 @@
 from ._events import EventLog
 from ._follower import FollowTimes, PlatformFollower
 from ._metrics import GatewayMetrics
+from ._peers import PeerLink
 from ._readiness import Readiness
 from ._reads import ReadRunner
 from ._service import GatewayService
@@ -41,10 +43,26 @@
         events,
         metrics,
     )
-    service = GatewayService(runner, events)
     limits = ServerLimits(*Limits())
+    service: GatewayService
     daemon: GatewayDaemon
 
+    def peer_request(connection, request):
+        service.handle_peer(connection, request)
+
+    peers = PeerTable(settings.peer_address, settings.data_centre, settings.capacity)
+    peers.use_seeds(settings.seeds)
+    link = PeerLink(
+        loop,
+        adapter.header_names,
+        settings.host_id,
+        peers,
+        CallerServer(loop, settings.peer_address, peer_request, limits),
+        events,
+        rng,
+    )
+    service = GatewayService(runner, events, link)
+
     def readiness_request(connection, request):
         daemon.handle_readiness(connection, request)
 
@@ -61,6 +79,7 @@
         directory,
         runner,
         service,
+        link,
         Readiness(),
         CallerServer(loop, settings.caller_address, service.handle, limits),
         CallerServer(loop, settings.readiness_address, readiness_request, limits),
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -18,6 +18,7 @@
 from ._events import EventLog
 from ._follower import PlatformFollower
 from ._metrics import GatewayMetrics
+from ._peers import PeerLink
 from ._readiness import Readiness
 from ._reads import ReadRunner
 from ._service import GatewayService
@@ -49,6 +50,7 @@
     directory: UpstreamDirectory
     runner: ReadRunner
     service: GatewayService
+    link: PeerLink
     readiness: Readiness
     caller_server: CallerServer
     readiness_server: CallerServer
@@ -82,6 +84,7 @@
         except OSError as error:
             # Callers are served without metrics, too.
             parts.events.emit("metrics_unavailable", reason=str(error))
+        parts.link.start()
         self.follower.start()
         self._tick_due = parts.loop.now() + TICK_S
         parts.loop.call_later(TICK_S, self._tick)
@@ -200,8 +203,10 @@
         self._check_suspension()
         self._note_changes(parts.directory.expire(now))
         self._update_readiness(now)
+        self._send_beats()
         if self._ticks % IDLE_TICKS == 0:
             parts.runner.close_expired()
+            parts.link.close_expired()
         if self._ticks % SETTINGS_TICKS == 0:
             self._check_settings_file()
         if self._reload_requested:
@@ -230,6 +235,13 @@
         if readiness.is_cut_off:
             runner.probe_unreachable(self.parts.service.table)
 
+    def _send_beats(self) -> None:
+        table = self.parts.service.table
+        self.parts.link.tick(
+            table.version if table else 0,
+            is_serving=self.parts.readiness.is_ready(table),
+        )
+
     def _update_closing(self) -> None:
         """Send callers elsewhere while this host cannot serve or is about to stop."""
         readiness = self.parts.readiness
@@ -264,6 +276,8 @@
         if settings.platform_address != self.settings.platform_address:
             client = self.parts.adapter.connect(settings.platform_address)
             self.follower.restart(client)
+        if settings.seeds != self.settings.seeds:
+            self.parts.link.table.use_seeds(settings.seeds)
         self.settings = settings
         self.parts.events.emit("reloaded", cause=cause, changed=changed)
 
@@ -278,15 +292,16 @@
         parts.loop.call_later(LINGER_S, self._finish_drain)
 
     def _finish_drain(self) -> None:
-        server = self.parts.caller_server
+        server, peer_server = self.parts.caller_server, self.parts.link.server
         server.close_idle()
         age_s = self.parts.loop.now() - self._draining_since
         is_late = age_s >= self.settings.grace_s - EXIT_MARGIN_S
-        if server.busy and not is_late:
+        busy = server.busy + peer_server.busy
+        if busy and not is_late:
             self.parts.loop.call_later(DRAIN_POLL_S, self._finish_drain)
             return
         server.stop_accepting()
-        self.parts.events.emit("stopped", busy=server.busy, after_s=round(age_s, 2))
+        self.parts.events.emit("stopped", busy=busy, after_s=round(age_s, 2))
         # Nothing is kept, and no request is under way that could still be answered.
         os._exit(0)
 
--- /dev/null
+++ b/cicadalever/gateway/_delegated_call.py
@@ -0,0 +1,93 @@
+"""A query that another host of the data centre gathers."""
+
+from collections.abc import Callable
+
+from cicadalever.peers import Peer
+from cicadalever.wire import Exchange, ReplicaAnswer, Response, is_hop_by_hop
+
+from ._call import Call
+from ._peers import DECLINED, PeerLink
+
+# Time within which a gatherer acknowledges a query before this host gathers itself. A
+# round trip inside a data centre takes 0.2 ms, a busy loop some milliseconds.
+ACKNOWLEDGE_S = 0.015
+# Time between two looks at whether the gatherer is still alive.
+CHECK_S = 0.1
+
+
+class DelegatedCall(Call):
+    """Passes a query on to a host with more capacity, and its answer back.
+
+    ``gather`` is called instead of ``on_end`` when the peer cannot gather the query;
+    it is told whether the peer may have begun to.
+    """
+
+    def __init__(self, *arguments, link: PeerLink, gather: Callable[[bool], None]):
+        super().__init__(*arguments)
+        self._link = link
+        self._gather = gather
+        self._is_acknowledged = False
+
+    def start(self, peer: Peer, answer_by: float) -> None:
+        """Send the query."""
+        self._peer = peer
+
+        def encode() -> bytes:
+            version = self.table.version
+            return self.head.encode_for_peer(version, answer_by, self.loop.now())
+
+        self._exchange = Exchange(
+            encode,
+            self.head.request_id,
+            self.route.rank,
+            self._answered,
+            self._acknowledged,
+        )
+        peer.in_flight += 1
+        self._wake_at(self.loop.now() + ACKNOWLEDGE_S)
+        self._link.send(peer.address, self._exchange)
+
+    def _acknowledged(self) -> None:
+        if not self.is_ended:
+            self._is_acknowledged = True
+            self._wake_at(self.loop.now() + CHECK_S)
+
+    def _answered(self, answer: ReplicaAnswer) -> None:
+        if self.is_ended:
+            return
+        if answer.fault is not None:
+            self._fall_back(answer.detail, may_have_begun=self._exchange.was_sent)
+        elif answer.status == DECLINED:
+            self._fall_back("declined", may_have_begun=False)
+        else:
+            headers = [each for each in answer.headers if not is_hop_by_hop(each[0])]
+            response = Response(answer.status, headers, answer.body)
+            self._end(response, "delegated", gatherer=self._peer.beat.host)
+
+    def _wake(self) -> None:
+        now = self.loop.now()
+        if not self._is_acknowledged:
+            self._fall_back("not acknowledged", may_have_begun=True)
+        elif not self._peer.is_alive(now):
+            self._fall_back("silent", may_have_begun=True)
+        else:
+            self._wake_at(now + CHECK_S)
+
+    def _fall_back(self, reason: str, *, may_have_begun: bool) -> None:
+        if reason != "declined":
+            self._link.table.failed(self._peer, self.loop.now())
+        self._close(reason)
+        self.runner.events.emit(
+            "gatherer_failed",
+            id=self.head.request_id,
+            gatherer=self._peer.beat.host,
+            reason=reason,
+            ms=round((self.loop.now() - self.request.received_at) * 1000, 1),
+        )
+        self._gather(may_have_begun)
+
+    def _close(self, detail: str) -> None:
+        super()._close(detail)
+        self._peer.in_flight -= 1
+        # Closing the connection tells the gatherer to stop.
+        self._exchange.cancel(detail)
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -25,8 +25,12 @@
         super().__init__(*arguments)
         self._on_late = on_late
 
-    def start(self, answer_by: float) -> None:
-        """Send the first reads."""
+    def start(self, answer_by: float, *, is_repeat: bool = False) -> None:
+        """Send the first reads.
+
+        ``is_repeat`` tells that another host may have sent these reads before, so that
+        each of them is extra.
+        """
         route = self.route
         self._state = GatherState(
             len(route.shards),
@@ -43,8 +47,12 @@
         self._early_result: ReadResult | None = None
         self._is_starting = True
         for shard, service in enumerate(route.shards):
-            self.runner.allowance.earn(service)
-            if not self._read(shard):
+            if is_repeat:
+                can_read = self._read_again(shard, "repeat") or shard in self._starved
+            else:
+                self.runner.allowance.earn(service)
+                can_read = self._read(shard)
+            if not can_read:
                 self._state.exhausted(shard)
         self._is_starting = False
         self._sent_at = self.loop.now()
--- /dev/null
+++ b/cicadalever/gateway/_peers.py
@@ -0,0 +1,143 @@
+"""Traffic between hosts: beats over UDP, queries over HTTP."""
+
+import contextlib
+import socket
+from random import Random
+
+from cicadalever.outcomes import Failure
+from cicadalever.peers import Address, Beat, Peer, PeerTable, decode_beat, encode_beat
+from cicadalever.wire import CallerServer, EventLoop, Exchange, HeaderNames, ReplicaPool
+
+from ._events import EventLog
+
+# Status by which a host says that it does not gather a query and has not begun to.
+DECLINED = 409
+# Informational response by which it says that it has begun.
+PROCESSING = 102
+# Queries that a host sends to one other at a time; more of them are gathered here.
+MAX_CONNECTIONS = 32
+# Largest datagram that is read, and how many at once.
+MAX_BEAT_BYTES = 2048
+MAX_BEATS = 64
+
+
+class PeerLink:
+    """Sends and receives what hosts say to each other.
+
+    Without the port, for example because another process holds it, the host works
+    alone.
+    """
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        names: HeaderNames,
+        host_id: str,
+        table: PeerTable,
+        server: CallerServer,
+        events: EventLog,
+        rng: Random,
+    ):
+        self.loop = loop
+        self.names = names
+        self.host_id = host_id
+        self.table = table
+        self.server = server
+        self.events = events
+        self.rng = rng
+        self._socket: socket.socket | None = None
+        self._pools: dict[Address, ReplicaPool] = {}
+        self._version = 0
+        self._is_serving = False
+        self._ticked_at = loop.now()
+
+    def start(self) -> None:
+        """Open the sockets."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        try:
+            sock.bind(self.table.address)
+            self.server.start()
+        except OSError as error:
+            sock.close()
+            self.events.emit("peers_unavailable", reason=str(error))
+            return
+        self._socket = sock
+        self.loop.watch_read(sock.fileno(), self._readable)
+
+    def tick(self, version: int, *, is_serving: bool) -> None:
+        """Send the beats that are due, with what this host now says of itself."""
+        self._version = version
+        self._is_serving = is_serving
+        now = self.loop.now()
+        for peer in self.table.expire(self._ticked_at, now):
+            self.events.emit("gatherer_lost", gatherer=peer.beat.host)
+        self._ticked_at = now
+        for address in self.table.due(now):
+            self._send_beat(address, wants_reply=True)
+
+    def choose(self, version: int) -> Peer | None:
+        """Return the host that should gather a query, or None for this one."""
+        if self._socket is None:
+            return None
+        return self.table.choose(version, self.loop.now(), self.rng)
+
+    def send(self, address: Address, exchange: Exchange) -> None:
+        """Send a query to a host."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = ReplicaPool(
+                self.loop, self.names, address, MAX_CONNECTIONS
+            )
+        pool.send(exchange)
+
+    def close_expired(self) -> None:
+        """Close connections that have been idle for too long."""
+        for pool in self._pools.values():
+            pool.close_expired()
+
+    def _send_beat(
+        self, address: Address, *, wants_reply: bool, peers: list[Address] | None = None
+    ) -> None:
+        if self._socket is None:
+            return
+        table = self.table
+        beat = Beat(
+            self.host_id,
+            table.data_centre,
+            table.address,
+            table.capacity.link_mbps,
+            table.capacity.cores,
+            self._version,
+            self._is_serving,
+            wants_reply,
+            peers or [],
+        )
+        # A beat that cannot be sent is like a lost one; the next follows soon.
+        with contextlib.suppress(OSError):
+            self._socket.sendto(encode_beat(beat), address)
+
+    def _readable(self) -> None:
+        for _ in range(MAX_BEATS):
+            try:
+                data, _sender = self._socket.recvfrom(MAX_BEAT_BYTES)
+            except OSError:
+                return
+            beat = decode_beat(data)
+            if isinstance(beat, Failure):
+                self.events.emit_detail("beat_unreadable", reason=beat.reason)
+                continue
+            self._heard(beat)
+
+    def _heard(self, beat: Beat) -> None:
+        now = self.loop.now()
+        if self.table.heard(beat, now):
+            self.events.emit(
+                "gatherer_found",
+                gatherer=beat.host,
+                link_mbps=beat.link_mbps,
+                cores=beat.cores,
+            )
+        if beat.wants_reply:
+            peers = self.table.gatherers_for(beat, now)
+            self._send_beat(beat.address, wants_reply=False, peers=peers)
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -22,6 +22,12 @@
 from ._events import EventLog
 from ._metrics import GatewayMetrics
 
+# Headers between hosts: the configuration version of the asking host, and the time in
+# which the answer should be there, in microseconds.
+PEER_VERSION = b"x-cicadalever-version"
+PEER_ANSWER_US = b"x-cicadalever-answer-us"
+PEER_HEADERS = (PEER_VERSION, PEER_ANSWER_US)
+
 # Part of a replica's connections that one host may open. With the fewest connections
 # and most hosts described, 25 for 6 and 54 for 63, most reads need one.
 CONNECTION_SHARE = 0.12
@@ -71,7 +77,7 @@
         self.request_id = request_id
         self.deadline = deadline
         lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
-        own = (names.deadline, names.expected_replica)
+        own = (names.deadline, names.expected_replica, *PEER_HEADERS)
         named = _named_by_connection(request)
         for name, value in request.headers:
             if not is_hop_by_hop(name) and name not in own and name not in named:
@@ -79,6 +85,7 @@
         if request.body or request.method not in (b"GET", b"HEAD"):
             lines.append(b"Content-Length: %d" % len(request.body))
         self._head = b"\r\n".join(lines)
+        self._deadline_name = names.deadline
         self._body = request.body
         self._format = b"%s\r\n%s: %%d\r\n%s: %%s\r\n\r\n%s" % (
             b"%s",
@@ -97,6 +104,23 @@
             self._body,
         )
 
+    def encode_for_peer(self, version: int, answer_by: float, now: float) -> bytes:
+        """Return the request for a host that gathers the answer.
+
+        ``version`` is the configuration in force and ``answer_by`` the steady time at
+        which the answer should be here.
+        """
+        return b"%s\r\n%s: %d\r\n%s: %d\r\n%s: %d\r\n\r\n%s" % (
+            self._head,
+            self._deadline_name,
+            max(MIN_DEADLINE_MS, int((self.deadline - now) * 1000)),
+            PEER_VERSION,
+            version,
+            PEER_ANSWER_US,
+            max(0, int((answer_by - now) * 1_000_000)),
+            self._body,
+        )
+
 
 class ReadRunner:
     """Starts reads and tells placement, log and metrics how they end."""
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -5,11 +5,13 @@
 from cicadalever.routing import Route, RoutingTable, WeightedTurns
 from cicadalever.wire import CallerConnection, CallerRequest, Response
 
-from ._call import RETRY_AFTER_S, Call, refusal
+from ._call import RETRY_AFTER_S, refusal
+from ._delegated_call import DelegatedCall
 from ._events import EventLog
 from ._forward_call import ForwardCall
 from ._gather_call import GatherCall
-from ._reads import ReadRunner, RequestHead
+from ._peers import DECLINED, PROCESSING, PeerLink
+from ._reads import PEER_ANSWER_US, PEER_VERSION, ReadRunner, RequestHead
 
 # One round trip between callers and the hosts: 3 ms one way, from the brief.
 CALLER_ROUND_TRIP_S = 0.006
@@ -18,6 +20,13 @@
 # Requests are read late as well as answered late, by about the same time.
 LATENESS_FACTOR = 2.0
 LATENESS_WEIGHT = 0.2
+# Queries over fewer shards are gathered by the host that got them: the hop to another
+# one would take as long as it saves.
+MIN_SHARDS_TO_DELEGATE = 32
+# Queries that a host gathers for others at a time.
+MAX_GATHERED_FOR_PEERS = 64
+# Time for the answer of a gatherer to travel, inside a data centre.
+PEER_HOP_S = 0.002
 INITIAL_LATENESS_S = 0.001
 
 
@@ -72,28 +81,35 @@
 
 def parse_deadline(value: bytes | None) -> float | None:
     """Return the seconds that a caller waits, or None when it does not say."""
+    milliseconds = parse_number(value)
+    return None if milliseconds is None else milliseconds / 1000.0
+
+
+def parse_number(value: bytes | None) -> int | None:
+    """Return the whole number in a header, or None when there is none."""
     if value is None or not value.strip().isdigit():
         return None
-    return int(value) / 1000.0
+    return int(value)
 
 
 class GatewayService:
     """Finds the route of each request and runs its call."""
 
-    def __init__(self, runner: ReadRunner, events: EventLog):
+    def __init__(self, runner: ReadRunner, events: EventLog, link: PeerLink):
         self.runner = runner
+        self.link = link
         self.events = events
         self.table: RoutingTable | None = None
         self.lateness = LoopLateness()
         self._turns = WeightedTurns()
+        self._gathered_for_peers = 0
 
     def handle(self, connection: CallerConnection, request: CallerRequest) -> None:
         """Answer a request, now or later."""
         if self.table is None:
             self._refuse(connection, request, 503, "no_configuration")
             return
-        host = (request.header(b"host") or b"").decode("latin-1")
-        route = self.table.find(host, request.target.decode("latin-1"))
+        route = self._find(request)
         if route is None:
             self._refuse(connection, request, 404, "no_route")
             return
@@ -116,15 +132,77 @@
             connection.respond(response)
 
         arguments = (request, route, self.table, self.runner, head, answer)
-        call: Call
-        if route.shards:
-            call = GatherCall(*arguments, on_late=self.lateness.observe)
-            connection.on_gone = call.cancel
-            call.start(times.answer_by)
-        else:
+        if not route.shards:
             call = ForwardCall(*arguments)
             connection.on_gone = call.cancel
             call.start(self._turns.next(route.name, route.services))
+            return
+
+        def gather(is_repeat: bool) -> None:
+            call = GatherCall(*arguments, on_late=self.lateness.observe)
+            connection.on_gone = call.cancel
+            call.start(times.answer_by, is_repeat=is_repeat)
+
+        peer = None
+        if len(route.shards) >= MIN_SHARDS_TO_DELEGATE:
+            peer = self.link.choose(self.table.version)
+        if peer is None:
+            gather(False)
+            return
+        delegated = DelegatedCall(*arguments, link=self.link, gather=gather)
+        connection.on_gone = delegated.cancel
+        delegated.start(peer, times.answer_by)
+
+    def handle_peer(self, connection: CallerConnection, request: CallerRequest) -> None:
+        """Gather a query for another host, or decline it."""
+        names = self.runner.names
+        request_id = request.header(names.request_id)
+        route = self._route_for_peer(request)
+        caller_deadline_s = parse_deadline(request.header(names.deadline))
+        answer_us = parse_number(request.header(PEER_ANSWER_US))
+        is_known = None not in (route, request_id, caller_deadline_s, answer_us)
+        if not is_known or self._gathered_for_peers >= MAX_GATHERED_FOR_PEERS:
+            connection.respond(Response(DECLINED, []))
+            return
+        connection.respond_interim(PROCESSING)
+        deadline = request.received_at + caller_deadline_s
+        margin_s = PEER_HOP_S + self.lateness.margin_s - MIN_ANSWER_MARGIN_S
+        answer_by = request.received_at + answer_us / 1e6 - margin_s
+        head = RequestHead(request, names, deadline, request_id)
+
+        def answer(response: Response, fields: dict) -> None:
+            self._gathered_for_peers -= 1
+            connection.respond(response)
+
+        def gone() -> None:
+            self._gathered_for_peers -= 1
+            call.cancel()
+
+        call = GatherCall(
+            request,
+            route,
+            self.table,
+            self.runner,
+            head,
+            answer,
+            on_late=self.lateness.observe,
+        )
+        self._gathered_for_peers += 1
+        connection.on_gone = gone
+        call.start(answer_by)
+
+    def _route_for_peer(self, request: CallerRequest) -> Route | None:
+        """Return the route over shards, if the same version is in force here."""
+        if self.table is None:
+            return None
+        if parse_number(request.header(PEER_VERSION)) != self.table.version:
+            return None
+        route = self._find(request)
+        return route if route is not None and route.shards else None
+
+    def _find(self, request: CallerRequest) -> Route | None:
+        host = (request.header(b"host") or b"").decode("latin-1")
+        return self.table.find(host, request.target.decode("latin-1"))
 
     def _refuse(
         self,
--- a/cicadalever/gateway/_types.py
+++ b/cicadalever/gateway/_types.py
@@ -5,6 +5,7 @@
 
 from cicadalever.discovery import ReplicaEntry
 from cicadalever.outcomes import Failure
+from cicadalever.peers import Capacity
 from cicadalever.routing import RoutingTable
 from cicadalever.wire import HeaderNames
 
@@ -22,13 +23,19 @@
 
 
 class HostSettings(NamedTuple):
-    """What a host is told at its start; addresses are IPv4 address and port."""
+    """What a host is told at its start; addresses are IPv4 address and port.
+
+    ``seeds`` are the peer addresses of some other hosts, which may be down.
+    """
 
     host_id: str
     data_centre: str
     caller_address: tuple[str, int]
     readiness_address: tuple[str, int]
     platform_address: tuple[str, int]
+    peer_address: tuple[str, int]
+    seeds: tuple[tuple[str, int], ...]
+    capacity: Capacity
     grace_s: float
     contact_s: float
     apply_s: float
--- /dev/null
+++ b/cicadalever/peers/_beat.py
@@ -0,0 +1,46 @@
+"""The datagram by which hosts learn of each other."""
+
+from typing import Annotated
+
+import msgspec
+
+from cicadalever.outcomes import Failure, FailureCode
+
+Positive = Annotated[float, msgspec.Meta(gt=0.0)]
+
+
+class Beat(msgspec.Struct, array_like=True, frozen=True):
+    """What a host says of itself.
+
+    ``address`` is an IPv4 address and the port for queries (TCP) and beats (UDP).
+    ``link_mbps`` and ``cores`` tell what the host can do, ``version`` the configuration
+    in force (0: none). ``wants_reply`` asks the receiver for its own beat, in which
+    ``peers`` lists the more capable hosts of the sender's data centre.
+    """
+
+    host: str
+    data_centre: str
+    address: tuple[str, int]
+    link_mbps: Positive
+    cores: Positive
+    version: int
+    is_serving: bool
+    wants_reply: bool
+    peers: list[tuple[str, int]] = []
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Beat)
+
+
+def encode_beat(beat: Beat) -> bytes:
+    """Return the bytes of a beat."""
+    return _encoder.encode(beat)
+
+
+def decode_beat(data: bytes) -> Beat | Failure:
+    """Return a beat, or why the datagram is none."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        return Failure(FailureCode.INVALID, f"beat: {error}")
--- /dev/null
+++ b/cicadalever/peers/_table.py
@@ -0,0 +1,186 @@
+"""The hosts that one host knows, and the choice of one that gathers a query for it."""
+
+from random import Random
+from typing import NamedTuple
+
+from ._beat import Beat
+
+Address = tuple[str, int]
+
+# A host gathers for another one when neither its link nor its processor is smaller and
+# one of them is larger by this factor. The extra hop takes about a millisecond, and
+# requests and answers of a wide query take tens of them on the smaller link.
+MUCH_LARGER = 2.0
+# Time between two beats to a host that may gather for this one.
+BEAT_PERIOD_S = 0.4
+# Two lost datagrams in a row must not exclude a host.
+ALIVE_S = 1.3
+# Time between two beats to the seeds: doubled from the first to the last.
+MIN_SEED_PERIOD_S = 0.5
+MAX_SEED_PERIOD_S = 8.0
+# A host that has been silent for so long is forgotten. Longer than the longest period
+# of the beats to seeds, so that a seed does not forget hosts between two of them.
+FORGET_S = 30.0
+# Time for which a host gets no queries after one was lost there.
+FAILURE_PAUSE_S = 1.0
+
+
+class Capacity(NamedTuple):
+    """What a host can do; ``cores`` is the sum of its shares of processor cores."""
+
+    link_mbps: float
+    cores: float
+
+    def is_much_larger(self, other: "Capacity") -> bool:
+        """Tell whether this host should gather for one with the ``other`` capacity."""
+        link = self.link_mbps / other.link_mbps
+        cores = self.cores / other.cores
+        return min(link, cores) >= 1.0 and max(link, cores) >= MUCH_LARGER
+
+
+class Peer:
+    """Another host, as its beats describe it."""
+
+    def __init__(self, address: Address):
+        self.address = address
+        self.beat: Beat | None = None
+        # Queries of this host that the peer is gathering.
+        self.in_flight = 0
+        self.heard_at = float("-inf")
+        self.known_since = float("-inf")
+        self.beat_due_at = float("-inf")
+        self.paused_until = float("-inf")
+
+    @property
+    def capacity(self) -> Capacity | None:
+        """What the peer can do, or None before its first beat."""
+        beat = self.beat
+        return None if beat is None else Capacity(beat.link_mbps, beat.cores)
+
+    def is_alive(self, now: float) -> bool:
+        """Tell whether the peer has been heard lately."""
+        return now - self.heard_at <= ALIVE_S
+
+
+class PeerTable:
+    """Aggregate of all hosts that this host has heard of.
+
+    Hosts find each other through the seeds: each host sends beats there, and a seed
+    names the more capable hosts of the sender's data centre in its reply. To these the
+    host then sends beats itself, more often, so that it knows within about a second
+    which of them are alive.
+    """
+
+    def __init__(self, address: Address, data_centre: str, capacity: Capacity):
+        self.address = address
+        self.data_centre = data_centre
+        self.capacity = capacity
+        self._peers: dict[Address, Peer] = {}
+        self._seeds: list[Address] = []
+        self._seed_period_s = MIN_SEED_PERIOD_S
+        self._seeds_due_at = float("-inf")
+
+    def use_seeds(self, seeds: list[Address]) -> None:
+        """Take the seeds of the settings; beats go to all of them soon."""
+        self._seeds = [seed for seed in seeds if seed != self.address]
+        self._seed_period_s = MIN_SEED_PERIOD_S
+        self._seeds_due_at = float("-inf")
+
+    def get(self, address: Address) -> Peer | None:
+        """Return a known host."""
+        return self._peers.get(address)
+
+    def heard(self, beat: Beat, now: float) -> bool:
+        """Take a beat; return whether a host that may gather has come back."""
+        if beat.address == self.address:
+            return False
+        peer = self._add(beat.address, now)
+        was_alive = peer.is_alive(now)
+        peer.beat = beat
+        peer.heard_at = now
+        for address in beat.peers:
+            self._add(address, now)
+        return not was_alive and self._may_gather(peer)
+
+    def due(self, now: float) -> list[Address]:
+        """Return the addresses that should get a beat now."""
+        addresses = []
+        for peer in self._peers.values():
+            if now >= peer.beat_due_at and self._is_followed(peer):
+                peer.beat_due_at = now + BEAT_PERIOD_S
+                addresses.append(peer.address)
+        if now >= self._seeds_due_at:
+            self._seeds_due_at = now + self._seed_period_s
+            self._seed_period_s = min(MAX_SEED_PERIOD_S, 2.0 * self._seed_period_s)
+            addresses.extend(seed for seed in self._seeds if seed not in addresses)
+        return addresses
+
+    def expire(self, before: float, now: float) -> list[Peer]:
+        """Return the gatherers lost since ``before`` and forget long silent hosts."""
+        lost = [
+            peer
+            for peer in self._peers.values()
+            if peer.is_alive(before)
+            and not peer.is_alive(now)
+            and self._may_gather(peer)
+        ]
+        silent = [
+            address
+            for address, peer in self._peers.items()
+            if now - max(peer.heard_at, peer.known_since) > FORGET_S
+        ]
+        for address in silent:
+            del self._peers[address]
+        return lost
+
+    def choose(self, version: int, now: float, rng: Random) -> Peer | None:
+        """Return the host that should gather a query, or None for this host itself.
+
+        It must have the same ``version`` in force: with an older one it would answer
+        from a configuration that callers of this host have already left behind.
+        """
+        candidates = [
+            peer
+            for peer in self._peers.values()
+            if peer.is_alive(now)
+            and self._may_gather(peer)
+            and peer.beat.is_serving
+            and peer.beat.version == version
+            and now >= peer.paused_until
+        ]
+        if not candidates:
+            return None
+        return min(candidates, key=lambda peer: (peer.in_flight, rng.random()))
+
+    def failed(self, peer: Peer, now: float) -> None:
+        """Note that a peer did not gather a query; it is left alone for a while."""
+        peer.paused_until = now + FAILURE_PAUSE_S
+
+    def gatherers_for(self, beat: Beat, now: float) -> list[Address]:
+        """Return the hosts that may gather for the sender of a beat."""
+        capacity = Capacity(beat.link_mbps, beat.cores)
+        return [
+            peer.address
+            for peer in self._peers.values()
+            if peer.beat is not None
+            and peer.beat.data_centre == beat.data_centre
+            and now - peer.heard_at <= FORGET_S
+            and peer.capacity.is_much_larger(capacity)
+        ]
+
+    def _add(self, address: Address, now: float) -> Peer:
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = Peer(address)
+            peer.known_since = now
+        return peer
+
+    def _is_followed(self, peer: Peer) -> bool:
+        return peer.beat is None or self._may_gather(peer)
+
+    def _may_gather(self, peer: Peer) -> bool:
+        return (
+            peer.beat is not None
+            and peer.beat.data_centre == self.data_centre
+            and peer.capacity.is_much_larger(self.capacity)
+        )
--- a/cicadalever/wire/_channel.py
+++ b/cicadalever/wire/_channel.py
@@ -88,6 +88,7 @@
         self._request_id = b""
         self._sent = False
         self._on_answer: OnAnswer | None = None
+        self._on_interim: Callable[[], None] | None = None
         self._timer = None
         self._must_close = False
         self._idle_s = DEFAULT_IDLE_S
@@ -95,6 +96,11 @@
         self._in_message = False
         self._reset_fields()
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether a byte of the current request was sent."""
+        return self._sent
+
     def connect(self) -> None:
         """Begin to open the connection."""
         sock = self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -115,11 +121,21 @@
             CONNECT_TIMEOUT_S, self._fail, AnswerFault.UNREACHABLE, "connect timed out"
         )
 
-    def send(self, request: bytes, request_id: bytes, on_answer: OnAnswer) -> None:
-        """Send a request, now or once connected; ``on_answer`` is called once."""
+    def send(
+        self,
+        request: bytes,
+        request_id: bytes,
+        on_answer: OnAnswer,
+        on_interim: Callable[[], None] | None = None,
+    ) -> None:
+        """Send a request, now or once connected; ``on_answer`` is called once.
+
+        ``on_interim`` is called for each informational response before it.
+        """
         if self._on_answer is not None:
             raise RuntimeError("the channel is in use")
         self._on_answer = on_answer
+        self._on_interim = on_interim
         self._request_id = request_id
         self._sent = False
         self._unsent = request
@@ -232,6 +248,8 @@
     def on_message_complete(self) -> None:
         self._in_message = False
         if self._status < 200:
+            if self._on_answer is not None and self._on_interim is not None:
+                self._on_interim()
             return
         if self._on_answer is None:
             self._must_close = True
--- a/cicadalever/wire/_front.py
+++ b/cicadalever/wire/_front.py
@@ -79,6 +79,11 @@
         self._send(response.encode(keep_alive=keep_alive, has_body=has_body))
         self._after_send()
 
+    def respond_interim(self, status: int) -> None:
+        """Send an informational response before the answer to the current request."""
+        if not self._closed and self._request is not None:
+            self._send(b"HTTP/1.1 %d Processing\r\n\r\n" % status)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is under way or has just arrived."""
         if self.is_busy or self._closed:
--- a/cicadalever/wire/_pool.py
+++ b/cicadalever/wire/_pool.py
@@ -26,6 +26,7 @@
     """One request to a replica, from queueing to its answer.
 
     ``encode`` returns the bytes of the request at the moment at which it is sent.
+    ``on_interim`` is called for each informational response before the answer.
     """
 
     def __init__(
@@ -34,14 +35,21 @@
         request_id: bytes,
         rank: int,
         on_answer: Callable[[ReplicaAnswer], None],
+        on_interim: Callable[[], None] | None = None,
     ):
         self.encode = encode
         self.request_id = request_id
         self.rank = rank
         self.on_answer = on_answer
+        self.on_interim = on_interim
         self.channel: UpstreamChannel | None = None
         self.is_ended = False
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether a byte of the request may have reached the other side."""
+        return self.channel is not None and self.channel.was_sent
+
     def end(self, answer: ReplicaAnswer) -> None:
         """Pass the answer on, once."""
         if not self.is_ended:
@@ -133,7 +141,12 @@
 
     def _start(self, channel: UpstreamChannel, exchange: Exchange) -> None:
         exchange.channel = channel
-        channel.send(exchange.encode(), exchange.request_id, exchange.end)
+        channel.send(
+            exchange.encode(),
+            exchange.request_id,
+            exchange.end,
+            exchange.on_interim,
+        )
 
     def _became_idle(self, channel: UpstreamChannel) -> None:
         exchange = self._next_waiting()
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -309,14 +309,16 @@
         sock.shutdown(socket.SHUT_RDWR)
 
 
-SETTINGS = """Node=host-1
+SETTINGS = """Node={node}
 Role=gateway
 Zone=dc-a
 Region=r
-Listen.Front=127.0.0.1:{front}
-Listen.Ready=127.0.0.1:{ready}
-InternalPorts=7380,7395
+Listen.Front={host}:{front}
+Listen.Ready={host}:{ready}
+InternalPorts={peers},{peers}
+Seeds={seeds}
 Limits.MemoryMb=300
+Limits.LinkMbps={link_mbps}
 HeartbeatMs=1200
 Bounds.GraceS=6
 Bounds.ContactMs=4000
@@ -331,13 +333,33 @@
 
 
 class GatewayProcess:
-    """A real gateway process in front of the stand-ins."""
+    """A real gateway process in front of the stand-ins.
 
-    def __init__(self, store):
-        self.front = ("127.0.0.1", free_port())
-        self.ready = ("127.0.0.1", free_port())
+    Gateways that should know each other have addresses of their own (``host``), the
+    same ``peer_port``, and one of them in ``seeds``.
+    """
+
+    def __init__(
+        self,
+        store,
+        *,
+        node="host-1",
+        host="127.0.0.1",
+        peer_port=None,
+        seeds="",
+        link_mbps=100,
+    ):
+        self.front = (host, free_port())
+        self.ready = (host, free_port())
         settings = SETTINGS.format(
-            front=self.front[1], ready=self.ready[1], store=store.address
+            front=self.front[1],
+            ready=self.ready[1],
+            peers=peer_port or free_port(),
+            node=node,
+            host=host,
+            seeds=seeds,
+            link_mbps=link_mbps,
+            store=store.address,
         )
         self.process = None
         self.folder = tempfile.TemporaryDirectory()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,237 @@
+"""Tests of what hosts know of each other and of queries that others gather."""
+
+import signal
+import unittest
+from random import Random
+
+from cicadalever.outcomes import Failure
+from cicadalever.peers import Beat, Capacity, PeerTable, decode_beat, encode_beat
+from tests.platform_standins import (
+    GatewayProcess,
+    ReplicaStandIn,
+    StoreStandIn,
+    free_port,
+    wait_for,
+)
+from tests.test_gateway_process import configuration
+
+OWN = ("10.0.0.1", 7000)
+SEED = ("10.0.0.9", 7000)
+LARGE = ("10.0.0.2", 7000)
+SMALL_HOST = Capacity(link_mbps=15.0, cores=0.5)
+
+
+def beat(address=LARGE, **changes):
+    """Return the beat of a large host of the own data centre."""
+    fields = {
+        "host": "large",
+        "data_centre": "dc-a",
+        "address": address,
+        "link_mbps": 100.0,
+        "cores": 2.0,
+        "version": 7,
+        "is_serving": True,
+        "wants_reply": False,
+        "peers": [],
+    }
+    return Beat(**fields | changes)
+
+
+class TestBeat(unittest.TestCase):
+    """The datagram between hosts."""
+
+    def test_round_trip(self):
+        """Guards against fields that change their place."""
+        sent = beat(peers=[SEED])
+        self.assertEqual(decode_beat(encode_beat(sent)), sent)
+
+    def test_other_bytes_are_a_failure(self):
+        """Guards against a process that ends because of a foreign datagram."""
+        for data in (b"", b"\xc1", b"GET / HTTP/1.1", encode_beat(beat())[:-3]):
+            self.assertIsInstance(decode_beat(data), Failure)
+
+    def test_capacity_must_be_positive(self):
+        """Guards against a division by the capacity of a broken host."""
+        for changes in ({"link_mbps": 0.0}, {"cores": -1.0}):
+            data = encode_beat(beat(**changes))
+            self.assertIsInstance(decode_beat(data), Failure)
+
+
+class TestCapacity(unittest.TestCase):
+    """Which hosts gather for others."""
+
+    def test_one_factor_is_enough_if_the_other_is_no_smaller(self):
+        """Guards against queries that are passed to a host that is slower at them."""
+        own = Capacity(10.0, 1.0)
+        self.assertTrue(Capacity(20.0, 1.0).is_much_larger(own))
+        self.assertTrue(Capacity(10.0, 2.0).is_much_larger(own))
+        self.assertFalse(Capacity(19.0, 1.9).is_much_larger(own))
+        self.assertFalse(Capacity(100.0, 0.9).is_much_larger(own))
+        self.assertFalse(own.is_much_larger(own))
+
+
+class TestPeerTable(unittest.TestCase):
+    """Knowledge of other hosts."""
+
+    def setUp(self):
+        self.rng = Random(1)
+        self.table = PeerTable(OWN, "dc-a", SMALL_HOST)
+
+    def choose(self, now=0.0, version=7):
+        peer = self.table.choose(version, now, self.rng)
+        return None if peer is None else peer.address
+
+    def test_larger_host_of_the_own_data_centre_is_chosen(self):
+        """Guards against hops to other data centres and to small hosts."""
+        for index, changes in enumerate(
+            (
+                {"data_centre": "dc-b"},
+                {"link_mbps": 15.0, "cores": 0.5},
+                {"is_serving": False},
+                {"version": 6},
+            )
+        ):
+            self.table.heard(beat(("10.0.1.1", index), **changes), 0.0)
+        self.assertIsNone(self.choose())
+        self.table.heard(beat(), 0.0)
+        self.assertEqual(self.choose(), LARGE)
+        self.assertIsNone(self.choose(version=8))
+
+    def test_silent_host_is_not_chosen(self):
+        """Guards against queries to a host that was killed or cut off."""
+        self.table.heard(beat(), 0.0)
+        self.assertEqual(self.choose(now=1.0), LARGE)
+        self.assertIsNone(self.choose(now=2.0))
+        self.assertEqual([p.address for p in self.table.expire(1.0, 2.0)], [LARGE])
+        self.assertTrue(self.table.heard(beat(), 2.0))
+        self.assertEqual(self.choose(now=2.0), LARGE)
+
+    def test_failed_host_is_left_alone_for_a_while(self):
+        """Guards against losing every query to a host whose beats still come."""
+        self.table.heard(beat(), 0.0)
+        self.table.failed(self.table.get(LARGE), 0.0)
+        self.assertIsNone(self.choose(now=0.5))
+        self.assertEqual(self.choose(now=1.1), LARGE)
+
+    def test_queries_are_divided(self):
+        """Guards against one large host that gathers everything."""
+        other = ("10.0.0.3", 7000)
+        self.table.heard(beat(), 0.0)
+        self.table.heard(beat(other), 0.0)
+        self.table.get(LARGE).in_flight = 1
+        self.assertEqual(self.choose(), other)
+
+    def test_seed_names_the_larger_hosts_of_the_senders_data_centre(self):
+        """Guards against hosts that never hear of each other."""
+        seed = PeerTable(SEED, "dc-b", Capacity(15.0, 0.5))
+        seed.heard(beat(), 0.0)
+        seed.heard(beat(("10.0.2.1", 7000), data_centre="dc-b"), 0.0)
+        asking = beat(OWN, link_mbps=15.0, cores=0.5)
+        self.assertEqual(seed.gatherers_for(asking, 0.0), [LARGE])
+        self.assertEqual(seed.gatherers_for(asking, 60.0), [])
+
+    def test_named_host_gets_beats_until_it_is_found_too_small(self):
+        """Guards against traffic between hosts that are of no use to each other."""
+        self.table.use_seeds([SEED, OWN])
+        self.assertEqual(self.table.due(0.0), [SEED])
+        reply = beat(SEED, peers=[LARGE], link_mbps=15.0, cores=0.5)
+        self.table.heard(reply, 0.0)
+        self.assertEqual(self.table.due(0.0), [LARGE])
+        self.assertEqual(self.table.due(0.1), [])
+        self.table.heard(beat(link_mbps=15.0, cores=0.5), 0.2)
+        self.assertEqual(self.table.due(0.45), [])
+
+    def test_beats_to_seeds_become_rare(self):
+        """Guards against traffic to seeds that grows with the number of hosts."""
+        self.table.use_seeds([SEED])
+        times = [step / 10 for step in range(600)]
+        beats = sum(len(self.table.due(now)) for now in times)
+        self.assertLess(beats, 13)
+
+    def test_dead_host_is_forgotten(self):
+        """Guards against a table that grows with each host that is replaced."""
+        self.table.heard(beat(), 0.0)
+        self.table.expire(0.0, 31.0)
+        self.assertIsNone(self.table.get(LARGE))
+
+
+class TestDelegation(unittest.TestCase):
+    """Queries between two real gateways of unequal size."""
+
+    SHARDS = [f"s{number:02d}" for number in range(32)]
+
+    def setUp(self):
+        self.store = StoreStandIn()
+        self.addCleanup(self.store.stop)
+        for service in self.SHARDS:
+            replica = ReplicaStandIn(
+                service, f"i-{service}", service.encode().ljust(16, b".")
+            )
+            self.addCleanup(replica.stop)
+            self.store.put(f"servers/{replica.id}", replica.entry())
+        self.store.put("op/config", self.configuration(7))
+        port = free_port()
+        options = {"peer_port": port, "seeds": f"127.0.0.3:{port}"}
+        self.large = self.start(node="large", host="127.0.0.3", **options)
+        self.small = self.start(node="small", host="127.0.0.2", link_mbps=10, **options)
+        wait_for(self.found_gatherer, "the larger host")
+
+    def configuration(self, version):
+        document = configuration(version)
+        document["Routes"][0]["Gather"] = self.SHARDS
+        document["Services"] += [
+            {"Name": name, "HealthPath": "/health", "MaxConns": 25}
+            for name in self.SHARDS
+        ]
+        return document
+
+    def start(self, **options):
+        gateway = GatewayProcess(self.store, **options)
+        self.addCleanup(gateway.stop)
+        wait_for(gateway.is_ready, "readiness")
+        return gateway
+
+    def found_gatherer(self):
+        self.small.ask("/search/q", request_id="probe")
+        return "delegated" in self.ends("probe")
+
+    def ends(self, request_id):
+        ended = self.small.events("request_ended")
+        return [e["end"] for e in ended if e["id"] == request_id]
+
+    def test_larger_host_gathers(self):
+        """Guards against an answer that changes on the way between two hosts."""
+        status, headers, body = self.small.ask("/search/q", request_id="r7")
+        self.assertEqual((status, headers["x-missing-parts"]), (200, "0"))
+        self.assertEqual(len(headers["x-part-stamps"].split(", ")), 32)
+        self.assertEqual(len(body), 48)
+        self.assertEqual(self.ends("r7"), ["delegated"])
+        gathered = [e["id"] for e in self.large.events("request_ended")]
+        self.assertIn("r7", gathered)
+
+    def test_killed_gatherer_is_replaced_by_the_own_host(self):
+        """Guards against queries that are lost with a host that gathers them."""
+        self.large.process.kill()
+        self.large.process.wait()
+        for number in range(3):
+            status, headers, _ = self.small.ask("/search/q", request_id=f"k{number}")
+            self.assertEqual((status, headers["x-missing-parts"]), (200, "0"))
+            self.assertNotIn("delegated", self.ends(f"k{number}"))
+
+    def test_paused_gatherer_is_replaced_by_the_own_host(self):
+        """Guards against queries that wait for a host that stands still."""
+        self.large.process.send_signal(signal.SIGSTOP)
+        self.addCleanup(self.large.process.send_signal, signal.SIGCONT)
+        status, _, _ = self.small.ask("/search/q", request_id="p1")
+        self.assertEqual(status, 200)
+        self.assertNotIn("delegated", self.ends("p1"))
+        reasons = {e["reason"] for e in self.small.events("gatherer_failed")}
+        self.assertIn("not acknowledged", reasons)
+
+    def test_leaving_gatherer_gets_no_more_queries(self):
+        """Guards against queries that are cut by a shutdown of the other host."""
+        self.large.process.terminate()
+        while self.large.process.poll() is None:
+            status, headers, _ = self.small.ask("/search/q", request_id="t")
+            self.assertEqual((status, headers["x-missing-parts"]), (200, "0"))
+        self.assertEqual(self.large.events("stopped")[0]["busy"], 0)
