Take changes of the platform from a larger host; share the slack by counts

Ruled out: longer pauses between calls of every host, which save a third and delay each change.

Change: a host with a larger host of its data centre asks that one for changes. The larger host passes on the platform's answers as they came, with the age of its own knowledge; older than half of the time in which a change must be in force, or no answer within 1.2 s, and the host asks the platform itself. The first follower makes the larger host ask the platform at once, and its watches stay short while it is followed. Besides, seeds count the hosts of each data centre, so that gatherers get a larger part of the constant allowance, and a host whose gatherers are all cut off counts itself as cut off.

--- a/cicadalever/discovery/_directory.py
+++ b/cicadalever/discovery/_directory.py
@@ -69,9 +69,13 @@
         """Return the replicas of a service that take requests."""
         return list(self._by_service.get(service, {}).values())
 
-    def platform_returned(self, now: float) -> None:
+    def platform_returned(self, now: float, grace_s: float = LAPSE_GRACE_S) -> None:
         """Begin the time in which missing entries may still come back."""
-        self._grace_until = now + LAPSE_GRACE_S
+        self._grace_until = max(self._grace_until, now + grace_s)
+
+    def grace_left_s(self, now: float) -> float:
+        """Return for how long missing entries may still come back."""
+        return max(0.0, self._grace_until - now)
 
     def apply(self, entry: ReplicaEntry) -> DirectoryChange | None:
         """Take an entry, unless a newer one of the same replica is known."""
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -16,6 +16,7 @@
 from ._peers import PeerLink
 from ._readiness import Readiness
 from ._reads import ReadRunner
+from ._relay import RELAY_PATH, ChangeRelay
 from ._service import GatewayService
 from ._types import HostSettings, PlatformAdapter
 
@@ -48,9 +49,14 @@
     daemon: GatewayDaemon
 
     def peer_request(connection, request):
-        service.handle_peer(connection, request)
+        if request.target.startswith(RELAY_PATH):
+            relay.handle(connection, request)
+        else:
+            service.handle_peer(connection, request)
 
-    peers = PeerTable(settings.peer_address, settings.data_centre, settings.capacity)
+    peers = PeerTable(
+        settings.peer_address, settings.data_centre, settings.capacity, loop.now()
+    )
     peers.use_seeds(settings.seeds)
     link = PeerLink(
         loop,
@@ -62,6 +68,13 @@
         rng,
     )
     service = GatewayService(runner, events, link)
+    relay = ChangeRelay(
+        loop,
+        link,
+        age_s=lambda: daemon.follower.contact_age_s,
+        grace_s=lambda: directory.grace_left_s(loop.now()),
+        on_first_follower=lambda: daemon.follower.restart(),
+    )
 
     def readiness_request(connection, request):
         daemon.handle_readiness(connection, request)
@@ -94,5 +107,7 @@
         events,
         daemon.apply_update,
         daemon.platform_returned,
+        relay,
+        adapter.decode_changes,
     )
     return daemon
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -6,6 +6,7 @@
 
 from cicadalever.discovery import UpstreamDirectory
 from cicadalever.outcomes import Failure
+from cicadalever.retries import share_of_slack
 from cicadalever.wire import (
     CallerConnection,
     CallerRequest,
@@ -158,9 +159,13 @@
         elif update.table is not None:
             self._use_table(update.table, update.revision)
 
-    def platform_returned(self) -> None:
-        """Give lapsed entries time to come back."""
-        self.parts.directory.platform_returned(self.parts.loop.now())
+    def platform_returned(self, grace_s: float | None) -> None:
+        """Give lapsed entries time to come back: ``grace_s``, or None for all of it."""
+        directory, now = self.parts.directory, self.parts.loop.now()
+        if grace_s is None:
+            directory.platform_returned(now)
+        else:
+            directory.platform_returned(now, grace_s)
 
     def _use_table(self, table, revision: int) -> None:
         service = self.parts.service
@@ -205,6 +210,7 @@
         self._update_readiness(now)
         self._send_beats()
         if self._ticks % IDLE_TICKS == 0:
+            self._share_slack(now)
             parts.runner.close_expired()
             parts.link.close_expired()
         if self._ticks % SETTINGS_TICKS == 0:
@@ -227,7 +233,12 @@
         readiness = self.parts.readiness
         was_cut_off = readiness.is_cut_off
         runner = self.parts.runner
-        readiness.update(self.parts.service.table, runner.is_reachable, now)
+        readiness.update(
+            self.parts.service.table,
+            runner.is_reachable,
+            now,
+            are_gatherers_cut_off=self.parts.link.table.is_cut_off(now),
+        )
         if readiness.is_cut_off != was_cut_off:
             event = "cut_off" if readiness.is_cut_off else "reconnected"
             self.parts.events.emit(event)
@@ -240,7 +251,32 @@
         self.parts.link.tick(
             table.version if table else 0,
             is_serving=self.parts.readiness.is_ready(table),
+            is_cut_off=self.parts.readiness.is_cut_off,
+        )
+
+    def _share_slack(self, now: float) -> None:
+        """Adapt the slack of the allowance to the number of hosts."""
+        table = self.parts.link.table
+        count = table.count(now)
+        if count is None:
+            return
+        slack = share_of_slack(
+            self.settings.retries.slack,
+            self.settings.data_centres,
+            count.hosts,
+            count.similar,
+            is_small=table.knows_gatherer(),
         )
+        allowance = self.parts.runner.allowance
+        if slack != allowance.slack:
+            self.parts.events.emit(
+                "slack_shared",
+                slack=slack,
+                previous=allowance.slack,
+                hosts=count.hosts,
+                similar=count.similar,
+            )
+            allowance.slack = slack
 
     def _update_closing(self) -> None:
         """Send callers elsewhere while this host cannot serve or is about to stop."""
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -7,9 +7,11 @@
 import eventlet
 
 from cicadalever.outcomes import Failure
+from cicadalever.peers import RelayedChanges
 from cicadalever.wire import EventLoop
 
 from ._events import EventLog
+from ._relay import REJECT_S, ChangeRelay
 from ._types import HistoryLost, PlatformClient, PlatformUpdate
 
 # Longest wait that the platform grants.
@@ -21,6 +23,10 @@
 # Part of the time in which a change must be in force between two watch calls: changes
 # in quick succession then cost one call together.
 INTERVAL_SHARE = 0.35
+MAX_AGE_SHARE = 0.5
+# Time for the answer of a slow platform, and the least wait of a followed host.
+SLOW_ANSWER_S = 0.4
+MIN_FOLLOWED_WAIT_S = 0.1
 # An answer of a watch is limited to some hundred changes. After one with as many as
 # this, more may be waiting, and the next call follows after a part of the interval.
 CATCH_UP_CHANGES = 100
@@ -41,20 +47,42 @@
 
     wait_s: float
     interval_s: float
+    # Oldest knowledge of another host that is relied on: half of the time in which a
+    # change must be in force leaves the rest for asking the platform instead.
+    max_age_s: float = 0.0
+
+    @property
+    def followed_wait_s(self) -> float:
+        """Wait of a watch call of a host that others follow.
+
+        It ends early enough that the knowledge of this host does not become too old
+        for them while nothing changes.
+        """
+        return max(
+            MIN_FOLLOWED_WAIT_S,
+            self.max_age_s - self.interval_s - SLOW_ANSWER_S,
+        )
 
     @classmethod
     def plan(cls, contact_s: float, apply_s: float, drain_s: float) -> "FollowTimes":
         """Return the times for the bounds of a deployment, see ``HostSettings``."""
         bound_s = min(apply_s, drain_s)
         wait_s = contact_s + bound_s - RECOVERY_MARGIN_S
-        return cls(min(MAX_WATCH_WAIT_S, max(1.0, wait_s)), INTERVAL_SHARE * bound_s)
+        return cls(
+            min(MAX_WATCH_WAIT_S, max(1.0, wait_s)),
+            INTERVAL_SHARE * bound_s,
+            MAX_AGE_SHARE * bound_s,
+        )
 
 
 class PlatformFollower:
-    """Reads everything once and then follows the changes with one watch.
+    """Reads everything once and then follows the changes.
 
-    ``on_update`` gets each update, ``on_returned`` is called before the first one
-    after the platform could not be reached.
+    They come from a larger host of the data centre while there is one whose knowledge
+    is fresh (``relay``), and otherwise from a watch of the platform. ``on_update`` gets
+    each update, ``on_returned`` is called before the first one after the platform could
+    not be reached, with the time for which lapsed entries may still come back, or None
+    for all of it.
     """
 
     def __init__(
@@ -65,7 +93,9 @@
         rng: Random,
         events: EventLog,
         on_update: Callable[[PlatformUpdate], None],
-        on_returned: Callable[[], None],
+        on_returned: Callable[[float | None], None],
+        relay: ChangeRelay | None = None,
+        decode: Callable[[bytes], PlatformUpdate | Failure] | None = None,
     ):
         self.client = client
         self.times = times
@@ -74,6 +104,10 @@
         self.events = events
         self.on_update = on_update
         self.on_returned = on_returned
+        self.relay = relay
+        self.decode = decode
+        self._source: str | None = None
+        self._rejected_source = False
         self._revision: int | None = None
         self._thread = None
         self._lost_at: float | None = None
@@ -104,8 +138,11 @@
             self._read_all(allow_stale=True)
         backoff_s = MIN_BACKOFF_S
         while True:
+            if self._follow_peer():
+                backoff_s = MIN_BACKOFF_S
+                continue
             called_at = self.loop.now()
-            wait_s = self.times.wait_s if self._lost_at is None else RETURN_WAIT_S
+            wait_s = self._wait_s()
             result = self.client.watch(self._revision, wait_s)
             if isinstance(result, HistoryLost):
                 self.events.emit("history_lost", revision=self._revision)
@@ -119,8 +156,7 @@
                 continue
             backoff_s = MIN_BACKOFF_S
             self._reached()
-            self._revision = max(self._revision, result.revision)
-            self.on_update(result)
+            self._take(result)
             pause_s = self.times.interval_s
             if result.changes >= CATCH_UP_CHANGES:
                 pause_s *= CATCH_UP_SHARE
@@ -139,7 +175,66 @@
             backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
         self._reached()
         self._revision = result.revision
-        self.on_update(result)
+        self._pass_on(result)
+
+    def _wait_s(self) -> float:
+        if self._lost_at is not None:
+            return RETURN_WAIT_S
+        if self.relay is not None and self.relay.has_followers:
+            return self.times.followed_wait_s
+        if self._rejected_source:
+            return min(self.times.wait_s, REJECT_S)
+        return self.times.wait_s
+
+    def _follow_peer(self) -> bool:
+        """Take changes from another host; return whether that was possible."""
+        source = None if self.relay is None else self.relay.choose_source()
+        self._rejected_source = False
+        if source is None:
+            self._note_source(None, "no larger host is known")
+            return False
+        changes = self.relay.ask(source, self._revision)
+        if isinstance(changes, Failure):
+            reason = changes.reason
+        elif changes.age_s > self.times.max_age_s:
+            reason = f"its knowledge is {changes.age_s:.2f} s old"
+        else:
+            reason = self._take_relayed(changes)
+        if reason is not None:
+            self.relay.reject(source)
+            self._rejected_source = True
+            self._note_source(None, reason)
+            return False
+        self._note_source(source.beat.host, "its knowledge is fresh")
+        return True
+
+    def _take_relayed(self, changes: RelayedChanges) -> str | None:
+        """Bring changes into force; return why that failed, or None."""
+        updates = [self.decode(data) for data in changes.batches]
+        for update in updates:
+            if isinstance(update, Failure):
+                return update.reason
+        self._reached(changes.age_s)
+        if changes.grace_s > 0.0:
+            self.on_returned(changes.grace_s)
+        for update in updates:
+            self._take(update)
+        self._revision = max(self._revision, changes.revision)
+        return None
+
+    def _take(self, update: PlatformUpdate) -> None:
+        self._revision = max(self._revision, update.revision)
+        self._pass_on(update)
+
+    def _pass_on(self, update: PlatformUpdate) -> None:
+        self.on_update(update)
+        if self.relay is not None:
+            self.relay.publish(update)
+
+    def _note_source(self, host: str | None, reason: str) -> None:
+        if host != self._source:
+            self._source = host
+            self.events.emit("source_changed", source=host or "platform", reason=reason)
 
     def _sleep(self, seconds: float) -> None:
         eventlet.sleep(seconds * (1.0 + 0.5 * self.rng.random()))
@@ -149,10 +244,10 @@
             self._lost_at = self.loop.now()
             self.events.emit("platform_lost", reason=failure.reason)
 
-    def _reached(self) -> None:
-        self._contact_at = self.loop.now()
+    def _reached(self, age_s: float = 0.0) -> None:
+        self._contact_at = self.loop.now() - age_s
         if self._lost_at is not None:
             away_s = self._contact_at - self._lost_at
             self._lost_at = None
             self.events.emit("platform_back", away_s=round(away_s, 2))
-            self.on_returned()
+            self.on_returned(None)
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -5,7 +5,15 @@
 from random import Random
 
 from cicadalever.outcomes import Failure
-from cicadalever.peers import Address, Beat, Peer, PeerTable, decode_beat, encode_beat
+from cicadalever.peers import (
+    Address,
+    Beat,
+    HostCount,
+    Peer,
+    PeerTable,
+    decode_beat,
+    encode_beat,
+)
 from cicadalever.wire import CallerServer, EventLoop, Exchange, HeaderNames, ReplicaPool
 
 from ._events import EventLog
@@ -19,6 +27,7 @@
 # Largest datagram that is read, and how many at once.
 MAX_BEAT_BYTES = 2048
 MAX_BEATS = 64
+UNKNOWN_COUNT = HostCount(0, 0)
 
 
 class PeerLink:
@@ -49,6 +58,7 @@
         self._pools: dict[Address, ReplicaPool] = {}
         self._version = 0
         self._is_serving = False
+        self._is_cut_off = False
         self._ticked_at = loop.now()
 
     def start(self) -> None:
@@ -65,10 +75,11 @@
         self._socket = sock
         self.loop.watch_read(sock.fileno(), self._readable)
 
-    def tick(self, version: int, *, is_serving: bool) -> None:
+    def tick(self, version: int, *, is_serving: bool, is_cut_off: bool) -> None:
         """Send the beats that are due, with what this host now says of itself."""
         self._version = version
         self._is_serving = is_serving
+        self._is_cut_off = is_cut_off
         now = self.loop.now()
         for peer in self.table.expire(self._ticked_at, now):
             self.events.emit("gatherer_lost", gatherer=peer.beat.host)
@@ -82,6 +93,12 @@
             return None
         return self.table.choose(version, self.loop.now(), self.rng)
 
+    def choose_source(self, current: Peer | None) -> Peer | None:
+        """Return the host to follow for changes, or None for the platform."""
+        if self._socket is None:
+            return None
+        return self.table.choose_source(current, self.loop.now(), self.rng)
+
     def send(self, address: Address, exchange: Exchange) -> None:
         """Send a query to a host."""
         pool = self._pools.get(address)
@@ -97,7 +114,12 @@
             pool.close_expired()
 
     def _send_beat(
-        self, address: Address, *, wants_reply: bool, peers: list[Address] | None = None
+        self,
+        address: Address,
+        *,
+        wants_reply: bool,
+        peers: list[Address] | None = None,
+        count: HostCount = UNKNOWN_COUNT,
     ) -> None:
         if self._socket is None:
             return
@@ -110,8 +132,11 @@
             table.capacity.cores,
             self._version,
             self._is_serving,
+            self._is_cut_off,
             wants_reply,
             peers or [],
+            count.hosts,
+            count.similar,
         )
         # A beat that cannot be sent is like a lost one; the next follows soon.
         with contextlib.suppress(OSError):
@@ -140,4 +165,9 @@
             )
         if beat.wants_reply:
             peers = self.table.gatherers_for(beat, now)
-            self._send_beat(beat.address, wants_reply=False, peers=peers)
+            self._send_beat(
+                beat.address,
+                wants_reply=False,
+                peers=peers,
+                count=self.table.count_for(beat, now),
+            )
--- a/cicadalever/gateway/_readiness.py
+++ b/cicadalever/gateway/_readiness.py
@@ -36,8 +36,17 @@
         table: RoutingTable | None,
         is_reachable: Callable[[str], bool],
         now: float,
+        *,
+        are_gatherers_cut_off: bool = False,
     ) -> None:
-        """Take which services are reachable at ``now``."""
+        """Take which services are reachable at ``now``.
+
+        A host whose queries are gathered by others shares their fate: it notices
+        itself only once it has tried.
+        """
+        if are_gatherers_cut_off:
+            self._is_cut_off = True
+            return
         if table is None or _serves_any(table.routes, is_reachable):
             self._unreachable_since = None
             self._is_cut_off = False
--- /dev/null
+++ b/cicadalever/gateway/_relay.py
@@ -0,0 +1,168 @@
+"""Changes of the platform from one host to others, instead of a watch by each."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import eventlet.event
+
+from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.peers import (
+    ChangeLog,
+    Peer,
+    RelayedChanges,
+    decode_changes,
+    encode_changes,
+)
+from cicadalever.wire import (
+    CallerConnection,
+    CallerRequest,
+    EventLoop,
+    Exchange,
+    ReplicaAnswer,
+    Response,
+)
+
+from ._peers import PeerLink
+from ._types import PlatformUpdate
+
+RELAY_PATH = b"/changes/"
+# An answer without changes follows after this time, so that a follower knows the age
+# of what it has.
+REPLY_S = 0.8
+# Time beyond it after which the other host is given up.
+REPLY_MARGIN_S = 0.4
+# Time for which a host that could not be followed is not tried again.
+REJECT_S = 2.0
+# A follower that has not asked for this long is gone. One that was turned away because
+# the knowledge was too old asks again after ``REJECT_S``.
+FOLLOWER_S = 3.0 * REJECT_S
+# Changes go before the queries that wait for a connection to the same host.
+RELAY_RANK = -1
+
+
+class _Follower(NamedTuple):
+    connection: CallerConnection
+    after: int
+
+
+class ChangeRelay:
+    """Passes changes on to hosts that follow this one, and follows another one.
+
+    ``age_s`` and ``grace_s`` tell how old the knowledge of this host is, see
+    ``RelayedChanges``. ``on_first_follower`` should ask the platform again, since a
+    watch that waits for long makes that knowledge old.
+    """
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        link: PeerLink,
+        age_s: Callable[[], float],
+        grace_s: Callable[[], float],
+        on_first_follower: Callable[[], None],
+    ):
+        self.loop = loop
+        self.link = link
+        self.age_s = age_s
+        self.grace_s = grace_s
+        self.on_first_follower = on_first_follower
+        self._log = ChangeLog()
+        self._waiting: list[_Follower] = []
+        self._asked_at = float("-inf")
+        self._source: Peer | None = None
+
+    @property
+    def has_followers(self) -> bool:
+        """Whether other hosts rely on this one."""
+        return self.loop.now() - self._asked_at <= FOLLOWER_S
+
+    # For hosts that follow this one
+
+    def publish(self, update: PlatformUpdate) -> None:
+        """Pass an update on."""
+        if update.is_complete:
+            self._log.restart(update.revision)
+        else:
+            self._log.append(update.revision, update.raw if update.changes else None)
+        if update.changes:
+            self._answer_all()
+
+    def handle(self, connection: CallerConnection, request: CallerRequest) -> None:
+        """Answer a follower, at once or when something has changed."""
+        had_followers = self.has_followers
+        self._asked_at = self.loop.now()
+        if not had_followers:
+            self.on_first_follower()
+        number = request.target.removeprefix(RELAY_PATH)
+        after = int(number) if number.isdigit() else -1
+        batches = self._log.since(after)
+        if batches is None:
+            connection.respond(Response(410, []))
+            return
+        follower = _Follower(connection, after)
+        if batches:
+            self._answer(follower)
+            return
+        self._waiting.append(follower)
+        connection.on_gone = lambda: self._remove(follower)
+        self.loop.call_later(REPLY_S, self._answer_if_waiting, follower)
+
+    def _answer_all(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for follower in waiting:
+            self._answer(follower)
+
+    def _answer_if_waiting(self, follower: _Follower) -> None:
+        if self._remove(follower):
+            self._answer(follower)
+
+    def _remove(self, follower: _Follower) -> bool:
+        # Compared by identity: a connection may wait again for the same revision.
+        for index, waiting in enumerate(self._waiting):
+            if waiting is follower:
+                del self._waiting[index]
+                return True
+        return False
+
+    def _answer(self, follower: _Follower) -> None:
+        batches = self._log.since(follower.after)
+        if batches is None:
+            follower.connection.respond(Response(410, []))
+            return
+        changes = RelayedChanges(
+            self._log.revision, self.age_s(), self.grace_s(), batches
+        )
+        follower.connection.respond(Response(200, [], encode_changes(changes)))
+
+    # For this host
+
+    def choose_source(self) -> Peer | None:
+        """Return the host to follow, or None for the platform itself."""
+        self._source = self.link.choose_source(self._source)
+        return self._source
+
+    def reject(self, source: Peer) -> None:
+        """Do not follow a host for a while."""
+        source.rejected_until = self.loop.now() + REJECT_S
+
+    def ask(self, source: Peer, after: int) -> RelayedChanges | Failure:
+        """Wait for changes after a revision; blocks the green thread only."""
+        answered = eventlet.event.Event()
+        host, port = source.address
+
+        def encode() -> bytes:
+            line = b"GET %s%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
+            return line % (RELAY_PATH, after, host.encode(), port)
+
+        exchange = Exchange(encode, b"", RELAY_RANK, answered.send)
+        timer = self.loop.call_later(
+            REPLY_S + REPLY_MARGIN_S, exchange.cancel, "no answer"
+        )
+        self.link.send(source.address, exchange)
+        answer: ReplicaAnswer = answered.wait()
+        timer.cancel()
+        if answer.fault is not None:
+            return Failure(FailureCode.UNREACHABLE, answer.detail)
+        if answer.status != 200:
+            return Failure(FailureCode.UNAVAILABLE, f"status {answer.status}")
+        return decode_changes(answer.body)
--- a/cicadalever/gateway/_types.py
+++ b/cicadalever/gateway/_types.py
@@ -30,6 +30,7 @@
 
     host_id: str
     data_centre: str
+    data_centres: int
     caller_address: tuple[str, int]
     readiness_address: tuple[str, int]
     platform_address: tuple[str, int]
@@ -48,7 +49,7 @@
 
     ``table`` is None when the configuration is not part of the update. ``unreadable``
     gives the reason for each replica whose entry is not valid. A complete update lists
-    all replicas.
+    all replicas. ``raw`` is the answer of the platform, for hosts that follow this one.
     """
 
     table: RoutingTable | Failure | None
@@ -57,11 +58,13 @@
     unreadable: dict[str, str]
     revision: int
     is_complete: bool
+    raw: bytes = b""
 
     @property
     def changes(self) -> int:
-        """Number of replicas that the update is about."""
-        return len(self.entries) + len(self.removed) + len(self.unreadable)
+        """Number of items that the update is about."""
+        replicas = len(self.entries) + len(self.removed) + len(self.unreadable)
+        return replicas + (self.table is not None)
 
 
 class HistoryLost:
@@ -93,3 +96,4 @@
     settings_path: str
     load_settings: Callable[[], HostSettings | Failure]
     connect: Callable[[tuple[str, int]], PlatformClient]
+    decode_changes: Callable[[bytes], PlatformUpdate | Failure]
--- a/cicadalever/peers/_beat.py
+++ b/cicadalever/peers/_beat.py
@@ -14,8 +14,11 @@
 
     ``address`` is an IPv4 address and the port for queries (TCP) and beats (UDP).
     ``link_mbps`` and ``cores`` tell what the host can do, ``version`` the configuration
-    in force (0: none). ``wants_reply`` asks the receiver for its own beat, in which
-    ``peers`` lists the more capable hosts of the sender's data centre.
+    in force (0: none). ``is_cut_off`` tells that the host is out of reach of its
+    upstreams. ``wants_reply`` asks the receiver for its own beat, in which
+    ``peers`` lists the more capable hosts of the sender's data centre, ``hosts`` counts
+    all of its hosts and ``similar`` those that are as capable as the sender, itself
+    included (0: not known yet).
     """
 
     host: str
@@ -25,8 +28,11 @@
     cores: Positive
     version: int
     is_serving: bool
+    is_cut_off: bool
     wants_reply: bool
     peers: list[tuple[str, int]] = []
+    hosts: int = 0
+    similar: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -21,6 +21,9 @@
 # A host that has been silent for so long is forgotten. Longer than the longest period
 # of the beats to seeds, so that a seed does not forget hosts between two of them.
 FORGET_S = 30.0
+# Time after its start in which a host has heard of all others, which send beats to
+# seeds at least every ``MAX_SEED_PERIOD_S``; one beat may be lost.
+COUNT_AFTER_S = 2.0 * MAX_SEED_PERIOD_S
 # Time for which a host gets no queries after one was lost there.
 FAILURE_PAUSE_S = 1.0
 
@@ -38,6 +41,13 @@
         return min(link, cores) >= 1.0 and max(link, cores) >= MUCH_LARGER
 
 
+class HostCount(NamedTuple):
+    """Hosts of a data centre, and those of them that are as capable as one of them."""
+
+    hosts: int
+    similar: int
+
+
 class Peer:
     """Another host, as its beats describe it."""
 
@@ -50,6 +60,8 @@
         self.known_since = float("-inf")
         self.beat_due_at = float("-inf")
         self.paused_until = float("-inf")
+        # Until then the peer is not followed for changes of the platform.
+        self.rejected_until = float("-inf")
 
     @property
     def capacity(self) -> Capacity | None:
@@ -71,14 +83,22 @@
     which of them are alive.
     """
 
-    def __init__(self, address: Address, data_centre: str, capacity: Capacity):
+    def __init__(
+        self,
+        address: Address,
+        data_centre: str,
+        capacity: Capacity,
+        started_at: float,
+    ):
         self.address = address
+        self.started_at = started_at
         self.data_centre = data_centre
         self.capacity = capacity
         self._peers: dict[Address, Peer] = {}
         self._seeds: list[Address] = []
         self._seed_period_s = MIN_SEED_PERIOD_S
         self._seeds_due_at = float("-inf")
+        self._counts: list[tuple[float, HostCount]] = []
 
     def use_seeds(self, seeds: list[Address]) -> None:
         """Take the seeds of the settings; beats go to all of them soon."""
@@ -100,6 +120,8 @@
         peer.heard_at = now
         for address in beat.peers:
             self._add(address, now)
+        if beat.hosts > 0:
+            self._counts.append((now, HostCount(beat.hosts, beat.similar)))
         return not was_alive and self._may_gather(peer)
 
     def due(self, now: float) -> list[Address]:
@@ -133,6 +155,25 @@
             del self._peers[address]
         return lost
 
+    def choose_source(
+        self, current: Peer | None, now: float, rng: Random
+    ) -> Peer | None:
+        """Return the host whose changes this one should follow, or None.
+
+        The ``current`` one is kept as long as it may be followed.
+        """
+        candidates = [
+            peer
+            for peer in self._peers.values()
+            if peer.is_alive(now)
+            and self._may_gather(peer)
+            and peer.beat.is_serving
+            and now >= peer.rejected_until
+        ]
+        if not candidates or current in candidates:
+            return current if candidates else None
+        return rng.choice(candidates)
+
     def choose(self, version: int, now: float, rng: Random) -> Peer | None:
         """Return the host that should gather a query, or None for this host itself.
 
@@ -168,6 +209,48 @@
             and peer.capacity.is_much_larger(capacity)
         ]
 
+    def count_for(self, beat: Beat, now: float) -> HostCount:
+        """Return the count of hosts for the sender of a beat; zero while unknown."""
+        if now - self.started_at < COUNT_AFTER_S:
+            return HostCount(0, 0)
+        sender = Capacity(beat.link_mbps, beat.cores)
+        capacities = [
+            peer.capacity
+            for peer in self._peers.values()
+            if peer.beat is not None
+            and peer.beat.data_centre == beat.data_centre
+            and now - peer.heard_at <= FORGET_S
+        ]
+        if beat.data_centre == self.data_centre:
+            capacities.append(self.capacity)
+        similar = [
+            each
+            for each in capacities
+            if not each.is_much_larger(sender) and not sender.is_much_larger(each)
+        ]
+        return HostCount(len(capacities), len(similar))
+
+    def count(self, now: float) -> HostCount | None:
+        """Return the greatest count that seeds have lately told, or None."""
+        self._counts = [each for each in self._counts if now - each[0] <= FORGET_S]
+        return max((count for _, count in self._counts), default=None)
+
+    def is_cut_off(self, now: float) -> bool:
+        """Tell whether all larger hosts of the data centre are cut off from upstreams.
+
+        They gather most queries of the data centre and find out first.
+        """
+        alive = [
+            peer
+            for peer in self._peers.values()
+            if peer.is_alive(now) and self._may_gather(peer)
+        ]
+        return bool(alive) and all(peer.beat.is_cut_off for peer in alive)
+
+    def knows_gatherer(self) -> bool:
+        """Tell whether a larger host of the data centre was heard of lately."""
+        return any(self._may_gather(peer) for peer in self._peers.values())
+
     def _add(self, address: Address, now: float) -> Peer:
         peer = self._peers.get(address)
         if peer is None:
--- a/cicadalever/retries/_allowance.py
+++ b/cicadalever/retries/_allowance.py
@@ -7,6 +7,11 @@
 # at least two for each host.
 SLACK_PER_HOST = 2
 
+# Extra reads in a window of a host whose queries are gathered by others.
+SLACK_OF_SMALL_HOST = 1
+# Part of the slack that is shared out; the rest covers hosts that were not counted yet.
+SLACK_MARGIN = 0.8
+
 # Extra reads that the ratio may save up.
 MAX_SAVED = 1.0
 
@@ -15,6 +20,26 @@
 RATIO_MARGIN = 0.95
 
 
+def share_of_slack(
+    slack: float, data_centres: int, hosts: int, similar: int, *, is_small: bool
+) -> float:
+    """Return the extra reads in a window that one host may send beyond the ratio.
+
+    ``slack`` is what the platform allows all hosts together. Each data centre gets an
+    equal part. There, hosts whose queries are gathered by others (``is_small``) need
+    little, and the ``similar`` gatherers among the ``hosts`` share the rest.
+
+    >>> share_of_slack(212, 5, hosts=18, similar=2, is_small=False)
+    8
+    >>> share_of_slack(212, 5, hosts=18, similar=16, is_small=True)
+    1
+    """
+    if is_small:
+        return SLACK_OF_SMALL_HOST
+    left = SLACK_MARGIN * slack / data_centres - SLACK_OF_SMALL_HOST * (hosts - similar)
+    return max(SLACK_OF_SMALL_HOST, int(left / similar))
+
+
 class _ServiceAllowance:
     __slots__ = ("saved", "slack_spent_at")
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from cicadalever.retries import RetryAllowance
+from cicadalever.retries import RetryAllowance, share_of_slack
 
 
 class TestRetryAllowance(unittest.TestCase):
@@ -47,3 +47,36 @@
         """Guards against settings that would allow any number of reads."""
         with self.assertRaisesRegex(ValueError, r"ratio must be in \[0, 1\]"):
             RetryAllowance(1.5, 10.0)
+
+
+class TestShareOfSlack(unittest.TestCase):
+    """The slack of all hosts together."""
+
+    def test_shares_together_keep_the_slack(self):
+        """Guards against more extra reads than the platform allows a service."""
+        fleets = (
+            (52, [(0, 2), (0, 2), (0, 1), (0, 1)]),
+            (166, [(14, 2), (14, 2), (15, 2), (12, 2)]),
+            (212, [(14, 2), (18, 2), (15, 2), (13, 2), (16, 2)]),
+        )
+        for slack, centres in fleets:
+            total = 0
+            for small, large in centres:
+                options = {"slack": slack, "data_centres": len(centres)}
+                hosts = small + large
+                for similar, is_small in ((small, True), (large, False)):
+                    share = (
+                        share_of_slack(
+                            hosts=hosts, similar=similar, is_small=is_small, **options
+                        )
+                        if similar
+                        else 0
+                    )
+                    total += similar * share
+            self.assertLessEqual(total, slack)
+            self.assertGreater(total, 0.5 * slack)
+
+    def test_many_hosts_still_get_a_read_each(self):
+        """Guards against a host that may never read again."""
+        share = share_of_slack(10, 4, hosts=100, similar=100, is_small=False)
+        self.assertEqual(share, 1)
