Gather next to the replicas; soak gateways of unequal size

Cause: a data centre without replicas reads every part of a query from others. Ruled out: hedges and reads that avoid slow local replicas, which are the smaller part.

Change: if a host's data centre has replicas of far fewer shards than others, its queries go to hosts there that are not smaller.

--- a/cicadalever/explain/_story.py
+++ b/cicadalever/explain/_story.py
@@ -13,14 +13,19 @@
         "configuration_in_force",
         "cut_off",
         "draining",
+        "gatherer_found",
+        "gatherer_lost",
         "history_lost",
         "platform_back",
         "platform_lost",
         "reconnected",
+        "source_changed",
         "started",
         "suspended",
     )
 )
+# Events that tell how a request ended.
+END_EVENTS = frozenset(("request_ended", "request_refused"))
 _CAUSES = {
     "complete": "answered by all shards",
     "answered": "answered by one replica",
@@ -33,6 +38,7 @@
     "not_run": "refused: no replica ran it",
     "no_replica": "refused: the service has no replica",
     "cancelled": "the caller left",
+    "delegated": "gathered by another host, whose log tells more",
     "no_configuration": "refused: the host knew no configuration",
     "no_route": "no route of the version in force allows it",
     "no_request_id": "refused: the request has no id",
@@ -90,9 +96,12 @@
 
 
 def _find_cause(own: list[LogLine]) -> str:
-    end = next((line for line in reversed(own) if line.event != "read_failed"), None)
-    if end is None:
+    ends = [line for line in own if line.event in END_EVENTS]
+    if not ends:
         return "the end of the request is not in these logs"
+    # The host that gathered an answer knows why it is as it is.
+    gathered = [line for line in ends if line.fields.get("end") != "delegated"]
+    end = (gathered or ends)[-1]
     reason = end.fields.get("end") or end.fields.get("reason")
     cause = _CAUSES.get(reason, f"ended as {reason}")
     reads = Counter(
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,8 +2,10 @@
 
 Each seed starts a store, replicas behind proxies, and two gateways, keeps callers
 asking, and injects faults that overlap. Then it checks what callers and replicas saw.
+With ``--wide``, queries have so many shards that the larger gateway gathers them for
+the smaller one, which also takes the changes of the platform from it.
 
-    python -m tests.soak --seeds 1..50
+    python -m tests.soak --seeds 1..50 [--wide]
 """
 
 import argparse
@@ -21,11 +23,13 @@
     GatewayProcess,
     ReplicaStandIn,
     StoreStandIn,
+    free_port,
 )
 from tests.test_gateway_process import SHARDS, configuration
 
 FAULT_S = 4.0
 CALLERS = 6
+WIDE_SHARDS = [f"s{number:02d}" for number in range(32)]
 RECOVERY_S = 12.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 BEHAVIOURS = (
@@ -55,7 +59,9 @@
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, *, is_wide=False):
+        self.shards = WIDE_SHARDS if is_wide else SHARDS
+        self.callers = CALLERS // 3 if is_wide else CALLERS
         self.rng = Random(seed)
         self.answers = []
         self.history = []
@@ -64,7 +70,7 @@
         self.store = StoreStandIn()
         self.store_proxy = FaultProxy(self.store.address)
         self.replicas, self.proxies = {}, {}
-        for service in [*SHARDS, "one"]:
+        for service in [*self.shards, "one"]:
             for copy in "ab":
                 record = service.encode().ljust(16, b".")
                 replica = ReplicaStandIn(service, f"i-{service}{copy}", record)
@@ -72,15 +78,26 @@
                 self.replicas[replica.id], self.proxies[replica.id] = replica, proxy
                 entry = replica.entry(Address=proxy.address)
                 self.store.put(f"servers/{replica.id}", entry)
-        self.store.put("op/config", configuration(self.version))
-        self.gateways = [GatewayProcess(self.store_proxy) for _ in range(2)]
+        self._publish()
+        port = free_port()
+        self.gateways = [
+            GatewayProcess(
+                self.store_proxy,
+                node=f"host-{number}",
+                host=f"127.0.0.{number}",
+                peer_port=port,
+                seeds=f"127.0.0.2:{port},127.0.0.3:{port}",
+                link_mbps=10.0 * number**3,
+            )
+            for number in (2, 3)
+        ]
 
     def run(self):
         """Return the broken promises, as lines of text."""
         try:
             if not self._wait_until_whole():
                 return ["the gateways did not become ready"]
-            callers = [eventlet.spawn(self._call, n) for n in range(CALLERS)]
+            callers = [eventlet.spawn(self._call, n) for n in range(self.callers)]
             self._inject()
             self._heal()
             recovered = self._wait_until_whole()
@@ -153,7 +170,12 @@
     def _change_configuration(self):
         self.version += self.rng.randint(1, 3)
         self._note(f"version {self.version}")
-        self.store.put("op/config", configuration(self.version))
+        self._publish()
+
+    def _publish(self):
+        document = configuration(self.version)
+        document["Routes"][0]["Gather"] = self.shards
+        self.store.put("op/config", document)
 
     def _heal(self):
         self._note("heal")
@@ -247,10 +269,14 @@
             return [f"{name}: signatures {signatures} of another request"]
         services = {each.partition(".")[0][2:-1] for each in signatures}
         missing = int(answer.headers["x-missing-parts"])
-        if len(services) < len(signatures) or len(services) + missing != len(SHARDS):
+        if len(services) < len(signatures) or len(services) + missing != len(
+            self.shards
+        ):
             return [f"{name}: {signatures} and {missing} missing do not fit"]
         records = sorted((s.encode().ljust(16, b".") for s in services), reverse=True)
-        is_merged = answer.body == b"".join(records[:3]) and len(services) >= 2
+        is_merged = answer.body == b"".join(records[:3]) and (
+            2 * len(services) >= len(self.shards)
+        )
         return [] if is_merged else [f"{name}: body {answer.body!r} of {services}"]
 
 
@@ -259,6 +285,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1..3", help="A..B, or a single seed")
     parser.add_argument("--minutes", type=float, default=10.0, help="at most")
+    parser.add_argument("--wide", action="store_true", help="32 shards, not 4")
     options = parser.parse_args()
     first, _, last = options.seeds.partition("..")
     end = time.monotonic() + 60.0 * options.minutes
@@ -267,7 +294,7 @@
         if time.monotonic() >= end:
             print(f"stopped before seed {seed}: the time is up")
             break
-        soak = Soak(seed)
+        soak = Soak(seed, is_wide=options.wide)
         broken = soak.run()
         failed += bool(broken)
         served = sum(answer.status == 200 for answer in soak.answers)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -50,6 +50,14 @@
         self.assertIn("s1: failure (500)", cause)
         self.assertIn("no answer in time from s2", cause)
 
+    def test_cause_of_a_delegated_request_comes_from_the_gatherer(self):
+        """Guards against a cause that ends at the hop between two hosts."""
+        own = line(101.0, "request_ended", id="r4", end="delegated", gatherer="h2")
+        far = line(100.9, "request_ended", host="h2", id="r4", end="enough_late")
+        self.assertIn("another host", tell_story(read_lines([own]), "r4").cause)
+        cause = tell_story(read_lines([own, far]), "r4").cause
+        self.assertIn("answered only after the target", cause)
+
     def test_unfinished_request(self):
         """Guards against a cause that is made up."""
         cause = tell_story(read_lines(LOG), "r2").cause
