--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -6,7 +6,6 @@
 
 from cicadalever.discovery import UpstreamDirectory
 from cicadalever.outcomes import Failure
-from cicadalever.placement import nearest_data_centres
 from cicadalever.retries import share_of_slack
 from cicadalever.wire import (
     CallerConnection,
@@ -23,7 +22,7 @@
 from ._peers import PeerLink
 from ._readiness import Readiness
 from ._reads import ReadRunner
-from ._service import MIN_SHARDS_TO_DELEGATE, GatewayService
+from ._service import GatewayService
 from ._types import HostSettings, PlatformAdapter, PlatformUpdate
 
 TICK_S = 0.2
@@ -212,7 +211,6 @@
         self._send_beats()
         if self._ticks % IDLE_TICKS == 0:
             self._share_slack(now)
-            self._look_for_gatherers()
             parts.runner.close_expired()
             parts.link.close_expired()
         if self._ticks % SETTINGS_TICKS == 0:
@@ -256,20 +254,6 @@
             is_cut_off=self.parts.readiness.is_cut_off,
         )
 
-    def _look_for_gatherers(self) -> None:
-        """Look for hosts that may gather where the replicas of most shards are."""
-        table, directory = self.parts.service.table, self.parts.directory
-        if table is None:
-            return
-        services = {shard for route in table.routes for shard in route.shards}
-        centres = [
-            {replica.data_centre for replica in directory.replicas(service)}
-            for service in services
-        ]
-        if len(centres) >= MIN_SHARDS_TO_DELEGATE:
-            own = self.settings.data_centre
-            self.parts.link.table.look_in(nearest_data_centres(centres, own))
-
     def _share_slack(self, now: float) -> None:
         """Adapt the slack of the allowance to the number of hosts."""
         table = self.parts.link.table
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -134,7 +134,6 @@
             self._is_serving,
             self._is_cut_off,
             wants_reply,
-            table.looks_in,
             peers or [],
             count.hosts,
             count.similar,
--- a/cicadalever/peers/_beat.py
+++ b/cicadalever/peers/_beat.py
@@ -15,10 +15,10 @@
     ``address`` is an IPv4 address and the port for queries (TCP) and beats (UDP).
     ``link_mbps`` and ``cores`` tell what the host can do, ``version`` the configuration
     in force (0: none). ``is_cut_off`` tells that the host is out of reach of its
-    upstreams. ``wants_reply`` asks the receiver for its own beat, in which ``peers``
-    names the hosts that may gather for the sender, in its data centre and in those that
-    it ``looks_in``. ``hosts`` counts the hosts of its data centre and ``similar`` those
-    that are as capable as the sender, itself included (0: not known yet).
+    upstreams. ``wants_reply`` asks the receiver for its own beat, in which
+    ``peers`` lists the more capable hosts of the sender's data centre, ``hosts`` counts
+    all of its hosts and ``similar`` those that are as capable as the sender, itself
+    included (0: not known yet).
     """
 
     host: str
@@ -30,7 +30,6 @@
     is_serving: bool
     is_cut_off: bool
     wants_reply: bool
-    looks_in: list[str] = []
     peers: list[tuple[str, int]] = []
     hosts: int = 0
     similar: int = 0
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -2,7 +2,6 @@
 
 from random import Random
 from typing import NamedTuple
-from zlib import crc32
 
 from ._beat import Beat
 
@@ -12,9 +11,6 @@
 # one of them is larger by this factor. The extra hop takes about a millisecond, and
 # requests and answers of a wide query take tens of them on the smaller link.
 MUCH_LARGER = 2.0
-# Hosts that a seed names at most, and hosts elsewhere to which one host sends beats.
-MAX_NAMED = 8
-MAX_REMOTE = 2
 # Time between two beats to a host that may gather for this one.
 BEAT_PERIOD_S = 0.4
 # Two lost datagrams in a row must not exclude a host.
@@ -44,10 +40,6 @@
         cores = self.cores / other.cores
         return min(link, cores) >= 1.0 and max(link, cores) >= MUCH_LARGER
 
-    def is_at_least(self, other: "Capacity") -> bool:
-        """Tell whether neither the link nor the processor is smaller."""
-        return self.link_mbps >= other.link_mbps and self.cores >= other.cores
-
 
 class HostCount(NamedTuple):
     """Hosts of a data centre, and those of them that are as capable as one of them."""
@@ -86,10 +78,9 @@
     """Aggregate of all hosts that this host has heard of.
 
     Hosts find each other through the seeds: each host sends beats there, and a seed
-    names hosts that may gather for the sender in its reply. To these the host then
-    sends beats itself, more often, so that it knows within about a second which of
-    them are alive. Much larger hosts of the own data centre may gather, and hosts that
-    are not smaller in the data centres that ``look_in`` names.
+    names the more capable hosts of the sender's data centre in its reply. To these the
+    host then sends beats itself, more often, so that it knows within about a second
+    which of them are alive.
     """
 
     def __init__(
@@ -108,28 +99,12 @@
         self._seed_period_s = MIN_SEED_PERIOD_S
         self._seeds_due_at = float("-inf")
         self._counts: list[tuple[float, HostCount]] = []
-        self._looks_in = frozenset((data_centre,))
-
-    @property
-    def looks_in(self) -> list[str]:
-        """Data centres from which most shards should be read."""
-        return sorted(self._looks_in)
-
-    def look_in(self, data_centres: frozenset[str]) -> None:
-        """Take the data centres from which most shards should be read."""
-        if data_centres != self._looks_in:
-            self._looks_in = data_centres
-            self.ask_seeds()
-
-    def ask_seeds(self) -> None:
-        """Send the next beats to the seeds soon."""
-        self._seed_period_s = MIN_SEED_PERIOD_S
-        self._seeds_due_at = float("-inf")
 
     def use_seeds(self, seeds: list[Address]) -> None:
         """Take the seeds of the settings; beats go to all of them soon."""
         self._seeds = [seed for seed in seeds if seed != self.address]
-        self.ask_seeds()
+        self._seed_period_s = MIN_SEED_PERIOD_S
+        self._seeds_due_at = float("-inf")
 
     def get(self, address: Address) -> Peer | None:
         """Return a known host."""
@@ -152,8 +127,8 @@
     def due(self, now: float) -> list[Address]:
         """Return the addresses that should get a beat now."""
         addresses = []
-        for peer in self._followed(now):
-            if now >= peer.beat_due_at:
+        for peer in self._peers.values():
+            if now >= peer.beat_due_at and self._is_followed(peer):
                 peer.beat_due_at = now + BEAT_PERIOD_S
                 addresses.append(peer.address)
         if now >= self._seeds_due_at:
@@ -191,7 +166,7 @@
             peer
             for peer in self._peers.values()
             if peer.is_alive(now)
-            and self._is_larger_neighbour(peer)
+            and self._may_gather(peer)
             and peer.beat.is_serving
             and now >= peer.rejected_until
         ]
@@ -216,12 +191,7 @@
         ]
         if not candidates:
             return None
-
-        def cost(peer: Peer) -> tuple:
-            is_far = peer.beat.data_centre not in self._looks_in
-            return is_far, peer.in_flight, rng.random()
-
-        return min(candidates, key=cost)
+        return min(candidates, key=lambda peer: (peer.in_flight, rng.random()))
 
     def failed(self, peer: Peer, now: float) -> None:
         """Note that a peer did not gather a query; it is left alone for a while."""
@@ -230,27 +200,14 @@
     def gatherers_for(self, beat: Beat, now: float) -> list[Address]:
         """Return the hosts that may gather for the sender of a beat."""
         capacity = Capacity(beat.link_mbps, beat.cores)
-        fresh = [
-            peer
+        return [
+            peer.address
             for peer in self._peers.values()
-            if peer.beat is not None and now - peer.heard_at <= FORGET_S
-        ]
-        near = [
-            peer
-            for peer in fresh
-            if peer.beat.data_centre == beat.data_centre
+            if peer.beat is not None
+            and peer.beat.data_centre == beat.data_centre
+            and now - peer.heard_at <= FORGET_S
             and peer.capacity.is_much_larger(capacity)
         ]
-        far = [
-            peer
-            for peer in fresh
-            if peer.beat.data_centre != beat.data_centre
-            and peer.beat.data_centre in beat.looks_in
-            and peer.capacity.is_at_least(capacity)
-        ]
-        # The largest first; equal ones in an order of their own for each sender.
-        far.sort(key=lambda peer: (-peer.capacity.link_mbps, _mix(beat.address, peer)))
-        return [peer.address for peer in (near + far)[:MAX_NAMED]]
 
     def count_for(self, beat: Beat, now: float) -> HostCount:
         """Return the count of hosts for the sender of a beat; zero while unknown."""
@@ -286,7 +243,7 @@
         alive = [
             peer
             for peer in self._peers.values()
-            if peer.is_alive(now) and self._is_larger_neighbour(peer)
+            if peer.is_alive(now) and self._may_gather(peer)
         ]
         return bool(alive) and all(peer.beat.is_cut_off for peer in alive)
 
@@ -301,41 +258,12 @@
             peer.known_since = now
         return peer
 
-    def _followed(self, now: float) -> list[Peer]:
-        """Return the hosts that get beats: all near ones, and some far ones."""
-        near, far = [], []
-        for peer in self._peers.values():
-            if peer.beat is None or self._is_larger_neighbour(peer):
-                near.append(peer)
-            elif self._may_gather(peer):
-                far.append(peer)
-        far.sort(
-            key=lambda peer: (
-                not peer.is_alive(now),
-                -peer.capacity.link_mbps,
-                _mix(self.address, peer),
-            )
-        )
-        return near + far[:MAX_REMOTE]
+    def _is_followed(self, peer: Peer) -> bool:
+        return peer.beat is None or self._may_gather(peer)
 
     def _may_gather(self, peer: Peer) -> bool:
-        if self._is_larger_neighbour(peer):
-            return True
-        return (
-            peer.beat is not None
-            and peer.beat.data_centre != self.data_centre
-            and peer.beat.data_centre in self._looks_in
-            and peer.capacity.is_at_least(self.capacity)
-        )
-
-    def _is_larger_neighbour(self, peer: Peer) -> bool:
         return (
             peer.beat is not None
             and peer.beat.data_centre == self.data_centre
             and peer.capacity.is_much_larger(self.capacity)
         )
-
-
-def _mix(address: Address, peer: Peer) -> int:
-    """Return a number that orders peers differently for each host, but always alike."""
-    return crc32(f"{address}{peer.address}".encode())
--- a/cicadalever/placement/__init__.py
+++ b/cicadalever/placement/__init__.py
@@ -1,7 +1,6 @@
 """The choice of a replica for a read, from what this host observed."""
 
 from ._health import ReplicaHealth
-from ._locality import nearest_data_centres
 from ._placement import Placement, ReadEnd
 
-__all__ = ["Placement", "ReadEnd", "ReplicaHealth", "nearest_data_centres"]
+__all__ = ["Placement", "ReadEnd", "ReplicaHealth"]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -192,42 +192,6 @@
         self.assertTrue(self.table.is_cut_off(0.1))
         self.assertFalse(self.table.is_cut_off(5.0))
 
-    def test_hosts_next_to_the_replicas_are_chosen(self):
-        """Guards against parts of all shards that cross between data centres."""
-        near, far = ("10.0.0.3", 7000), ("10.0.5.1", 7000)
-        self.table.heard(beat(near), 0.0)
-        self.table.heard(beat(far, data_centre="dc-b"), 0.0)
-        self.assertEqual(self.choose(), near)
-        self.table.look_in(frozenset(("dc-b",)))
-        self.assertEqual(self.choose(), far)
-        self.table.heard(beat(near), 3.0)
-        self.assertEqual(self.choose(now=3.0), near)
-
-    def test_smaller_host_elsewhere_does_not_gather(self):
-        """Guards against a small host that gathers for larger ones."""
-        self.table.look_in(frozenset(("dc-b",)))
-        self.table.heard(beat(data_centre="dc-b", link_mbps=14.0), 0.0)
-        self.assertIsNone(self.choose())
-
-    def test_few_far_hosts_get_beats(self):
-        """Guards against traffic between data centres that grows with the hosts."""
-        self.table.look_in(frozenset(("dc-b",)))
-        for number in range(9):
-            address = ("10.0.5.1", number)
-            self.table.heard(beat(address, data_centre="dc-b"), 0.0)
-        self.assertEqual(len(self.table.due(0.0)), 2)
-
-    def test_seed_names_hosts_in_the_data_centres_that_are_asked_for(self):
-        """Guards against a host that never hears of those next to the replicas."""
-        seed = PeerTable(SEED, "dc-c", SMALL_HOST, 0.0)
-        for number in range(20):
-            address = ("10.0.5.1", number)
-            seed.heard(beat(address, data_centre="dc-b"), 0.0)
-        asking = beat(OWN, link_mbps=15.0, cores=0.5)
-        self.assertEqual(seed.gatherers_for(asking, 0.0), [])
-        asking = beat(OWN, link_mbps=15.0, cores=0.5, looks_in=["dc-b"])
-        self.assertEqual(len(seed.gatherers_for(asking, 0.0)), 8)
-
     def test_dead_host_is_forgotten(self):
         """Guards against a table that grows with each host that is replaced."""
         self.table.heard(beat(), 0.0)
