Do not load the resolver of eventlet at a start

Hosts are restarted often, and many at once. Ruled out: garbage collections during the imports (no difference).

Also: a test that a blocked standard output delays no request.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -364,6 +364,7 @@
             store=store.address,
         )
         self.process = None
+        self._unread = None
         self.folder = tempfile.TemporaryDirectory()
         self.settings_path = Path(self.folder.name, "boot.conf")
         self.settings_path.write_text(settings)
@@ -371,6 +372,17 @@
         self.log = open(self.log_path, "ab")  # noqa: SIM115
         self.start()
 
+    def stop_reading(self):
+        """Start anew with a pipe as standard output that nobody reads."""
+        self.process.kill()
+        self.process.wait()
+        reader, writer = os.pipe()
+        self.log.close()
+        self.log = open(writer, "ab", buffering=0)  # noqa: SIM115
+        # The reader stays open, so that the pipe fills.
+        self._unread = open(reader, "rb", buffering=0)  # noqa: SIM115
+        self.start()
+
     def start(self):
         """Start the process; its log goes on."""
         self.process = subprocess.Popen(
@@ -425,4 +437,6 @@
             self.process.kill()
         self.process.wait()
         self.log.close()
+        if self._unread is not None:
+            self._unread.close()
         self.folder.cleanup()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -1,11 +1,14 @@
 """Tests of a real gateway process between stand-ins of the platform."""
 
 import signal
+import subprocess
+import sys
 import unittest
 
 import eventlet
 
 from tests.platform_standins import (
+    GATEWAY,
     GatewayProcess,
     ReplicaStandIn,
     StoreStandIn,
@@ -354,9 +357,36 @@
         self.assertEqual(self.gateway.events("stopped")[0]["busy"], 0)
 
 
+class TestStart(unittest.TestCase):
+    """What a start of the process costs."""
+
+    def test_resolver_is_not_loaded(self):
+        """Guards against a start that takes twice as long, after a loss of all hosts.
+
+        Addresses are IP addresses, so that names are never looked up.
+        """
+        code = (
+            f"import runpy, sys; runpy.run_path({str(GATEWAY)!r}); print(*sys.modules)"
+        )
+        modules = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, check=True, text=True
+        ).stdout.split()
+        self.assertTrue("cicadalever.gateway" in modules)
+        self.assertFalse("dns" in modules)
+
+
 class TestDecisionLog(GatewayTestCase):
     """Lines that explain what became of a request."""
 
+    def test_blocked_standard_output_delays_no_request(self):
+        """Guards against a gateway that waits for the reader of its log."""
+        self.gateway.stop_reading()
+        wait_for(self.gateway.is_ready, "readiness")
+        for number in range(400):
+            status, _, _ = self.gateway.ask("/nowhere/x", request_id=f"b{number}")
+            self.assertEqual(status, 404)
+        self.assertEqual(self.gateway.ask("/search/q")[0], 200)
+
     def test_line_of_a_request_names_its_inputs(self):
         """Guards against failures that cannot be explained afterwards."""
         self.set_behaviour("s1", "error")
