--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 import unittest
 from random import Random
+from types import SimpleNamespace
 
 import eventlet
 
@@ -12,6 +13,7 @@
 from cicadalever.gateway._reads import RequestHead
 from cicadalever.gateway._service import LoopLateness, parse_deadline, plan_times
 from cicadalever.outcomes import Failure, FailureCode
+from cicadalever.peers import RelayedChanges
 from cicadalever.placement import ReadEnd
 from cicadalever.routing import Limits, Route, RoutingTable
 from cicadalever.wire import (
@@ -26,6 +28,7 @@
     b"x-id", b"x-left", b"x-signed", b"x-replica", b"x-not-run", b"x-parts", b"x-miss"
 )
 SIGNED = [(b"x-id", b"1"), (b"x-signed", b"s")]
+FAILURE = Failure(FailureCode.UNREACHABLE, "reset")
 
 
 def gather_route(shards, **changes):
@@ -170,6 +173,14 @@
         self.assertFalse(self.update("ab", 1.7))
         self.assertTrue(self.update("abc", 2.2))
 
+    def test_host_leaves_with_its_gatherers(self):
+        """Guards against callers of a cut-off data centre who wait for each host."""
+        everything = "abcd".__contains__
+        self.readiness.update(self.table, everything, 0.0, are_gatherers_cut_off=True)
+        self.assertFalse(self.readiness.is_ready(self.table))
+        self.readiness.update(self.table, everything, 0.2, are_gatherers_cut_off=False)
+        self.assertTrue(self.readiness.is_ready(self.table))
+
     def test_single_lost_shard_changes_nothing(self):
         """Guards against all hosts leaving because of one lost service."""
         for now in range(10):
@@ -236,6 +247,87 @@
     return PlatformUpdate(None, [], [], {}, revision, is_complete)
 
 
+class FakeRelay:
+    """A larger host that answers what the test says."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.asked = []
+        self.rejected = 0
+        self.published = []
+        self.has_followers = False
+
+    def choose_source(self):
+        return SimpleNamespace(beat=SimpleNamespace(host="large"))
+
+    def ask(self, source, after):
+        self.asked.append(after)
+        if not self.answers:
+            eventlet.sleep(60)
+        return self.answers.pop(0)
+
+    def reject(self, source):
+        self.rejected += 1
+
+    def publish(self, update):
+        self.published.append(update.revision)
+
+
+class TestFollowedHost(unittest.TestCase):
+    """Changes from a larger host in place of the platform."""
+
+    def follow(self, answers, results):
+        client = FakeClient([update(5, True), *results])
+        self.relay, self.updates, self.returned = FakeRelay(answers), [], []
+        follower = PlatformFollower(
+            client,
+            FollowTimes(wait_s=30.0, interval_s=0.001, max_age_s=2.5),
+            EventLoop(),
+            Random(1),
+            FakeEvents(),
+            self.updates.append,
+            self.returned.append,
+            self.relay,
+            lambda data: update(int(data)) if data.isdigit() else FAILURE,
+        )
+        follower.start()
+        eventlet.sleep(0.05)
+        follower.stop()
+        return client.calls_made
+
+    def test_fresh_changes_save_the_call(self):
+        """Guards against calls to the platform beside those of the larger host."""
+        answers = [RelayedChanges(8, 0.5, 0.0, [b"7", b"8"])]
+        calls = self.follow(answers, [])
+        self.assertEqual(calls, [("read_all", True)])
+        self.assertEqual([each.revision for each in self.updates], [5, 7, 8])
+        self.assertEqual(self.relay.asked, [5, 8])
+        self.assertEqual(self.relay.published, [5, 7, 8])
+
+    def test_old_or_missing_changes_lead_to_the_platform(self):
+        """Guards against a host that trusts another one without the platform."""
+        old = RelayedChanges(8, 2.6, 0.0, [b"8"])
+        unreadable = RelayedChanges(8, 0.1, 0.0, [b"x"])
+        for answer in (old, unreadable, FAILURE):
+            calls = self.follow([answer], [update(6)])
+            self.assertEqual(calls, [("read_all", True), ("watch", 5)])
+            self.assertEqual(self.relay.rejected, 1)
+            self.assertEqual([each.revision for each in self.updates], [5, 6])
+
+    def test_grace_time_of_the_larger_host_holds_here(self):
+        """Guards against entries that lapsed while only the larger host noticed."""
+        self.follow([RelayedChanges(7, 0.1, 1.5, [b"7"])], [])
+        self.assertEqual(self.returned, [1.5])
+
+    def test_followed_host_answers_before_its_knowledge_is_old(self):
+        """Guards against followers that turn away while nothing changes."""
+        for apply_s in (3.0, 5.0, 8.0):
+            times = FollowTimes.plan(4.0, apply_s, apply_s)
+            oldest_s = times.interval_s + times.followed_wait_s
+            self.assertLess(oldest_s, times.max_age_s)
+            self.assertGreater(times.followed_wait_s, 0.0)
+
+
 class TestPlatformFollower(unittest.TestCase):
     """Resumption, lost history and lost contact."""
 
