Split the start of wide queries; name what the table of hosts filters

No change of behaviour: GatewayService.handle had grown to five endings, the loss of a gatherer was told by a text, and PeerTable filtered its hosts in five places. Removes an unused property of ReadRunner.

--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -18,14 +18,14 @@
 class DelegatedCall(Call):
     """Passes a query on to a host with more capacity, and its answer back.
 
-    ``gather`` is called instead of ``on_end`` when the peer cannot gather the query;
-    it is told whether the peer may have begun to.
+    ``gather_here`` is called instead of ``on_end`` when the peer does not gather the
+    query; it is told whether the peer may have begun to.
     """
 
-    def __init__(self, *arguments, link: PeerLink, gather: Callable[[bool], None]):
+    def __init__(self, *arguments, link: PeerLink, gather_here: Callable[[bool], None]):
         super().__init__(*arguments)
         self._link = link
-        self._gather = gather
+        self._gather_here = gather_here
         self._is_acknowledged = False
 
     def start(self, peer: Peer, answer_by: float) -> None:
@@ -56,7 +56,7 @@
         if self.is_ended:
             return
         if answer.fault is not None:
-            self._fall_back(answer.detail, may_have_begun=self._exchange.was_sent)
+            self._lose_peer(answer.detail, may_have_begun=self._exchange.was_sent)
         elif answer.status == DECLINED:
             self._fall_back("declined", may_have_begun=False)
         else:
@@ -67,15 +67,17 @@
     def _wake(self) -> None:
         now = self.loop.now()
         if not self._is_acknowledged:
-            self._fall_back("not acknowledged", may_have_begun=True)
+            self._lose_peer("not acknowledged", may_have_begun=True)
         elif not self._peer.is_alive(now):
-            self._fall_back("silent", may_have_begun=True)
+            self._lose_peer("silent", may_have_begun=True)
         else:
             self._wake_at(now + CHECK_S)
 
+    def _lose_peer(self, reason: str, *, may_have_begun: bool) -> None:
+        self._link.table.failed(self._peer, self.loop.now())
+        self._fall_back(reason, may_have_begun=may_have_begun)
+
     def _fall_back(self, reason: str, *, may_have_begun: bool) -> None:
-        if reason != "declined":
-            self._link.table.failed(self._peer, self.loop.now())
         self._close(reason)
         self.runner.events.emit(
             "gatherer_failed",
@@ -84,7 +86,7 @@
             reason=reason,
             ms=round((self.loop.now() - self.request.received_at) * 1000, 1),
         )
-        self._gather(may_have_begun)
+        self._gather_here(may_have_begun)
 
     def _close(self, detail: str) -> None:
         super()._close(detail)
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -146,11 +146,6 @@
         # Services to which a probe is under way.
         self._probing: set[str] = set()
 
-    @property
-    def open_connections(self) -> int:
-        """Number of connections to replicas."""
-        return sum(pool.open_connections for pool in self._pools.values())
-
     def choose(
         self, service: str, route: Route, exclude: Container[str]
     ) -> ReplicaEntry | None:
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -132,26 +132,12 @@
             connection.respond(response)
 
         arguments = (request, route, self.table, self.runner, head, answer)
-        if not route.shards:
-            call = ForwardCall(*arguments)
-            connection.on_gone = call.cancel
-            call.start(self._turns.next(route.name, route.services))
-            return
-
-        def gather(is_repeat: bool) -> None:
-            call = GatherCall(*arguments, on_late=self.lateness.observe)
-            connection.on_gone = call.cancel
-            call.start(times.answer_by, is_repeat=is_repeat)
-
-        peer = None
-        if len(route.shards) >= MIN_SHARDS_TO_DELEGATE:
-            peer = self.link.choose(self.table.version)
-        if peer is None:
-            gather(False)
+        if route.shards:
+            self._gather(connection, arguments, times.answer_by)
             return
-        delegated = DelegatedCall(*arguments, link=self.link, gather=gather)
-        connection.on_gone = delegated.cancel
-        delegated.start(peer, times.answer_by)
+        call = ForwardCall(*arguments)
+        connection.on_gone = call.cancel
+        call.start(self._turns.next(route.name, route.services))
 
     def handle_peer(self, connection: CallerConnection, request: CallerRequest) -> None:
         """Gather a query for another host, or decline it."""
@@ -191,6 +177,27 @@
         connection.on_gone = gone
         call.start(answer_by)
 
+    def _gather(
+        self, connection: CallerConnection, arguments: tuple, answer_by: float
+    ) -> None:
+        """Gather a query here, or let a larger host do so where that pays."""
+
+        def gather_here(is_repeat: bool) -> None:
+            call = GatherCall(*arguments, on_late=self.lateness.observe)
+            connection.on_gone = call.cancel
+            call.start(answer_by, is_repeat=is_repeat)
+
+        _, route, table, *_ = arguments
+        peer = None
+        if len(route.shards) >= MIN_SHARDS_TO_DELEGATE:
+            peer = self.link.choose(table.version)
+        if peer is None:
+            gather_here(False)
+            return
+        call = DelegatedCall(*arguments, link=self.link, gather_here=gather_here)
+        connection.on_gone = call.cancel
+        call.start(peer, answer_by)
+
     def _route_for_peer(self, request: CallerRequest) -> Route | None:
         """Return the route over shards, if the same version is in force here."""
         if self.table is None:
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -91,9 +91,9 @@
         started_at: float,
     ):
         self.address = address
-        self.started_at = started_at
         self.data_centre = data_centre
         self.capacity = capacity
+        self.started_at = started_at
         self._peers: dict[Address, Peer] = {}
         self._seeds: list[Address] = []
         self._seed_period_s = MIN_SEED_PERIOD_S
@@ -162,17 +162,10 @@
 
         The ``current`` one is kept as long as it may be followed.
         """
-        candidates = [
-            peer
-            for peer in self._peers.values()
-            if peer.is_alive(now)
-            and self._may_gather(peer)
-            and peer.beat.is_serving
-            and now >= peer.rejected_until
-        ]
-        if not candidates or current in candidates:
-            return current if candidates else None
-        return rng.choice(candidates)
+        candidates = [peer for peer in self._serving(now) if now >= peer.rejected_until]
+        if current in candidates:
+            return current
+        return rng.choice(candidates) if candidates else None
 
     def choose(self, version: int, now: float, rng: Random) -> Peer | None:
         """Return the host that should gather a query, or None for this host itself.
@@ -182,12 +175,8 @@
         """
         candidates = [
             peer
-            for peer in self._peers.values()
-            if peer.is_alive(now)
-            and self._may_gather(peer)
-            and peer.beat.is_serving
-            and peer.beat.version == version
-            and now >= peer.paused_until
+            for peer in self._serving(now)
+            if peer.beat.version == version and now >= peer.paused_until
         ]
         if not candidates:
             return None
@@ -202,11 +191,8 @@
         capacity = Capacity(beat.link_mbps, beat.cores)
         return [
             peer.address
-            for peer in self._peers.values()
-            if peer.beat is not None
-            and peer.beat.data_centre == beat.data_centre
-            and now - peer.heard_at <= FORGET_S
-            and peer.capacity.is_much_larger(capacity)
+            for peer in self._known_in(beat.data_centre, now)
+            if peer.capacity.is_much_larger(capacity)
         ]
 
     def count_for(self, beat: Beat, now: float) -> HostCount:
@@ -214,13 +200,7 @@
         if now - self.started_at < COUNT_AFTER_S:
             return HostCount(0, 0)
         sender = Capacity(beat.link_mbps, beat.cores)
-        capacities = [
-            peer.capacity
-            for peer in self._peers.values()
-            if peer.beat is not None
-            and peer.beat.data_centre == beat.data_centre
-            and now - peer.heard_at <= FORGET_S
-        ]
+        capacities = [peer.capacity for peer in self._known_in(beat.data_centre, now)]
         if beat.data_centre == self.data_centre:
             capacities.append(self.capacity)
         similar = [
@@ -240,11 +220,7 @@
 
         They gather most queries of the data centre and find out first.
         """
-        alive = [
-            peer
-            for peer in self._peers.values()
-            if peer.is_alive(now) and self._may_gather(peer)
-        ]
+        alive = self._alive(now)
         return bool(alive) and all(peer.beat.is_cut_off for peer in alive)
 
     def knows_gatherer(self) -> bool:
@@ -258,9 +234,29 @@
             peer.known_since = now
         return peer
 
+    def _known_in(self, data_centre: str, now: float) -> list[Peer]:
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.beat is not None
+            and peer.beat.data_centre == data_centre
+            and now - peer.heard_at <= FORGET_S
+        ]
+
     def _is_followed(self, peer: Peer) -> bool:
         return peer.beat is None or self._may_gather(peer)
 
+    def _alive(self, now: float) -> list[Peer]:
+        """Return the hosts that may gather and were heard lately."""
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.is_alive(now) and self._may_gather(peer)
+        ]
+
+    def _serving(self, now: float) -> list[Peer]:
+        return [peer for peer in self._alive(now) if peer.beat.is_serving]
+
     def _may_gather(self, peer: Peer) -> bool:
         return (
             peer.beat is not None
