--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -35,6 +35,13 @@
 QUERY_TIMEOUT_S = 10.0
 
 
+class _NoPeers:
+    """A host without others that could gather its queries."""
+
+    def choose(self, version):
+        return None
+
+
 class _NoEvents:
     def emit(self, event, **fields):
         pass
@@ -91,7 +98,7 @@
         _NoEvents(),
         GatewayMetrics(),
     )
-    service = GatewayService(runner, _NoEvents())
+    service = GatewayService(runner, _NoEvents(), _NoPeers())
     route = Route("r", "h", "/", True, 9.0, 9.0, 2, 0, (), names, 20, 1.0)
     options = {name: ServiceOptions("/health", 54) for name in names}
     service.table = RoutingTable(1, [route], options, Limits())
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,6 +1,16 @@
 """Tests of cicadalever."""
 
+from hypothesis import HealthCheck, settings
 from loguru import logger
 
 # The log of the code under test would hide the output of the test runner.
 logger.remove()
+
+# The same examples in each run, and no verdict that depends on the time that they take.
+settings.register_profile(
+    "repeatable",
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.load_profile("repeatable")
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -29,6 +29,7 @@
 
 FAULT_S = 4.0
 CALLERS = 6
+LOG_TAIL_LINES = 40
 WIDE_SHARDS = [f"s{number:02d}" for number in range(32)]
 RECOVERY_S = 12.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -67,6 +68,8 @@
         self.history = []
         self.version = 7
         self.is_over = False
+        # Last lines of each gateway's log, kept for a run that breaks a promise.
+        self.log_tails = []
         self.store = StoreStandIn()
         self.store_proxy = FaultProxy(self.store.address)
         self.replicas, self.proxies = {}, {}
@@ -107,6 +110,10 @@
             broken = [] if recovered else ["no whole answers after the faults ended"]
             return broken + self._check()
         finally:
+            self.log_tails = [
+                gateway.log_path.read_text().splitlines()[-LOG_TAIL_LINES:]
+                for gateway in self.gateways
+            ]
             for part in [
                 *self.gateways,
                 *self.proxies.values(),
@@ -301,6 +308,8 @@
         print(f"seed {seed}: {len(broken)} broken, {served}/{len(soak.answers)} served")
         for line in [*broken[:5], *(soak.history if broken else [])]:
             print(f"    {line}")
+        for tail in soak.log_tails if broken else []:
+            print(*tail, sep="\n")
         sys.stdout.flush()
     return 1 if failed else 0
 
