--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -208,7 +208,7 @@
         self._check_suspension()
         self._note_changes(parts.directory.expire(now))
         self._update_readiness(now)
-        self._send_beats()
+        self._send_heartbeats()
         if self._ticks % IDLE_TICKS == 0:
             self._share_slack(now)
             parts.runner.close_expired()
@@ -246,7 +246,7 @@
         if readiness.is_cut_off:
             runner.probe_unreachable(self.parts.service.table)
 
-    def _send_beats(self) -> None:
+    def _send_heartbeats(self) -> None:
         table = self.parts.service.table
         self.parts.link.tick(
             table.version if table else 0,
--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -62,7 +62,7 @@
         else:
             headers = [each for each in answer.headers if not is_hop_by_hop(each[0])]
             response = Response(answer.status, headers, answer.body)
-            self._end(response, "delegated", gatherer=self._peer.beat.host)
+            self._end(response, "delegated", gatherer=self._peer.heartbeat.host)
 
     def _wake(self) -> None:
         now = self.loop.now()
@@ -82,7 +82,7 @@
         self.runner.events.emit(
             "gatherer_failed",
             id=self.head.request_id,
-            gatherer=self._peer.beat.host,
+            gatherer=self._peer.heartbeat.host,
             reason=reason,
             ms=round((self.loop.now() - self.request.received_at) * 1000, 1),
         )
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -1,4 +1,4 @@
-"""Traffic between hosts: beats over UDP, queries over HTTP."""
+"""Traffic between hosts: heartbeats over UDP, queries over HTTP."""
 
 import contextlib
 import socket
@@ -7,12 +7,12 @@
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
     Address,
-    Beat,
+    Heartbeat,
     HostCount,
     Peer,
     PeerTable,
-    decode_beat,
-    encode_beat,
+    decode_heartbeat,
+    encode_heartbeat,
 )
 from cicadalever.wire import CallerServer, EventLoop, Exchange, HeaderNames, ReplicaPool
 
@@ -25,8 +25,8 @@
 # Queries that a host sends to one other at a time; more of them are gathered here.
 MAX_CONNECTIONS = 32
 # Largest datagram that is read, and how many at once.
-MAX_BEAT_BYTES = 2048
-MAX_BEATS = 64
+MAX_HEARTBEAT_BYTES = 2048
+MAX_HEARTBEATS = 64
 UNKNOWN_COUNT = HostCount(0, 0)
 
 
@@ -76,16 +76,16 @@
         self.loop.watch_read(sock.fileno(), self._readable)
 
     def tick(self, version: int, *, is_serving: bool, is_cut_off: bool) -> None:
-        """Send the beats that are due, with what this host now says of itself."""
+        """Send the heartbeats that are due, with what this host now says of itself."""
         self._version = version
         self._is_serving = is_serving
         self._is_cut_off = is_cut_off
         now = self.loop.now()
         for peer in self.table.expire(self._ticked_at, now):
-            self.events.emit("gatherer_lost", gatherer=peer.beat.host)
+            self.events.emit("gatherer_lost", gatherer=peer.heartbeat.host)
         self._ticked_at = now
         for address in self.table.due(now):
-            self._send_beat(address, wants_reply=True)
+            self._send_heartbeat(address, wants_reply=True)
 
     def choose(self, version: int) -> Peer | None:
         """Return the host that should gather a query, or None for this one."""
@@ -113,7 +113,7 @@
         for pool in self._pools.values():
             pool.close_expired()
 
-    def _send_beat(
+    def _send_heartbeat(
         self,
         address: Address,
         *,
@@ -124,7 +124,7 @@
         if self._socket is None:
             return
         table = self.table
-        beat = Beat(
+        heartbeat = Heartbeat(
             self.host_id,
             table.data_centre,
             table.address,
@@ -138,36 +138,36 @@
             count.hosts,
             count.similar,
         )
-        # A beat that cannot be sent is like a lost one; the next follows soon.
+        # A heartbeat that cannot be sent is like a lost one; the next follows soon.
         with contextlib.suppress(OSError):
-            self._socket.sendto(encode_beat(beat), address)
+            self._socket.sendto(encode_heartbeat(heartbeat), address)
 
     def _readable(self) -> None:
-        for _ in range(MAX_BEATS):
+        for _ in range(MAX_HEARTBEATS):
             try:
-                data, _sender = self._socket.recvfrom(MAX_BEAT_BYTES)
+                data, _sender = self._socket.recvfrom(MAX_HEARTBEAT_BYTES)
             except OSError:
                 return
-            beat = decode_beat(data)
-            if isinstance(beat, Failure):
-                self.events.emit_detail("beat_unreadable", reason=beat.reason)
+            heartbeat = decode_heartbeat(data)
+            if isinstance(heartbeat, Failure):
+                self.events.emit_detail("heartbeat_unreadable", reason=heartbeat.reason)
                 continue
-            self._heard(beat)
+            self._heard(heartbeat)
 
-    def _heard(self, beat: Beat) -> None:
+    def _heard(self, heartbeat: Heartbeat) -> None:
         now = self.loop.now()
-        if self.table.heard(beat, now):
+        if self.table.heard(heartbeat, now):
             self.events.emit(
                 "gatherer_found",
-                gatherer=beat.host,
-                link_mbps=beat.link_mbps,
-                cores=beat.cores,
+                gatherer=heartbeat.host,
+                link_mbps=heartbeat.link_mbps,
+                cores=heartbeat.cores,
             )
-        if beat.wants_reply:
-            peers = self.table.gatherers_for(beat, now)
-            self._send_beat(
-                beat.address,
+        if heartbeat.wants_reply:
+            peers = self.table.gatherers_for(heartbeat, now)
+            self._send_heartbeat(
+                heartbeat.address,
                 wants_reply=False,
                 peers=peers,
-                count=self.table.count_for(beat, now),
+                count=self.table.count_for(heartbeat, now),
             )
--- a/cicadalever/peers/_beat.py
+++ b/cicadalever/peers/_heartbeat.py
@@ -9,13 +9,13 @@
 Positive = Annotated[float, msgspec.Meta(gt=0.0)]
 
 
-class Beat(msgspec.Struct, array_like=True, frozen=True):
+class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
     """What a host says of itself.
 
-    ``address`` is an IPv4 address and the port for queries (TCP) and beats (UDP).
+    ``address`` is an IPv4 address and the port for queries (TCP) and heartbeats (UDP).
     ``link_mbps`` and ``cores`` tell what the host can do, ``version`` the configuration
     in force (0: none). ``is_cut_off`` tells that the host is out of reach of its
-    upstreams. ``wants_reply`` asks the receiver for its own beat, in which
+    upstreams. ``wants_reply`` asks the receiver for its own heartbeat, in which
     ``peers`` lists the more capable hosts of the sender's data centre, ``hosts`` counts
     all of its hosts and ``similar`` those that are as capable as the sender, itself
     included (0: not known yet).
@@ -36,17 +36,17 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Beat)
+_decoder = msgspec.msgpack.Decoder(Heartbeat)
 
 
-def encode_beat(beat: Beat) -> bytes:
-    """Return the bytes of a beat."""
-    return _encoder.encode(beat)
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Return the bytes of a heartbeat."""
+    return _encoder.encode(heartbeat)
 
 
-def decode_beat(data: bytes) -> Beat | Failure:
-    """Return a beat, or why the datagram is none."""
+def decode_heartbeat(data: bytes) -> Heartbeat | Failure:
+    """Return a heartbeat, or why the datagram is none."""
     try:
         return _decoder.decode(data)
     except msgspec.MsgspecError as error:
-        return Failure(FailureCode.INVALID, f"beat: {error}")
+        return Failure(FailureCode.INVALID, f"heartbeat: {error}")
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -3,7 +3,7 @@
 from random import Random
 from typing import NamedTuple
 
-from ._beat import Beat
+from ._heartbeat import Heartbeat
 
 Address = tuple[str, int]
 
@@ -11,18 +11,18 @@
 # one of them is larger by this factor. The extra hop takes about a millisecond, and
 # requests and answers of a wide query take tens of them on the smaller link.
 MUCH_LARGER = 2.0
-# Time between two beats to a host that may gather for this one.
-BEAT_PERIOD_S = 0.4
+# Time between two heartbeats to a host that may gather for this one.
+HEARTBEAT_PERIOD_S = 0.4
 # Two lost datagrams in a row must not exclude a host.
 ALIVE_S = 1.3
-# Time between two beats to the seeds: doubled from the first to the last.
+# Time between two heartbeats to the seeds: doubled from the first to the last.
 MIN_SEED_PERIOD_S = 0.5
 MAX_SEED_PERIOD_S = 8.0
 # A host that has been silent for so long is forgotten. Longer than the longest period
-# of the beats to seeds, so that a seed does not forget hosts between two of them.
+# of the heartbeats to seeds, so that a seed does not forget hosts between two of them.
 FORGET_S = 30.0
-# Time after its start in which a host has heard of all others, which send beats to
-# seeds at least every ``MAX_SEED_PERIOD_S``; one beat may be lost.
+# Time after its start in which a host has heard of all others, which send heartbeats to
+# seeds at least every ``MAX_SEED_PERIOD_S``; one heartbeat may be lost.
 COUNT_AFTER_S = 2.0 * MAX_SEED_PERIOD_S
 # Time for which a host gets no queries after one was lost there.
 FAILURE_PAUSE_S = 1.0
@@ -49,25 +49,29 @@
 
 
 class Peer:
-    """Another host, as its beats describe it."""
+    """Another host, as its heartbeats describe it."""
 
     def __init__(self, address: Address):
         self.address = address
-        self.beat: Beat | None = None
+        self.heartbeat: Heartbeat | None = None
         # Queries of this host that the peer is gathering.
         self.in_flight = 0
         self.heard_at = float("-inf")
         self.known_since = float("-inf")
-        self.beat_due_at = float("-inf")
+        self.heartbeat_due_at = float("-inf")
         self.paused_until = float("-inf")
         # Until then the peer is not followed for changes of the platform.
         self.rejected_until = float("-inf")
 
     @property
     def capacity(self) -> Capacity | None:
-        """What the peer can do, or None before its first beat."""
-        beat = self.beat
-        return None if beat is None else Capacity(beat.link_mbps, beat.cores)
+        """What the peer can do, or None before its first heartbeat."""
+        heartbeat = self.heartbeat
+        return (
+            None
+            if heartbeat is None
+            else Capacity(heartbeat.link_mbps, heartbeat.cores)
+        )
 
     def is_alive(self, now: float) -> bool:
         """Tell whether the peer has been heard lately."""
@@ -77,10 +81,10 @@
 class PeerTable:
     """Aggregate of all hosts that this host has heard of.
 
-    Hosts find each other through the seeds: each host sends beats there, and a seed
-    names the more capable hosts of the sender's data centre in its reply. To these the
-    host then sends beats itself, more often, so that it knows within about a second
-    which of them are alive.
+    Hosts find each other through the seeds: each host sends heartbeats there, and a
+    seed names the more capable hosts of the sender's data centre in its reply. To these
+    the host then sends heartbeats itself, more often, so that it knows within about a
+    second which of them are alive.
     """
 
     def __init__(
@@ -101,7 +105,7 @@
         self._counts: list[tuple[float, HostCount]] = []
 
     def use_seeds(self, seeds: list[Address]) -> None:
-        """Take the seeds of the settings; beats go to all of them soon."""
+        """Take the seeds of the settings; heartbeats go to all of them soon."""
         self._seeds = [seed for seed in seeds if seed != self.address]
         self._seed_period_s = MIN_SEED_PERIOD_S
         self._seeds_due_at = float("-inf")
@@ -110,26 +114,26 @@
         """Return a known host."""
         return self._peers.get(address)
 
-    def heard(self, beat: Beat, now: float) -> bool:
-        """Take a beat; return whether a host that may gather has come back."""
-        if beat.address == self.address:
+    def heard(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Take a heartbeat; return whether a host that may gather has come back."""
+        if heartbeat.address == self.address:
             return False
-        peer = self._add(beat.address, now)
+        peer = self._add(heartbeat.address, now)
         was_alive = peer.is_alive(now)
-        peer.beat = beat
+        peer.heartbeat = heartbeat
         peer.heard_at = now
-        for address in beat.peers:
+        for address in heartbeat.peers:
             self._add(address, now)
-        if beat.hosts > 0:
-            self._counts.append((now, HostCount(beat.hosts, beat.similar)))
+        if heartbeat.hosts > 0:
+            self._counts.append((now, HostCount(heartbeat.hosts, heartbeat.similar)))
         return not was_alive and self._may_gather(peer)
 
     def due(self, now: float) -> list[Address]:
-        """Return the addresses that should get a beat now."""
+        """Return the addresses that should get a heartbeat now."""
         addresses = []
         for peer in self._peers.values():
-            if now >= peer.beat_due_at and self._is_followed(peer):
-                peer.beat_due_at = now + BEAT_PERIOD_S
+            if now >= peer.heartbeat_due_at and self._is_followed(peer):
+                peer.heartbeat_due_at = now + HEARTBEAT_PERIOD_S
                 addresses.append(peer.address)
         if now >= self._seeds_due_at:
             self._seeds_due_at = now + self._seed_period_s
@@ -176,7 +180,7 @@
         candidates = [
             peer
             for peer in self._serving(now)
-            if peer.beat.version == version and now >= peer.paused_until
+            if peer.heartbeat.version == version and now >= peer.paused_until
         ]
         if not candidates:
             return None
@@ -186,22 +190,24 @@
         """Note that a peer did not gather a query; it is left alone for a while."""
         peer.paused_until = now + FAILURE_PAUSE_S
 
-    def gatherers_for(self, beat: Beat, now: float) -> list[Address]:
-        """Return the hosts that may gather for the sender of a beat."""
-        capacity = Capacity(beat.link_mbps, beat.cores)
+    def gatherers_for(self, heartbeat: Heartbeat, now: float) -> list[Address]:
+        """Return the hosts that may gather for the sender of a heartbeat."""
+        capacity = Capacity(heartbeat.link_mbps, heartbeat.cores)
         return [
             peer.address
-            for peer in self._known_in(beat.data_centre, now)
+            for peer in self._known_in(heartbeat.data_centre, now)
             if peer.capacity.is_much_larger(capacity)
         ]
 
-    def count_for(self, beat: Beat, now: float) -> HostCount:
-        """Return the count of hosts for the sender of a beat; zero while unknown."""
+    def count_for(self, heartbeat: Heartbeat, now: float) -> HostCount:
+        """Return the count for the sender of a heartbeat; zero while unknown."""
         if now - self.started_at < COUNT_AFTER_S:
             return HostCount(0, 0)
-        sender = Capacity(beat.link_mbps, beat.cores)
-        capacities = [peer.capacity for peer in self._known_in(beat.data_centre, now)]
-        if beat.data_centre == self.data_centre:
+        sender = Capacity(heartbeat.link_mbps, heartbeat.cores)
+        capacities = [
+            peer.capacity for peer in self._known_in(heartbeat.data_centre, now)
+        ]
+        if heartbeat.data_centre == self.data_centre:
             capacities.append(self.capacity)
         similar = [
             each
@@ -221,7 +227,7 @@
         They gather most queries of the data centre and find out first.
         """
         alive = self._alive(now)
-        return bool(alive) and all(peer.beat.is_cut_off for peer in alive)
+        return bool(alive) and all(peer.heartbeat.is_cut_off for peer in alive)
 
     def knows_gatherer(self) -> bool:
         """Tell whether a larger host of the data centre was heard of lately."""
@@ -238,13 +244,13 @@
         return [
             peer
             for peer in self._peers.values()
-            if peer.beat is not None
-            and peer.beat.data_centre == data_centre
+            if peer.heartbeat is not None
+            and peer.heartbeat.data_centre == data_centre
             and now - peer.heard_at <= FORGET_S
         ]
 
     def _is_followed(self, peer: Peer) -> bool:
-        return peer.beat is None or self._may_gather(peer)
+        return peer.heartbeat is None or self._may_gather(peer)
 
     def _alive(self, now: float) -> list[Peer]:
         """Return the hosts that may gather and were heard lately."""
@@ -255,11 +261,11 @@
         ]
 
     def _serving(self, now: float) -> list[Peer]:
-        return [peer for peer in self._alive(now) if peer.beat.is_serving]
+        return [peer for peer in self._alive(now) if peer.heartbeat.is_serving]
 
     def _may_gather(self, peer: Peer) -> bool:
         return (
-            peer.beat is not None
-            and peer.beat.data_centre == self.data_centre
+            peer.heartbeat is not None
+            and peer.heartbeat.data_centre == self.data_centre
             and peer.capacity.is_much_larger(self.capacity)
         )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -258,7 +258,7 @@
         self.has_followers = False
 
     def choose_source(self):
-        return SimpleNamespace(beat=SimpleNamespace(host="large"))
+        return SimpleNamespace(heartbeat=SimpleNamespace(host="large"))
 
     def ask(self, source, after):
         self.asked.append(after)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,15 +6,15 @@
 
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
-    Beat,
     Capacity,
     ChangeLog,
+    Heartbeat,
     PeerTable,
     RelayedChanges,
-    decode_beat,
     decode_changes,
-    encode_beat,
+    decode_heartbeat,
     encode_changes,
+    encode_heartbeat,
 )
 from tests.platform_standins import (
     GatewayProcess,
@@ -31,8 +31,8 @@
 SMALL_HOST = Capacity(link_mbps=15.0, cores=0.5)
 
 
-def beat(address=LARGE, **changes):
-    """Return the beat of a large host of the own data centre."""
+def heartbeat(address=LARGE, **changes):
+    """Return the heartbeat of a large host of the own data centre."""
     fields = {
         "host": "large",
         "data_centre": "dc-a",
@@ -45,27 +45,32 @@
         "wants_reply": False,
         "peers": [],
     }
-    return Beat(**fields | changes)
+    return Heartbeat(**fields | changes)
 
 
-class TestBeat(unittest.TestCase):
+class TestHeartbeat(unittest.TestCase):
     """The datagram between hosts."""
 
     def test_round_trip(self):
         """Guards against fields that change their place."""
-        sent = beat(peers=[SEED])
-        self.assertEqual(decode_beat(encode_beat(sent)), sent)
+        sent = heartbeat(peers=[SEED])
+        self.assertEqual(decode_heartbeat(encode_heartbeat(sent)), sent)
 
     def test_other_bytes_are_a_failure(self):
         """Guards against a process that ends because of a foreign datagram."""
-        for data in (b"", b"\xc1", b"GET / HTTP/1.1", encode_beat(beat())[:-3]):
-            self.assertIsInstance(decode_beat(data), Failure)
+        for data in (
+            b"",
+            b"\xc1",
+            b"GET / HTTP/1.1",
+            encode_heartbeat(heartbeat())[:-3],
+        ):
+            self.assertIsInstance(decode_heartbeat(data), Failure)
 
     def test_capacity_must_be_positive(self):
         """Guards against a division by the capacity of a broken host."""
         for changes in ({"link_mbps": 0.0}, {"cores": -1.0}):
-            data = encode_beat(beat(**changes))
-            self.assertIsInstance(decode_beat(data), Failure)
+            data = encode_heartbeat(heartbeat(**changes))
+            self.assertIsInstance(decode_heartbeat(data), Failure)
 
 
 class TestCapacity(unittest.TestCase):
@@ -102,24 +107,24 @@
                 {"version": 6},
             )
         ):
-            self.table.heard(beat(("10.0.1.1", index), **changes), 0.0)
+            self.table.heard(heartbeat(("10.0.1.1", index), **changes), 0.0)
         self.assertIsNone(self.choose())
-        self.table.heard(beat(), 0.0)
+        self.table.heard(heartbeat(), 0.0)
         self.assertEqual(self.choose(), LARGE)
         self.assertIsNone(self.choose(version=8))
 
     def test_silent_host_is_not_chosen(self):
         """Guards against queries to a host that was killed or cut off."""
-        self.table.heard(beat(), 0.0)
+        self.table.heard(heartbeat(), 0.0)
         self.assertEqual(self.choose(now=1.0), LARGE)
         self.assertIsNone(self.choose(now=2.0))
         self.assertEqual([p.address for p in self.table.expire(1.0, 2.0)], [LARGE])
-        self.assertTrue(self.table.heard(beat(), 2.0))
+        self.assertTrue(self.table.heard(heartbeat(), 2.0))
         self.assertEqual(self.choose(now=2.0), LARGE)
 
     def test_failed_host_is_left_alone_for_a_while(self):
-        """Guards against losing every query to a host whose beats still come."""
-        self.table.heard(beat(), 0.0)
+        """Guards against losing every query to a host whose heartbeats still come."""
+        self.table.heard(heartbeat(), 0.0)
         self.table.failed(self.table.get(LARGE), 0.0)
         self.assertIsNone(self.choose(now=0.5))
         self.assertEqual(self.choose(now=1.1), LARGE)
@@ -127,17 +132,17 @@
     def test_queries_are_divided(self):
         """Guards against one large host that gathers everything."""
         other = ("10.0.0.3", 7000)
-        self.table.heard(beat(), 0.0)
-        self.table.heard(beat(other), 0.0)
+        self.table.heard(heartbeat(), 0.0)
+        self.table.heard(heartbeat(other), 0.0)
         self.table.get(LARGE).in_flight = 1
         self.assertEqual(self.choose(), other)
 
     def test_seed_names_the_larger_hosts_of_the_senders_data_centre(self):
         """Guards against hosts that never hear of each other."""
         seed = PeerTable(SEED, "dc-b", Capacity(15.0, 0.5), 0.0)
-        seed.heard(beat(), 0.0)
-        seed.heard(beat(("10.0.2.1", 7000), data_centre="dc-b"), 0.0)
-        asking = beat(OWN, link_mbps=15.0, cores=0.5)
+        seed.heard(heartbeat(), 0.0)
+        seed.heard(heartbeat(("10.0.2.1", 7000), data_centre="dc-b"), 0.0)
+        asking = heartbeat(OWN, link_mbps=15.0, cores=0.5)
         self.assertEqual(seed.gatherers_for(asking, 0.0), [LARGE])
         self.assertEqual(seed.gatherers_for(asking, 60.0), [])
 
@@ -145,28 +150,28 @@
         """Guards against traffic between hosts that are of no use to each other."""
         self.table.use_seeds([SEED, OWN])
         self.assertEqual(self.table.due(0.0), [SEED])
-        reply = beat(SEED, peers=[LARGE], link_mbps=15.0, cores=0.5)
+        reply = heartbeat(SEED, peers=[LARGE], link_mbps=15.0, cores=0.5)
         self.table.heard(reply, 0.0)
         self.assertEqual(self.table.due(0.0), [LARGE])
         self.assertEqual(self.table.due(0.1), [])
-        self.table.heard(beat(link_mbps=15.0, cores=0.5), 0.2)
+        self.table.heard(heartbeat(link_mbps=15.0, cores=0.5), 0.2)
         self.assertEqual(self.table.due(0.45), [])
 
     def test_beats_to_seeds_become_rare(self):
         """Guards against traffic to seeds that grows with the number of hosts."""
         self.table.use_seeds([SEED])
         times = [step / 10 for step in range(600)]
-        beats = sum(len(self.table.due(now)) for now in times)
-        self.assertLess(beats, 13)
+        heartbeats = sum(len(self.table.due(now)) for now in times)
+        self.assertLess(heartbeats, 13)
 
     def test_seed_counts_hosts_once_it_has_heard_them_all(self):
         """Guards against shares that are too large after the restart of a seed."""
         seed = PeerTable(SEED, "dc-a", SMALL_HOST, 0.0)
-        large = beat()
+        large = heartbeat()
         for number in range(4):
-            small = beat(("10.0.3.1", number), link_mbps=15.0, cores=0.5)
+            small = heartbeat(("10.0.3.1", number), link_mbps=15.0, cores=0.5)
             seed.heard(small, 20.0)
-        seed.heard(beat(("10.0.4.1", 1), data_centre="dc-b"), 20.0)
+        seed.heard(heartbeat(("10.0.4.1", 1), data_centre="dc-b"), 20.0)
         seed.heard(large, 20.0)
         self.assertEqual(seed.count_for(large, 10.0), (0, 0))
         self.assertEqual(seed.count_for(large, 20.0), (6, 1))
@@ -175,8 +180,8 @@
     def test_greatest_count_holds(self):
         """Guards against a share that grows while a seed sees a part of the hosts."""
         self.assertIsNone(self.table.count(0.0))
-        self.table.heard(beat(hosts=18, similar=16), 0.0)
-        self.table.heard(beat(SEED, hosts=9, similar=8), 1.0)
+        self.table.heard(heartbeat(hosts=18, similar=16), 0.0)
+        self.table.heard(heartbeat(SEED, hosts=9, similar=8), 1.0)
         self.assertEqual(self.table.count(1.0), (18, 16))
         self.assertEqual(self.table.count(30.5), (9, 8))
 
@@ -184,17 +189,17 @@
         """Guards against callers that stay in a data centre that cannot serve them."""
         other = ("10.0.0.3", 7000)
         self.assertFalse(self.table.is_cut_off(0.0))
-        self.table.heard(beat(is_cut_off=True), 0.0)
+        self.table.heard(heartbeat(is_cut_off=True), 0.0)
         self.assertTrue(self.table.is_cut_off(0.0))
-        self.table.heard(beat(other), 0.0)
+        self.table.heard(heartbeat(other), 0.0)
         self.assertFalse(self.table.is_cut_off(0.0))
-        self.table.heard(beat(other, is_cut_off=True), 0.1)
+        self.table.heard(heartbeat(other, is_cut_off=True), 0.1)
         self.assertTrue(self.table.is_cut_off(0.1))
         self.assertFalse(self.table.is_cut_off(5.0))
 
     def test_dead_host_is_forgotten(self):
         """Guards against a table that grows with each host that is replaced."""
-        self.table.heard(beat(), 0.0)
+        self.table.heard(heartbeat(), 0.0)
         self.table.expire(0.0, 31.0)
         self.assertIsNone(self.table.get(LARGE))
 
