--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -205,7 +205,7 @@
             self._rejected_source = True
             self._note_source(None, reason)
             return False
-        self._note_source(source.beat.host, "its knowledge is fresh")
+        self._note_source(source.heartbeat.host, "its knowledge is fresh")
         return True
 
     def _take_relayed(self, changes: RelayedChanges) -> str | None:
