--- a/cicadalever/gateway/_adapter.py
+++ b/cicadalever/gateway/_adapter.py
@@ -27,7 +27,8 @@
     """Settings of one host; addresses are pairs of IPv4 address and port.
 
     ``data_centres`` is the number of data centres of the deployment. ``seeds`` are the
-    peer addresses of some other hosts, which may be down. The times are bounds of the
+    peer addresses of some other hosts, which may be down. The platform kills a process
+    that takes more than ``memory_bytes``. The times are bounds of the
     deployment in seconds: after SIGTERM the process is killed when ``grace_s`` have
     passed; a host must be up to date again within ``contact_s`` after a disturbance; a
     new configuration must be in force on all hosts within ``apply_s``; and a replica
@@ -43,6 +44,7 @@
     peer_address: tuple[str, int]
     seeds: tuple[tuple[str, int], ...]
     capacity: Capacity
+    memory_bytes: int
     grace_s: float
     contact_s: float
     apply_s: float
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -7,7 +7,7 @@
 from cicadalever.placement import LeastCostSelector
 from cicadalever.retries import SLACK_PER_HOST, RetryBudget
 from cicadalever.routing import Limits
-from cicadalever.wire import CallerServer, EventLoop, ServerLimits
+from cicadalever.wire import CallerServer, EventLoop, ReceiveMemory, ServerLimits
 
 from ._adapter import HostSettings, PlatformAdapter
 from ._daemon import GatewayComponents, GatewayDaemon
@@ -21,6 +21,8 @@
 from ._service import GatewayService
 
 METRICS_PORT = 9464
+# Share of a host's memory for answers that it is still receiving.
+RECEIVE_MEMORY_SHARE = 0.25
 
 
 def build_gateway(
@@ -31,6 +33,7 @@
     events = EventLog(settings.host_id)
     metrics = GatewayMetrics()
     directory = UpstreamDirectory()
+    memory = ReceiveMemory(int(RECEIVE_MEMORY_SHARE * settings.memory_bytes))
     runner = ReadRunner(
         loop,
         adapter.header_names,
@@ -43,6 +46,7 @@
         ),
         events,
         metrics,
+        memory,
     )
     limits = ServerLimits(*Limits())
     service: GatewayService
@@ -66,6 +70,7 @@
         CallerServer(loop, settings.peer_address, handle_peer_request, limits),
         events,
         rng,
+        memory,
     )
     service = GatewayService(runner, events, link)
     relay = ChangeRelay(
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -266,8 +266,9 @@
             event = "cut_off" if readiness.is_cut_off else "reconnected"
             self.components.events.emit(event)
             self._update_connection_closing()
-        if readiness.is_cut_off:
-            runner.probe_unreachable(self.components.service.table)
+        table = self.components.service.table
+        if readiness.is_cut_off and table is not None:
+            runner.probe_unreachable(table)
 
     def _send_heartbeats(self) -> None:
         table = self.components.service.table
@@ -359,6 +360,9 @@
 
     def _finish_drain(self) -> None:
         server, peer_server = self.components.caller_server, self.components.link.server
+        # What the kernel has accepted must be answered as well, so the listener is
+        # closed while the process still serves.
+        server.stop_accepting()
         server.close_idle()
         age_s = self.components.loop.now() - self._draining_since
         is_late = age_s >= self.settings.grace_s - EXIT_MARGIN_S
@@ -366,7 +370,9 @@
         if busy and not is_late:
             self.components.loop.call_later(DRAIN_POLL_S, self._finish_drain)
             return
-        server.stop_accepting()
+        for connection in list(server.connections):
+            # The platform is about to kill the process. The request may have run.
+            connection.end_request(CallerResponse(502, []))
         self.components.events.emit("stopped", busy=busy, after_s=round(age_s, 2))
         # There is no state to save, and no request in progress could still be answered.
         os._exit(0)
--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -6,7 +6,7 @@
 from cicadalever.wire import CallerResponse, Exchange, ReplicaAnswer, is_hop_by_hop
 
 from ._call import Call
-from ._peers import STATUS_DECLINED, PeerLink
+from ._peers import PROGRESS_PERIOD_S, STATUS_DECLINED, PeerLink
 
 # Without an acknowledgement within this time, this host gathers the query itself. A
 # round trip inside a data centre takes 0.2 ms, and a busy event loop delays the
@@ -14,6 +14,10 @@
 ACKNOWLEDGE_TIMEOUT_S = 0.015
 # Time between two checks whether the gatherer is alive.
 LIVENESS_CHECK_S = 0.1
+# A gatherer without a heartbeat still counts as alive for this long after it has last
+# reported progress on the connection of the query: heartbeats are datagrams, which a
+# link may lose while the query goes on.
+SILENCE_TIMEOUT_S = 2.5 * PROGRESS_PERIOD_S
 
 
 class DelegatedCall(Call):
@@ -49,9 +53,13 @@
         self._link.send(peer.address, self._exchange)
 
     def _on_acknowledged(self) -> None:
-        if not self.is_ended:
+        if self.is_ended:
+            return
+        now = self.loop.now()
+        self._silent_at = now + SILENCE_TIMEOUT_S
+        if not self._is_acknowledged:
             self._is_acknowledged = True
-            self._set_timer(self.loop.now() + LIVENESS_CHECK_S)
+            self._set_timer(now + LIVENESS_CHECK_S)
 
     def _on_answer(self, answer: ReplicaAnswer) -> None:
         if self.is_ended:
@@ -70,9 +78,11 @@
     def _on_timer(self) -> None:
         now = self.loop.now()
         if not self._is_acknowledged:
-            self._handle_peer_failure("not acknowledged", may_have_begun=True)
-        elif not self._peer.is_alive(now):
-            self._handle_peer_failure("no heartbeat", may_have_begun=True)
+            self._handle_peer_failure(
+                "not acknowledged", may_have_begun=self._exchange.was_sent
+            )
+        elif not (self._peer.is_alive(now) or now < self._silent_at):
+            self._handle_peer_failure("silent", may_have_begun=True)
         else:
             self._set_timer(now + LIVENESS_CHECK_S)
 
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -18,6 +18,9 @@
 MAX_WATCH_WAIT_S = 30.0
 # Time to call the platform again after a watch has timed out, and to apply the answer.
 RECOVERY_MARGIN_S = 3.0
+# Time after which a first read is used although the changes since then cannot be read:
+# without it, this host could serve no request at all.
+MAX_UNCONFIRMED_S = 2.0
 # Wait of the watch call after a failure: short, so that its answer soon shows that the
 # platform is reachable again.
 RECONNECT_WAIT_S = 0.1
@@ -82,6 +85,10 @@
 class PlatformFollower:
     """Reads the full state once and then follows the changes in a green thread.
 
+    The first read may be seconds old: it can name replicas that have left and routes
+    that were removed. It is delivered together with the changes since then, or alone
+    if these cannot be had for ``MAX_UNCONFIRMED_S``.
+
     The source is a larger host of the data centre as long as there is one with fresh
     data (``relay``), and a watch of the platform otherwise. ``on_update`` gets each
     update. When the platform is reachable again, for this host or for the larger one,
@@ -113,6 +120,9 @@
         self._source: str | None = None
         self._has_rejected_source = False
         self._revision: int | None = None
+        # A first read that may be out of date, and when it arrived.
+        self._unconfirmed: PlatformUpdate | None = None
+        self._unconfirmed_since = 0.0
         self._thread = None
         self._lost_at: float | None = None
         self._contact_at = loop.now()
@@ -156,6 +166,10 @@
                 continue
             if isinstance(result, Failure):
                 self._record_failure(result)
+                age_s = self.loop.now() - self._unconfirmed_since
+                if self._unconfirmed is not None and age_s >= MAX_UNCONFIRMED_S:
+                    self.events.emit("started_unconfirmed", age_s=round(age_s, 2))
+                    self._deliver_unconfirmed()
                 self._sleep_with_jitter(backoff_s)
                 backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
                 continue
@@ -180,9 +194,19 @@
             backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
         self._record_contact()
         self._revision = result.revision
-        self._deliver(result)
+        self._unconfirmed = result
+        self._unconfirmed_since = self.loop.now()
+        if not allow_stale:
+            self._deliver_unconfirmed()
+
+    def _deliver_unconfirmed(self) -> None:
+        update, self._unconfirmed = self._unconfirmed, None
+        if update is not None:
+            self._deliver(update)
 
     def _watch_wait_s(self) -> float:
+        if self._unconfirmed is not None:
+            return 0.0
         if self._lost_at is not None:
             return RECONNECT_WAIT_S
         if self.relay is not None and self.relay.has_followers:
@@ -222,12 +246,14 @@
         self._record_contact(changes.age_s)
         if changes.grace_s > 0.0:
             self.on_platform_returned(changes.grace_s)
+        self._deliver_unconfirmed()
         for update in updates:
             self._apply(update)
         self._revision = max(self._revision, changes.revision)
         return None
 
     def _apply(self, update: PlatformUpdate) -> None:
+        self._deliver_unconfirmed()
         self._revision = max(self._revision, update.revision)
         self._deliver(update)
 
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -7,6 +7,7 @@
     GatherState,
     ShardAnswer,
     merge_top_records,
+    shorten_answer,
 )
 from cicadalever.wire import CallerResponse
 
@@ -51,7 +52,7 @@
         self._tried: list[set[str]] = [set() for _ in route.shards]
         self._attempts = [0] * len(route.shards)
         self._awaiting_budget: set[int] = set()
-        self._may_have_run = False
+        self._may_have_run = is_repeat
         # Result of a read that ends before ``ReadRunner.start`` returns.
         self._synchronous_result: ReadResult | None = None
         self._is_starting = True
@@ -146,9 +147,8 @@
             return
         self._awaiting_budget.discard(shard)
         signature = result.answer.header(self.runner.names.signature).decode("latin-1")
-        self._shard_answers[shard] = ShardAnswer(
-            self.route.shards[shard], signature, result.answer.body
-        )
+        answer = ShardAnswer(self.route.shards[shard], signature, result.answer.body)
+        self._shard_answers[shard] = shorten_answer(answer, self.route.top_records)
 
     def _on_timer(self) -> None:
         self._advance(self.loop.now())
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -14,14 +14,24 @@
     decode_heartbeat,
     encode_heartbeat,
 )
-from cicadalever.wire import CallerServer, EventLoop, Exchange, HeaderNames, ReplicaPool
+from cicadalever.wire import (
+    CallerServer,
+    EventLoop,
+    Exchange,
+    HeaderNames,
+    ReceiveMemory,
+    ReplicaPool,
+)
 
 from ._events import EventLog
 
 # Status with which a host declines to gather a query; it has sent no read for it.
 STATUS_DECLINED = 409
-# Informational response with which a host acknowledges that it gathers a query.
+# Informational response with which a host acknowledges that it gathers a query, and
+# reports that it still does.
 STATUS_PROCESSING = 102
+# Time between two informational responses while a query is gathered.
+PROGRESS_PERIOD_S = 0.4
 # Most requests that a host sends to one peer at a time. Further queries wait for a
 # connection, and the host gathers them itself when the acknowledgement is overdue.
 MAX_CONNECTIONS_PER_PEER = 32
@@ -47,6 +57,7 @@
         server: CallerServer,
         events: EventLog,
         rng: Random,
+        memory: ReceiveMemory | None = None,
     ):
         self.loop = loop
         self.names = names
@@ -55,6 +66,7 @@
         self.server = server
         self.events = events
         self.rng = rng
+        self.memory = memory or ReceiveMemory()
         self._socket: socket.socket | None = None
         self._pools: dict[Address, ReplicaPool] = {}
         self._version = 0
@@ -109,7 +121,11 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = ReplicaPool(
-                self.loop, self.names, address, MAX_CONNECTIONS_PER_PEER
+                self.loop,
+                self.names,
+                address,
+                MAX_CONNECTIONS_PER_PEER,
+                memory=self.memory,
             )
         pool.send(exchange)
 
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -12,6 +12,7 @@
     EventLoop,
     Exchange,
     HeaderNames,
+    ReceiveMemory,
     ReplicaAnswer,
     ReplicaConnection,
     ReplicaPool,
@@ -136,7 +137,8 @@
 class ReadRunner:
     """Starts reads and reports how they end to selector, event log and metrics.
 
-    Keeps one connection pool per replica.
+    Keeps one connection pool per replica. ``memory`` bounds what all unfinished
+    answers hold together.
     """
 
     def __init__(
@@ -148,9 +150,11 @@
         retry_budget: RetryBudget,
         events: EventLog,
         metrics: GatewayMetrics,
+        memory: ReceiveMemory | None = None,
     ):
         self.loop = loop
         self.names = names
+        self.memory = memory or ReceiveMemory()
         self.directory = directory
         self.selector = selector
         self.retry_budget = retry_budget
@@ -255,7 +259,7 @@
 
         self.metrics.connection_opened()
         ReplicaConnection(
-            self.loop, self.names, replica.address, connected, closed
+            self.loop, self.names, replica.address, connected, closed, self.memory
         ).connect()
 
     def directory_changed(self, change: DirectoryChange) -> None:
@@ -324,6 +328,7 @@
                 replica.address,
                 max(1, int(limit * CONNECTION_SHARE)),
                 self.metrics.connection_opened,
+                self.memory,
             )
         return pool
 
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -10,7 +10,12 @@
 from ._events import EventLog
 from ._forward_call import ForwardCall
 from ._gather_call import GatherCall
-from ._peers import STATUS_DECLINED, STATUS_PROCESSING, PeerLink
+from ._peers import (
+    PROGRESS_PERIOD_S,
+    STATUS_DECLINED,
+    STATUS_PROCESSING,
+    PeerLink,
+)
 from ._reads import PEER_ANSWER_US, PEER_VERSION, OutboundRequest, ReadRunner
 
 # Round trip between callers and hosts. The deployment requirements state 3 ms one way.
@@ -160,9 +165,10 @@
         answer_us = parse_number(request.header(PEER_ANSWER_US))
         is_acceptable = None not in (route, request_id, caller_deadline_s, answer_us)
         if not is_acceptable or self._gathered_for_peers >= MAX_GATHERED_FOR_PEERS:
-            connection.respond(CallerResponse(STATUS_DECLINED, []))
+            headers = [] if request_id is None else [(names.request_id, request_id)]
+            connection.respond(CallerResponse(STATUS_DECLINED, headers))
             return
-        connection.respond_interim(STATUS_PROCESSING)
+        self._report_progress(connection, request)
         deadline = request.received_at + caller_deadline_s
         # The peer has already reserved its own margin, which includes the least one.
         margin_s = PEER_HOP_S + self.lateness.margin_s - MIN_ANSWER_MARGIN_S
@@ -171,6 +177,10 @@
 
         def respond(response: CallerResponse, fields: dict) -> None:
             self._gathered_for_peers -= 1
+            if response.header(names.request_id) is None:
+                # The peer drops answers without the id of its request.
+                id_header = (names.request_id, request_id)
+                response = response._replace(headers=[*response.headers, id_header])
             connection.respond(response)
 
         def cancel() -> None:
@@ -190,6 +200,15 @@
         connection.on_disconnect = cancel
         call.start(answer_by)
 
+    def _report_progress(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        """Tell a peer now and then that its query is being gathered."""
+        if connection.respond_interim(request, STATUS_PROCESSING):
+            self.runner.loop.call_later(
+                PROGRESS_PERIOD_S, self._report_progress, connection, request
+            )
+
     def _gather(
         self, connection: CallerConnection, arguments: tuple, answer_by: float
     ) -> None:
--- a/cicadalever/gather/__init__.py
+++ b/cicadalever/gather/__init__.py
@@ -4,7 +4,7 @@
 replica while the first one is still in flight; the first answer counts.
 """
 
-from ._merge import ShardAnswer, merge_top_records
+from ._merge import ShardAnswer, merge_top_records, shorten_answer
 from ._state import GatherDecision, GatherEndReason, GatherPolicy, GatherState
 
 __all__ = [
@@ -14,4 +14,5 @@
     "GatherState",
     "ShardAnswer",
     "merge_top_records",
+    "shorten_answer",
 ]
--- a/cicadalever/gather/_merge.py
+++ b/cicadalever/gather/_merge.py
@@ -4,6 +4,9 @@
 from typing import NamedTuple
 
 RECORD_BYTES = 16
+# An answer is shortened if it is longer than its greatest records by this factor;
+# sorting shorter ones early would cost more than the memory is worth.
+SHORTEN_FACTOR = 8
 
 
 class ShardAnswer(NamedTuple):
@@ -34,3 +37,13 @@
     ]
     records.sort(reverse=True)
     return b"".join(records[:count])
+
+
+def shorten_answer(answer: ShardAnswer, count: int) -> ShardAnswer:
+    """Return an answer with the ``count`` greatest records of a long one.
+
+    The others cannot be among the ``count`` greatest records of all shards.
+    """
+    if len(answer.records) <= SHORTEN_FACTOR * max(1, count) * RECORD_BYTES:
+        return answer
+    return answer._replace(records=merge_top_records([answer], count))
--- a/cicadalever/gather/_state.py
+++ b/cicadalever/gather/_state.py
@@ -147,8 +147,8 @@
         Callers can skip ``decide`` after most answers.
         """
         answers = self._answer_count
-        reached_threshold = answers in (self._quantile_answers, self.shards)
-        return reached_threshold or now >= self.answer_by
+        is_last = answers + len(self._lost_shards) == self.shards
+        return is_last or answers == self._quantile_answers or now >= self.answer_by
 
     def record_read_failure(self, shard: int) -> None:
         """Record a read that ended without an answer."""
--- a/cicadalever/placement/_health.py
+++ b/cicadalever/placement/_health.py
@@ -133,15 +133,21 @@
         """Record a failed read and return whether it ejected the replica.
 
         A replica that does not accept connections (``is_unreachable``) is ejected at
-        once. The result is False if the replica was ejected already.
+        once, and so is one that fails its first read after an ejection. The result is
+        False if the replica was ejected already.
         """
+        is_trial = self._ejected_until > float("-inf")
         relative_latency, rate = self.relative_latency(now), self.failure_rate(now)
         self._relative_latency = relative_latency
         self._failure_rate = rate + FAILURE_WEIGHT * (1.0 - rate)
         self._updated_at = now
         self._consecutive_failures += 1
         self._unreachable = is_unreachable
-        if not is_unreachable and self._consecutive_failures < EJECT_AFTER_FAILURES:
+        if not (
+            is_unreachable
+            or is_trial
+            or self._consecutive_failures >= EJECT_AFTER_FAILURES
+        ):
             return False
         was_ejected = self.is_ejected(now)
         self._ejected_until = now + self._ejection_s
--- a/cicadalever/queries/_coordinator.py
+++ b/cicadalever/queries/_coordinator.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import secrets
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -132,6 +133,9 @@
         self._admission_events: dict[int, Event] = {}
         self._is_canary_enabled = features.canary
         self._id_counter = itertools.count(1)
+        # Owners may answer reads of a former process of this host, whose counter
+        # started at the same number.
+        self._id_prefix = secrets.token_hex(6)
 
     @property
     def running(self) -> int:
@@ -273,7 +277,7 @@
             shards = select_shards(configuration, request, snapshot)
             if isinstance(shards, Failure):
                 return QueryAnswer(Outcome.INVALID, failure=shards)
-            query = Query(f"{next(self._id_counter):x}", snapshot.id, shards)
+            query = Query(self._next_query_id(), snapshot.id, shards)
             gather = Gather(self, request, query, configuration, LightQueue())
             self._gathers[query.query_id] = gather
             try:
@@ -292,6 +296,9 @@
             hedges=hedges, retries=retries, congested=gather.is_congested
         )
 
+    def _next_query_id(self) -> str:
+        return f"{self._id_prefix}-{next(self._id_counter):x}"
+
     def _build_answer(
         self, request: ValidatedRequest, query: Query, version: int
     ) -> QueryAnswer:
--- a/cicadalever/wire/__init__.py
+++ b/cicadalever/wire/__init__.py
@@ -3,8 +3,9 @@
 from ._caller_server import CallerConnection, CallerServer, ServerLimits
 from ._headers import HeaderNames, is_hop_by_hop
 from ._loop import EventLoop
-from ._message import CallerRequest, CallerResponse
-from ._replica_connection import AnswerFault, ReplicaAnswer, ReplicaConnection
+from ._message import AnswerFault, CallerRequest, CallerResponse, ReplicaAnswer
+from ._receive_memory import ReceiveMemory
+from ._replica_connection import ReplicaConnection
 from ._replica_pool import Exchange, ReplicaPool
 
 __all__ = [
@@ -15,6 +16,7 @@
     "EventLoop",
     "Exchange",
     "HeaderNames",
+    "ReceiveMemory",
     "ReplicaAnswer",
     "ReplicaPool",
     "CallerResponse",
--- /dev/null
+++ b/cicadalever/wire/_answer_parser.py
@@ -0,0 +1,197 @@
+"""Parsing of the answers on one connection, with bounds, free of sockets."""
+
+from collections.abc import Callable
+from functools import lru_cache
+
+import httptools
+
+from ._headers import HeaderNames
+from ._message import Header, ReplicaAnswer
+from ._receive_memory import ReceiveMemory
+
+# Idle timeout of a replica that does not announce one.
+DEFAULT_IDLE_S = 30.0
+# Most bytes of one exchange that are not the body of its answer: status line, headers,
+# trailers, informational responses and answers to other requests.
+MAX_OVERHEAD_BYTES = 256 * 1024
+# Bytes of framing of a chunk that carries a single byte, as in "1\r\nx\r\n".
+FRAMING_PER_BODY_BYTE = 5
+# The bounds are checked whenever this many further bytes of an exchange have arrived.
+# The positions do not depend on how the stream was cut into segments, so neither does
+# the result.
+CHECK_INTERVAL_BYTES = 16 * 1024
+
+
+class AnswerParser:
+    """Parses the bytes that arrive on a connection which carries one request at a time.
+
+    An exchange starts with ``begin`` and ends when ``answer`` or ``fault_detail`` is
+    set. An answer whose request id is not that of the current request belongs to an
+    earlier one: it is skipped, and ``must_close`` is set. Once an earlier exchange has
+    used the connection, an answer without an id could belong to either of them, and is
+    a fault.
+
+    ``answer`` is the complete answer, ``fault_detail`` says why the bytes are none, and
+    ``must_close`` whether the connection cannot be used again. ``idle_s`` is the idle
+    timeout that the replica announced, in seconds.
+    """
+
+    def __init__(self, names: HeaderNames, memory: ReceiveMemory):
+        self.names = names
+        self.memory = memory
+        self.answer: ReplicaAnswer | None = None
+        self.fault_detail: str | None = None
+        self.must_close = False
+        self.idle_s = DEFAULT_IDLE_S
+        self._request_id = b""
+        self._on_interim: Callable[[], None] | None = None
+        self._exchanges = 0
+        self._received_bytes = 0
+        self._is_holding = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._in_message = False
+        self._reset_message()
+
+    def begin(
+        self, request_id: bytes, on_interim: Callable[[], None] | None = None
+    ) -> None:
+        """Start to parse the answer to a request.
+
+        An empty ``request_id`` stands for a request that carries none.
+        """
+        self.answer = None
+        self._request_id = request_id
+        self._on_interim = on_interim
+        self._exchanges += 1
+        self._received_bytes = 0
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes; check ``answer`` and ``fault_detail`` afterwards."""
+        to_check = CHECK_INTERVAL_BYTES - self._received_bytes % CHECK_INTERVAL_BYTES
+        while len(data) >= to_check:
+            self._feed_piece(data[:to_check])
+            if self.fault_detail is not None:
+                return
+            if self.answer is None:
+                self._check_bounds()
+            data = data[to_check:]
+            to_check = CHECK_INTERVAL_BYTES
+        if data:
+            self._feed_piece(data)
+
+    def end_of_stream(self) -> None:
+        """Complete an answer whose body ends with its connection."""
+        is_open_ended = self._headers_done and not self._has_framing
+        if self.answer is None and self._in_message and is_open_ended:
+            self.must_close = True
+            self.on_message_complete()
+
+    def release(self) -> None:
+        """Free the memory that is reserved for an unfinished answer."""
+        if self._is_holding:
+            self._is_holding = False
+            self.memory.release(self)
+
+    def _feed_piece(self, data: bytes) -> None:
+        if self.fault_detail is not None:
+            return
+        self._received_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self.answer is None:
+                self._fail(f"not a response: {error}")
+            else:
+                self.must_close = True
+        if self.answer is not None and self._in_message:
+            self.must_close = True
+
+    def _check_bounds(self) -> None:
+        max_body_bytes = self.memory.max_answer_bytes
+        if self._body_bytes > max_body_bytes:
+            self._fail(f"body exceeds {max_body_bytes} bytes")
+            return
+        overhead_bytes = self._received_bytes - self._body_bytes
+        max_overhead_bytes = (
+            MAX_OVERHEAD_BYTES + FRAMING_PER_BODY_BYTE * self._body_bytes
+        )
+        if overhead_bytes > max_overhead_bytes:
+            self._fail(f"{overhead_bytes} bytes besides the body of the answer")
+            return
+        self._is_holding = True
+        self.memory.hold(self, self._received_bytes, self._drop)
+
+    def _drop(self) -> None:
+        self._fail("memory for unfinished answers exhausted")
+        self._reset_message()
+
+    def _fail(self, detail: str) -> None:
+        if self.answer is None and self.fault_detail is None:
+            self.fault_detail = detail
+        self.must_close = True
+
+    # Parser callbacks, named by httptools
+
+    def on_message_begin(self) -> None:
+        self._reset_message()
+        self._in_message = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._headers_done:
+            # Trailers are not passed on.
+            return
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        self._headers_done = True
+        self._status = self._parser.get_status_code()
+        for name, value in self._headers:
+            if name in (b"content-length", b"transfer-encoding"):
+                self._has_framing = True
+            elif name == b"keep-alive":
+                self.idle_s = _parse_idle_timeout(value, self.idle_s)
+        if not self._parser.should_keep_alive():
+            self.must_close = True
+
+    def on_body(self, data: bytes) -> None:
+        self._body.append(data)
+        self._body_bytes += len(data)
+
+    def on_message_complete(self) -> None:
+        self._in_message = False
+        if self._status < 200:
+            if self.answer is None and self._on_interim is not None:
+                self._on_interim()
+            return
+        if self.answer is not None:
+            self.must_close = True
+            return
+        answer = ReplicaAnswer(self._status, self._headers, b"".join(self._body))
+        answer_id = answer.header(self.names.request_id)
+        if answer_id is not None and answer_id != self._request_id:
+            # The answer to an earlier request; the expected one may still follow.
+            self.must_close = True
+        elif answer_id is None and self._request_id and self._exchanges > 1:
+            self._fail("answer without a request id on a connection used before")
+        elif self._body_bytes > self.memory.max_answer_bytes:
+            self._fail(f"body exceeds {self.memory.max_answer_bytes} bytes")
+        elif self.fault_detail is None:
+            self.answer = answer
+            self.release()
+
+    def _reset_message(self) -> None:
+        self._headers: list[Header] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._status = 0
+        self._headers_done = False
+        self._has_framing = False
+
+
+@lru_cache(maxsize=64)
+def _parse_idle_timeout(value: bytes, default_s: float) -> float:
+    for item in value.split(b","):
+        name, _, number = item.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return default_s
--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from ._answer_parser import FRAMING_PER_BODY_BYTE
 from ._loop import EventLoop
 from ._message import CallerRequest, CallerResponse, Header
 
@@ -17,6 +18,11 @@
 MAX_ACCEPTS = 64
 # Requests that may wait on one connection for the response to an earlier one.
 MAX_PIPELINED = 16
+# Bytes of trailers and chunk extensions that a request may have beyond the limit of its
+# head, in addition to the framing of chunks.
+MAX_EXTRA_BYTES = 64 * 1024
+# Time for which a connection without any request counts as busy after it was accepted.
+NEW_CONNECTION_GRACE_S = 0.5
 # Time after which the connection of a caller that does not read is closed.
 SEND_TIMEOUT_S = 10.0
 
@@ -45,6 +51,7 @@
         self._reader = self.loop.watch_read(sock.fileno(), self._readable)
         self._writer = None
         self._closed = False
+        self._accepted_at = self.loop.now()
         self._unsent = b""
         self._request: CallerRequest | None = None
         self._pipelined: deque[CallerRequest] = deque()
@@ -58,9 +65,15 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being received or handled, or a response being sent."""
+        """Whether a request is expected, received or handled, or a response sent.
+
+        The first request of a connection is expected for ``NEW_CONNECTION_GRACE_S``.
+        """
         has_begun = self._received_at is not None or bool(self._pipelined)
-        return has_begun or self._request is not None or bool(self._unsent)
+        if has_begun or self._request is not None or self._unsent:
+            return True
+        age_s = self.loop.now() - self._accepted_at
+        return self._request_count == 0 and age_s < NEW_CONNECTION_GRACE_S
 
     def respond(self, response: CallerResponse) -> None:
         """Send the response to the current request."""
@@ -79,10 +92,23 @@
         self._send(response.encode(keep_alive=keep_alive, has_body=has_body))
         self._after_send()
 
-    def respond_interim(self, status: int) -> None:
-        """Send an informational response before the response to the request."""
-        if not self._closed and self._request is not None:
-            self._send(b"HTTP/1.1 %d Processing\r\n\r\n" % status)
+    def respond_interim(self, request: CallerRequest, status: int) -> bool:
+        """Send an informational response before the response to ``request``.
+
+        Return False if the request is not the current one any more.
+        """
+        if self._closed or self._request is not request:
+            return False
+        self._send(b"HTTP/1.1 %d Processing\r\n\r\n" % status)
+        return not self._closed
+
+    def end_request(self, response: CallerResponse) -> None:
+        """Cancel the current request and send a response to it."""
+        if self._request is not None and not self._closed:
+            on_disconnect, self.on_disconnect = self.on_disconnect, None
+            if on_disconnect is not None:
+                on_disconnect()
+            self.respond(response)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress or waits to be read."""
@@ -112,6 +138,7 @@
                 self._restart_timer(self.server.limits.header_timeout_s)
         if not self._headers_done:
             self._header_bytes += len(data)
+        self._message_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
@@ -125,9 +152,16 @@
             self._reject(431)
         elif self._body_bytes > limits.max_body_bytes:
             self._reject(413)
+        elif self._extra_bytes > limits.max_header_bytes + MAX_EXTRA_BYTES:
+            self._reject(400)
         elif len(self._pipelined) > MAX_PIPELINED:
             self._close()
 
+    @property
+    def _extra_bytes(self) -> int:
+        """Bytes of the incomplete message besides its body and its chunk sizes."""
+        return self._message_bytes - (1 + FRAMING_PER_BODY_BYTE) * self._body_bytes
+
     def _dispatch(self) -> None:
         """Pass the next complete request on, unless one is in progress."""
         is_free = self._request is None and not self._unsent
@@ -183,6 +217,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._headers_done:
+            # Trailers are not passed on.
+            return
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -261,6 +298,7 @@
         self._headers: list[Header] = []
         self._headers_done = False
         self._header_bytes = 0
+        self._message_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._received_at = None
@@ -311,18 +349,22 @@
             connection.close_if_idle()
 
     def stop_accepting(self) -> None:
-        """Close the listening socket."""
+        """Accept the connections that wait in the kernel, and close the listener."""
         if self._reader is not None:
+            while self._accept() == MAX_ACCEPTS:
+                pass
             self.loop.unwatch(self._reader)
             self._reader = None
             self._socket.close()
 
-    def _accept(self) -> None:
-        for _ in range(MAX_ACCEPTS):
+    def _accept(self) -> int:
+        """Accept at most ``MAX_ACCEPTS`` connections and return how many."""
+        for accepted in range(MAX_ACCEPTS):
             try:
                 sock, _address = self._socket.accept()
             except OSError:
-                return
+                return accepted
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.connections.add(CallerConnection(self, sock))
+        return MAX_ACCEPTS
--- a/cicadalever/wire/_message.py
+++ b/cicadalever/wire/_message.py
@@ -1,5 +1,6 @@
-"""Requests of callers and the responses to them."""
+"""Requests of callers, responses to them, and answers of replicas."""
 
+from enum import StrEnum
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -40,6 +41,13 @@
     headers: list[Header]
     body: bytes = b""
 
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None; ``name`` is in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
     def encode(self, *, keep_alive: bool, has_body: bool = True) -> bytes:
         """Return the bytes to send; ``has_body`` is False for HEAD requests."""
         lines = [b"HTTP/1.1 %d %s" % (self.status, _reason(self.status))]
@@ -52,6 +60,38 @@
         return head + self.body if has_body else head
 
 
+class AnswerFault(StrEnum):
+    """Why a request has no answer.
+
+    - ``UNREACHABLE``: no byte of the request was sent.
+    - ``LOST``: the connection ended after a part of the request was sent.
+    - ``GARBLED``: the replica sent bytes that are not the answer to the request.
+    - ``ABANDONED``: this host closed the connection.
+    """
+
+    UNREACHABLE = "unreachable"
+    LOST = "lost"
+    GARBLED = "garbled"
+    ABANDONED = "abandoned"
+
+
+class ReplicaAnswer(NamedTuple):
+    """A complete answer to a request, or the ``fault`` that explains its absence."""
+
+    status: int
+    headers: list[Header]
+    body: bytes
+    fault: AnswerFault | None = None
+    detail: str = ""
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None; ``name`` is in lower case."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
 def _reason(status: int) -> bytes:
     try:
         return HTTPStatus(status).phrase.encode()
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -3,15 +3,12 @@
 import contextlib
 import socket
 from collections.abc import Callable
-from enum import StrEnum
-from functools import lru_cache
-from typing import NamedTuple
-
-import httptools
 
+from ._answer_parser import AnswerParser
 from ._headers import HeaderNames
 from ._loop import EventLoop
-from ._message import Header
+from ._message import AnswerFault, ReplicaAnswer
+from ._receive_memory import ReceiveMemory
 
 RECEIVE_BYTES = 65536
 # The handshake with a replica takes a few milliseconds; a lost SYN is only sent again
@@ -22,41 +19,6 @@
 # Fraction of the idle timeout that the replica announced, after which this host closes
 # an idle connection.
 IDLE_SHARE = 0.7
-# Idle timeout of a replica that does not announce one.
-DEFAULT_IDLE_S = 30.0
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
-
-
-class AnswerFault(StrEnum):
-    """Why a request has no answer.
-
-    - ``UNREACHABLE``: no byte of the request was sent.
-    - ``LOST``: the connection ended after a part of the request was sent.
-    - ``GARBLED``: the replica sent bytes that are not the answer to the request.
-    - ``ABANDONED``: this host closed the connection.
-    """
-
-    UNREACHABLE = "unreachable"
-    LOST = "lost"
-    GARBLED = "garbled"
-    ABANDONED = "abandoned"
-
-
-class ReplicaAnswer(NamedTuple):
-    """A complete answer to a request, or the ``fault`` that explains its absence."""
-
-    status: int
-    headers: list[Header]
-    body: bytes
-    fault: AnswerFault | None = None
-    detail: str = ""
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, or None; ``name`` is in lower case."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
 
 
 OnAnswer = Callable[[ReplicaAnswer], None]
@@ -66,9 +28,8 @@
     """A connection that carries one request at a time.
 
     ``on_idle`` is called when the connection can take another request and
-    ``on_closed`` with the cause when it was closed. An answer whose request id is not
-    that of the current request belongs to an earlier one: it is skipped, and the
-    connection is not used again.
+    ``on_closed`` with the cause when it was closed. ``AnswerParser`` decides which
+    bytes are the answer to the current request.
     """
 
     def __init__(
@@ -78,6 +39,7 @@
         address: tuple[str, int],
         on_idle: Callable[["ReplicaConnection"], None],
         on_closed: Callable[["ReplicaConnection", str], None],
+        memory: ReceiveMemory,
     ):
         self.loop = loop
         self.names = names
@@ -94,16 +56,10 @@
         self._connected = False
         self._closed = False
         self._unsent = b""
-        self._request_id = b""
         self._sent = False
         self._on_answer: OnAnswer | None = None
-        self._on_interim: Callable[[], None] | None = None
         self._timer = None
-        self._must_close = False
-        self._idle_s = DEFAULT_IDLE_S
-        self._parser = httptools.HttpResponseParser(self)
-        self._in_message = False
-        self._reset_fields()
+        self._parser = AnswerParser(names, memory)
 
     @property
     def was_sent(self) -> bool:
@@ -144,8 +100,7 @@
         if self._on_answer is not None:
             raise RuntimeError("the connection is in use")
         self._on_answer = on_answer
-        self._on_interim = on_interim
-        self._request_id = request_id
+        self._parser.begin(request_id, on_interim)
         self._sent = False
         self._unsent = request
         if self._connected:
@@ -205,75 +160,25 @@
         if self._on_answer is None:
             self._fail(AnswerFault.GARBLED, "bytes without a request")
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            if self._on_answer is not None:
-                self._fail(AnswerFault.GARBLED, f"not a response: {error}")
-            else:
-                self._fail(AnswerFault.GARBLED, "bytes after the response")
-            return
-        if self._closed:
-            return
-        if self._body_bytes > MAX_ANSWER_BYTES:
-            self._fail(AnswerFault.GARBLED, "answer too large")
-        elif self._on_answer is None:
-            if self._must_close or self._in_message:
+        parser = self._parser
+        parser.feed(data)
+        if parser.fault_detail is not None:
+            self._fail(AnswerFault.GARBLED, parser.fault_detail)
+        elif parser.answer is not None:
+            # The replica would read the rest of an unsent request as the next one.
+            must_close = parser.must_close or bool(self._unsent)
+            self._finish(parser.answer)
+            if must_close:
                 self._fail(AnswerFault.GARBLED, "connection cannot be reused")
-            else:
+            elif not self._closed:
                 self._become_idle()
 
     def _end_of_stream(self) -> None:
-        ends_body = self._in_message and self._headers_done and not self._has_framing
-        if self._on_answer is not None and ends_body:
-            self._must_close = True
-            self.on_message_complete()
+        self._parser.end_of_stream()
+        if self._on_answer is not None and self._parser.answer is not None:
+            self._finish(self._parser.answer)
         self._fail(AnswerFault.LOST, "closed by the replica")
 
-    # Parser callbacks, named by httptools
-
-    def on_message_begin(self) -> None:
-        self._reset_fields()
-        self._in_message = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        self._headers_done = True
-        self._status = self._parser.get_status_code()
-        for name, value in self._headers:
-            if name in (b"content-length", b"transfer-encoding"):
-                self._has_framing = True
-            elif name == b"keep-alive":
-                self._idle_s = _parse_idle_timeout(value, self._idle_s)
-        if not self._parser.should_keep_alive():
-            self._must_close = True
-
-    def on_body(self, data: bytes) -> None:
-        self._body.append(data)
-        self._body_bytes += len(data)
-
-    def on_message_complete(self) -> None:
-        self._in_message = False
-        if self._status < 200:
-            if self._on_answer is not None and self._on_interim is not None:
-                self._on_interim()
-            return
-        if self._on_answer is None:
-            self._must_close = True
-            return
-        answer = ReplicaAnswer(self._status, self._headers, b"".join(self._body))
-        answer_id = answer.header(self.names.request_id)
-        if answer_id is not None and answer_id != self._request_id:
-            # The answer to an earlier request; the expected one may still follow.
-            self._must_close = True
-            return
-        if self._unsent:
-            # The replica would read the rest of this request as the next one.
-            self._must_close = True
-        self._finish(answer)
-
     # Completion and closing
 
     def _finish(self, answer: ReplicaAnswer) -> None:
@@ -283,7 +188,7 @@
             on_answer(answer)
 
     def _become_idle(self) -> None:
-        self.idle_until = self.loop.now() + self._idle_s * IDLE_SHARE
+        self.idle_until = self.loop.now() + self._parser.idle_s * IDLE_SHARE
         self.on_idle(self)
 
     def _fail(self, fault: AnswerFault, detail: str) -> None:
@@ -297,6 +202,7 @@
             self._reader = None
         with contextlib.suppress(OSError):
             self._socket.close()
+        self._parser.release()
         self.on_closed(self, detail)
         if fault is AnswerFault.LOST and not self._sent:
             fault = AnswerFault.UNREACHABLE
@@ -311,20 +217,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-    def _reset_fields(self) -> None:
-        self._headers: list[Header] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._status = 0
-        self._headers_done = False
-        self._has_framing = False
-
-
-@lru_cache(maxsize=64)
-def _parse_idle_timeout(value: bytes, default_s: float) -> float:
-    for item in value.split(b","):
-        name, _, number = item.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.strip().isdigit():
-            return float(number)
-    return default_s
--- a/cicadalever/wire/_replica_pool.py
+++ b/cicadalever/wire/_replica_pool.py
@@ -7,7 +7,9 @@
 
 from ._headers import HeaderNames
 from ._loop import EventLoop
-from ._replica_connection import AnswerFault, ReplicaAnswer, ReplicaConnection
+from ._message import AnswerFault, ReplicaAnswer
+from ._receive_memory import ReceiveMemory
+from ._replica_connection import ReplicaConnection
 
 # After a connection was closed without an answer, a host that has other connections to
 # the replica waits this long before it opens one more. A replica resets new connections
@@ -71,7 +73,8 @@
 class ReplicaPool:
     """Sends requests on at most ``max_connections`` connections.
 
-    Further requests wait in the order of their ranks.
+    Further requests wait in the order of their ranks. ``memory`` is shared by all
+    pools of a host; the default is one for this pool alone.
     """
 
     def __init__(
@@ -81,12 +84,14 @@
         address: tuple[str, int],
         max_connections: int,
         on_connect: Callable[[], None] = lambda: None,
+        memory: ReceiveMemory | None = None,
     ):
         self.loop = loop
         self.names = names
         self.address = address
         self.max_connections = max_connections
         self.on_connect = on_connect
+        self.memory = memory or ReceiveMemory()
         self._idle: list[ReplicaConnection] = []
         self._connections: set[ReplicaConnection] = set()
         self._waiting: list[_QueuedExchange] = []
@@ -140,7 +145,12 @@
 
     def _connect(self) -> ReplicaConnection:
         connection = ReplicaConnection(
-            self.loop, self.names, self.address, self._became_idle, self._closed
+            self.loop,
+            self.names,
+            self.address,
+            self._became_idle,
+            self._closed,
+            self.memory,
         )
         self._connections.add(connection)
         self.on_connect()
@@ -171,11 +181,13 @@
             self._idle.remove(connection)
         if connection.answers_received == 0:
             self._no_connect_before = self.loop.now() + RESET_BACKOFF_S
-        if not self._connections:
+        has_failed = not self._connections and connection.answers_received == 0
+        if has_failed or self._is_closing:
             self._fail_waiting(detail)
-            return
-        if self._waiting and self._may_connect():
-            self._start(self._connect(), self._next_waiting())
+        elif self._may_connect():
+            exchange = self._next_waiting()
+            if exchange is not None:
+                self._start(self._connect(), exchange)
 
     def _fail_waiting(self, detail: str) -> None:
         while (exchange := self._next_waiting()) is not None:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -101,6 +101,11 @@
         self.log = []
         self.history_from = 0
         self.is_down = False
+        # Whether watches are refused while reads are answered.
+        self.refuses_watches = False
+        # Items and revision of the copy that answers reads that may be stale, or None
+        # for the current state.
+        self.stale_copy = None
         self.calls = Counter()
         super().__init__()
 
@@ -124,6 +129,10 @@
         del self.items[key]
         self.log.append({"Key": key, "Rev": self.revision, "Deleted": True})
 
+    def keep_stale_copy(self):
+        """Answer reads that may be stale with the present state from now on."""
+        self.stale_copy = (dict(self.items), self.revision)
+
     def forget_history(self):
         """Answer watches from before the current revision with 410."""
         self.history_from = self.revision
@@ -134,7 +143,7 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         name = parts.path.rpartition("/")[2]
         self.calls[name] += 1
-        if self.is_down:
+        if self.is_down or (self.refuses_watches and name == "kv-watch"):
             status, content = 503, {}
         elif name == "kv-range":
             status, content = 200, self._range(query)
@@ -148,17 +157,20 @@
 
     def _range(self, query):
         after = query.get("after", "")
+        items, revision = self.items, self.revision
+        if self.stale_copy is not None and "AllowStale" in query:
+            items, revision = self.stale_copy
         keys = sorted(
             key
-            for key in self.items
+            for key in items
             if key.startswith(query.get("Prefix", "")) and key > after
         )
-        page = [self.items[key] for key in keys[:PAGE_ITEMS]]
-        return {"items": page, "HasMore": len(keys) > PAGE_ITEMS, "AsOf": self.revision}
+        page = [items[key] for key in keys[:PAGE_ITEMS]]
+        return {"items": page, "HasMore": len(keys) > PAGE_ITEMS, "AsOf": revision}
 
     def _watch(self, query):
         after = int(query["after"])
-        for _ in range(int(query["WaitMs"]) // 5):
+        for _ in range(max(1, int(query["WaitMs"]) // 5)):
             if after < self.history_from:
                 return 410, {}
             events = [
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,7 @@
 import unittest
 from random import Random
 from types import SimpleNamespace
+from unittest import mock
 
 import eventlet
 
@@ -367,6 +368,21 @@
         calls, _ = self.follow([update(5, True), update(7), update(9)])
         self.assertEqual(calls[1:], [("watch", 5), ("watch", 7), ("watch", 9)])
 
+    def test_first_read_is_used_with_the_changes_since_then(self):
+        """Guards against using a replica or route that has been withdrawn."""
+        self.follow([update(5, True)])
+        self.assertEqual(self.updates, [])
+        self.follow([update(5, True), update(7)])
+        self.assertEqual([each.revision for each in self.updates], [5, 7])
+
+    def test_first_read_is_used_alone_after_a_while(self):
+        """Guards against a host that waits for changes it cannot get."""
+        failures = [FAILURE] * 4
+        with mock.patch("cicadalever.gateway._follower.MAX_UNCONFIRMED_S", 0.05):
+            _, events = self.follow([update(5, True), *failures])
+        self.assertEqual([each.revision for each in self.updates], [5])
+        self.assertIn("started_unconfirmed", events)
+
     def test_catches_up_with_short_pauses(self):
         """Guards against falling behind when each answer has only some changes."""
         removed = [f"i-{n}" for n in range(100)]
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -12,6 +12,7 @@
     GatewayProcess,
     ReplicaStandIn,
     StoreStandIn,
+    read_message,
     wait_for,
 )
 
@@ -361,6 +362,160 @@
         self.assertEqual(self.gateway.events("stopped")[0]["busy"], 0)
 
 
+class TestPlannedStop(GatewayTestCase):
+    """SIGTERM with requests in each state of their arrival."""
+
+    HEAD = (
+        b"POST /order/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\n"
+        b"X-Request-Deadline: 2000\r\nContent-Length: 4\r\n\r\n"
+    )
+
+    def connect(self):
+        sock = eventlet.connect(self.gateway.caller_address)
+        self.addCleanup(sock.close)
+        return sock
+
+    def read_status(self, sock, rest=b""):
+        with eventlet.Timeout(10, AssertionError("no answer")):
+            message = read_message(sock, rest)
+        return None if message is None else (int(message[0].split()[1]), message[3])
+
+    def finish(self):
+        wait_for(lambda: self.gateway.process.poll() is not None, "the end")
+        self.assertEqual(self.gateway.process.returncode, 0)
+        self.assertEqual(self.gateway.events("stopped")[0]["busy"], 0)
+
+    def test_requests_that_arrive_in_pieces(self):
+        """Guards against cutting a request whose rest arrives during the stop."""
+        self.gateway.process.send_signal(signal.SIGTERM)
+        eventlet.sleep(2.2)
+        head, body = self.connect(), self.connect()
+        request = self.HEAD % b"h1" + b"body"
+        head.sendall(request[:30])
+        body.sendall(self.HEAD % b"b1" + b"bo")
+        # The listener closes 3 s after the signal, with both requests half received.
+        eventlet.sleep(1.1)
+        head.sendall(request[30:])
+        body.sendall(b"dy")
+        for sock in (head, body):
+            self.assertEqual(self.read_status(sock)[0], 200)
+        self.finish()
+
+    def test_pipelined_requests(self):
+        """Guards against dropping what was read behind the running request.
+
+        The connection is closed after the first response, which says so; the others
+        have not run and may be sent again.
+        """
+        self.replicas_of("one")[0].delay_s = self.replicas_of("one")[1].delay_s = 0.5
+        sock = self.connect()
+        sock.sendall(self.HEAD % b"p1" + b"body" + self.HEAD % b"p2" + b"body")
+        wait_for(lambda: self.count_runs("one", "p1"), "the first run")
+        self.gateway.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: not self.gateway.is_ready(), "the drain")
+        self.assertEqual(self.read_status(sock)[0], 200)
+        self.finish()
+        self.assertEqual(self.count_runs("one", "p2"), 0)
+
+    def test_connections_until_the_listener_closes(self):
+        """Guards against resetting connections that the kernel has accepted."""
+        self.gateway.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: not self.gateway.is_ready(), "the drain")
+        outcomes = []
+
+        def call(number):
+            try:
+                sock = eventlet.connect(self.gateway.caller_address)
+            except OSError:
+                outcomes.append("refused")
+                return
+            try:
+                eventlet.sleep(0.03)
+                sock.sendall(self.HEAD % b"n%d" % number + b"body")
+                answer = self.read_status(sock)
+                outcomes.append("closed" if answer is None else answer[0])
+            except OSError:
+                outcomes.append("reset")
+            finally:
+                sock.close()
+
+        threads = []
+        for number in range(450):
+            threads.append(eventlet.spawn(call, number))
+            eventlet.sleep(0.01)
+        for thread in threads:
+            thread.wait()
+        self.finish()
+        self.assertEqual(set(outcomes), {200, "refused"})
+
+    def test_request_that_never_ends_is_answered_before_the_kill(self):
+        """Guards against a connection that ends without an answer."""
+        self.set_behaviour("one", "hang")
+        self.gateway.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: not self.gateway.is_ready(), "the drain")
+        eventlet.sleep(2.0)
+        self.store.put("op/config", self.patient_configuration())
+        wait_for(
+            lambda: 9 in [e["version"] for e in self.events_in_force()], "version 9"
+        )
+        status, _, _ = self.gateway.ask(
+            "/order/x", request_id="late", method="POST", deadline_ms=20000
+        )
+        self.assertEqual(status, 502)
+
+    def events_in_force(self):
+        return self.gateway.events("configuration_in_force")
+
+    def patient_configuration(self):
+        document = configuration(9)
+        for route in document["Routes"]:
+            route["TimeoutMs"] = 20000
+        return document
+
+
+class TestRestart(GatewayTestCase):
+    """State that a process takes over after a restart."""
+
+    def test_withdrawn_route_and_replica_are_not_used_again(self):
+        """Guards against a first read that is seconds old."""
+        self.store.keep_stale_copy()
+        gone = self.replicas["i-onea"]
+        self.store.delete("servers/i-onea")
+        document = configuration(9)
+        document["Routes"] = document["Routes"][:2]
+        self.store.put("op/config", document)
+        runs = len(gone.requests)
+        self.gateway.process.kill()
+        self.gateway.process.wait()
+        self.gateway.start()
+        statuses = set()
+        wait_for(lambda: self.try_ask("/read/x", statuses) == 200, "an answer")
+        for number in range(20):
+            self.try_ask("/read/x", statuses, f"r{number}")
+            self.assertNotEqual(self.try_ask("/order/x", statuses, f"o{number}"), 200)
+        self.assertEqual(len(gone.requests), runs)
+        self.assertNotIn(
+            "o0", [each for r in self.replicas.values() for each in r.executed_ids]
+        )
+
+    def test_serves_when_changes_cannot_be_read(self):
+        """Guards against a host that stays useless while watches are refused."""
+        self.store.refuses_watches = True
+        self.gateway.process.kill()
+        self.gateway.process.wait()
+        self.gateway.start()
+        wait_for(lambda: self.gateway.events("started_unconfirmed"), "the start")
+        wait_for(self.gateway.is_ready, "readiness")
+
+    def try_ask(self, path, statuses, request_id="first"):
+        try:
+            status, _, _ = self.gateway.ask(path, request_id=request_id)
+        except OSError:
+            return None
+        statuses.add(status)
+        return status
+
+
 class TestStart(unittest.TestCase):
     """Start time of the process."""
 
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -55,6 +55,18 @@
         self.assertAlmostEqual(decision.wake_at, 0.02)
         self.assertEqual(self.state.decide(0.021).hedges, [8, 9])
 
+    def test_last_answer_after_a_lost_shard_ends_the_query(self):
+        """Guards against waiting for a timer when no shard can answer any more."""
+        self.state.mark_exhausted(9)
+        self.state.record_read_failure(9)
+        self.answer(range(8), 0.01)
+        self.assertFalse(self.state.needs_decision(0.01))
+        self.answer([8], 0.011)
+        self.assertTrue(self.state.needs_decision(0.011))
+        self.assertEqual(
+            self.state.decide(0.011).end_reason, GatherEndReason.NOTHING_LEFT
+        )
+
     def test_a_shard_is_hedged_once(self):
         """Guards against spending the retry budget on one shard."""
         self.answer(range(8), 0.01)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from cicadalever.discovery import ReplicaEntry, ReplicaState
-from cicadalever.placement import LeastCostSelector, ReadOutcome
+from cicadalever.placement import LeastCostSelector, ReadOutcome, ReplicaHealth
 
 
 def replica(replica_id, data_centre="a"):
@@ -73,6 +73,16 @@
         self.assertEqual(self.choose(now=0.1), "far")
         self.assertEqual(self.choose(now=30.0), "near")
 
+    def test_failed_trial_ejects_again(self):
+        """Guards against three more failures at a replica that is still down."""
+        health = ReplicaHealth()
+        self.assertTrue(health.record_failure(0.0, is_unreachable=True))
+        self.assertFalse(health.is_ejected(0.6))
+        self.assertTrue(health.record_failure(0.6))
+        self.assertTrue(health.is_ejected(0.7))
+        health.record_answer(1.0, 2.0)
+        self.assertFalse(health.record_failure(2.1))
+
     def test_unreachable_replica_is_ejected_at_once(self):
         """Guards against a connection attempt for each read."""
         self.assertTrue(self.run_read("near", 0.4, 0.4, ReadOutcome.UNREACHABLE))
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -3,9 +3,10 @@
 import unittest
 from random import Random
 from types import SimpleNamespace
+from unittest import mock
 
 from cicadalever.outcomes import Failure, FailureCode
-from cicadalever.queries import Query, fingerprint_of
+from cicadalever.queries import Query, QueryCoordinator, fingerprint_of
 from cicadalever.queries._planner import ReadPlanner
 from cicadalever.queries._silence import (
     MIN_OUTSTANDING,
@@ -15,7 +16,7 @@
 )
 from cicadalever.scheduling import ReplicaSelector
 from cicadalever.topology import Host, Replica
-from cicadalever.transport import ReadAnswer, ReadMode
+from cicadalever.transport import ReadAnswer, ReadAnswers, ReadMode
 
 SHARDS = {"i/a": "s1", "i/b": "s2", "i/c": "s3"}
 
@@ -75,6 +76,29 @@
                 self.assertEqual(self.query.may_have_run, may_have_run)
 
 
+class TestQueryIds(unittest.TestCase):
+    """Ids of queries, by which answers find them."""
+
+    def start_coordinator(self):
+        parts = [mock.MagicMock() for _ in range(9)]
+        features = SimpleNamespace(canary=False, admission=False)
+        return QueryCoordinator(
+            *parts, features=features, rng=Random(1), max_answer_bytes=1
+        )
+
+    def test_answer_to_a_former_process_is_dropped(self):
+        """Guards against rows of another request after a restart of the entry."""
+        former, current = self.start_coordinator(), self.start_coordinator()
+        former_id, current_id = former._next_query_id(), current._next_query_id()
+        gather = SimpleNamespace(mailbox=mock.MagicMock())
+        current._gathers[current_id] = gather
+        late = ReadAnswer(1, "", "", 7, b"[]", 0.0, 0.0, False)
+        current.receive(ReadAnswers(former_id, [late]))
+        gather.mailbox.put.assert_not_called()
+        current.receive(ReadAnswers(current_id, [late]))
+        gather.mailbox.put.assert_called_once_with([late])
+
+
 class TestFingerprint(unittest.TestCase):
     """Equality of fingerprints."""
 
--- /dev/null
+++ b/tests/test_store_client.py
@@ -0,0 +1,129 @@
+"""Tests of the client of the platform's store against answers that never end."""
+
+import json
+import sys
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import eventlet
+from eventlet.green import socket as green_socket
+
+from cicadalever.gateway import HistoryLost, PlatformUpdate
+from cicadalever.outcomes import Failure
+
+PLATFORM = str(Path(__file__).parents[1] / "platform")
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+
+
+def load_store():
+    """Return the module of the client; the folder ``platform`` is no package."""
+    sys.path.insert(0, PLATFORM)
+    try:
+        from cicadalever_platform import _store
+    finally:
+        sys.path.remove(PLATFORM)
+    return _store
+
+
+class TestStoreClient(unittest.TestCase):
+    """Calls that are answered whole, without end, byte by byte or not at all."""
+
+    def setUp(self):
+        self.store = load_store()
+        # The gateway patches all sockets before it loads anything else.
+        patch = mock.patch("urllib3.util.connection.socket", green_socket)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.sent = 0
+        self.connections = 0
+
+    def serve(self, send):
+        def accept():
+            while True:
+                sock, _ = self.listener.accept()
+                self.connections += 1
+                eventlet.spawn(self.answer, sock, send)
+
+        thread = eventlet.spawn(accept)
+        self.addCleanup(thread.kill)
+
+    def answer(self, sock, send):
+        try:
+            while sock.recv(65536):
+                send(sock)
+        except OSError:
+            pass
+
+    def client(self, **options):
+        client = self.store.StoreClient(self.listener.getsockname(), **options)
+        self.addCleanup(client.close)
+        return client
+
+    def test_kept_connection_serves_again(self):
+        """Guards against a new connection for each call."""
+        body = json.dumps({"events": [], "AsOf": 9}).encode()
+        self.serve(
+            lambda sock: sock.sendall(
+                HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+            )
+        )
+        client = self.client()
+        for _ in range(3):
+            update = client.watch(5, 0.1)
+            self.assertIsInstance(update, PlatformUpdate)
+            self.assertEqual(update.revision, 9)
+        self.assertEqual(self.connections, 1)
+
+    def test_endless_body_is_a_failure(self):
+        """Guards against an answer that fills the memory of the host."""
+
+        def send(sock):
+            sock.sendall(HEAD + b"\r\n")
+            while self.sent < 256 * 1024 * 1024:
+                sock.sendall(b"[" * 65536)
+                self.sent += 65536
+                eventlet.sleep(0)
+
+        self.serve(send)
+        result = self.client(max_answer_bytes=1_000_000).watch(5, 0.1)
+        self.assertIsInstance(result, Failure)
+        self.assertIn("exceeds 1000000 bytes", result.reason)
+        self.assertLess(self.sent, 32 * 1024 * 1024)
+
+    def test_drip_is_a_failure(self):
+        """Guards against a call that waits for one byte after the other."""
+
+        def send(sock):
+            sock.sendall(HEAD + b"Content-Length: 100000\r\n\r\n")
+            while True:
+                sock.sendall(b" ")
+                eventlet.sleep(0.05)
+
+        self.serve(send)
+        with eventlet.Timeout(20.0, AssertionError("the call never ended")):
+            result = self.client().watch(5, 0.1)
+        self.assertIsInstance(result, Failure)
+
+    def test_drip_in_the_head_is_a_failure(self):
+        """Guards against a head that never ends."""
+
+        def send(sock):
+            sock.sendall(b"HTTP/1.1 200 OK\r\nX-F: ")
+            while True:
+                sock.sendall(b"a")
+                eventlet.sleep(0.05)
+
+        self.serve(send)
+        with eventlet.Timeout(20.0, AssertionError("the call never ended")):
+            result = self.client().watch(5, 0.1)
+        self.assertIsInstance(result, Failure)
+
+    def test_lost_history_is_told_apart(self):
+        """Guards against treating lost history as an outage."""
+        self.serve(
+            lambda sock: sock.sendall(b"HTTP/1.1 410 X\r\nContent-Length: 0\r\n\r\n")
+        )
+        self.assertIsInstance(self.client().watch(5, 0.1), HistoryLost)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,5 +1,6 @@
 """Tests of the connections to callers and replicas, over loopback sockets."""
 
+import contextlib
 import socket
 import unittest
 
@@ -170,6 +171,37 @@
         self.assertEqual(self.read(replica, pool).status, 200)
         wait_for(lambda: pool.open_connections == 0)
 
+    def test_waiting_request_gets_a_new_connection(self):
+        """Guards against failing requests because a kept connection was closed."""
+        replica = ScriptedReplica(
+            answer(b"1", extra=b"Connection: close\r\n"), answer(b"1", b"second")
+        )
+        self.addCleanup(replica.stop)
+        pool = ReplicaPool(EventLoop(), NAMES, replica.address, 1)
+        self.addCleanup(pool.close)
+        answers = []
+        request = b"GET / HTTP/1.1\r\n\r\n"
+        for _ in range(2):
+            pool.send(Exchange(lambda: request, b"1", 0, answers.append))
+        wait_for(lambda: len(answers) == 2)
+        self.assertEqual([each.body for each in answers], [b"body", b"second"])
+
+    def test_cancelled_waiting_request_needs_no_connection(self):
+        """Guards against a connection that is opened for no request."""
+        replica = ScriptedReplica(answer(b"1", extra=b"Connection: close\r\n"))
+        self.addCleanup(replica.stop)
+        pool = ReplicaPool(EventLoop(), NAMES, replica.address, 1)
+        answers = []
+        exchanges = [
+            Exchange(lambda: b"GET / HTTP/1.1\r\n\r\n", b"1", 0, answers.append)
+            for _ in range(2)
+        ]
+        for exchange in exchanges:
+            pool.send(exchange)
+        exchanges[1].cancel("caller left")
+        wait_for(lambda: len(answers) == 2 and pool.open_connections == 0)
+        self.assertEqual(replica.accepted, 1)
+
     def test_cancelled_request_closes_its_connection(self):
         """Guards against replicas that work for callers who have disconnected."""
         replica, pool = self.start()
@@ -291,6 +323,56 @@
         sock.sendall(b"POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\n" + b"a" * 9000)
         self.assertIn(b" 413 ", self.receive(sock, b"\r\n\r\n"))
 
+    def test_trailers_and_chunk_extensions_are_bounded(self):
+        """Guards against callers that fill the memory behind the body."""
+        head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for start, piece in (
+            (b"0\r\n", b"X-Filler: %s\r\n" % (b"a" * 1000)),
+            (b"1;x=", b"a" * 1000),
+        ):
+            sock = self.connect()
+            sock.sendall(head + start)
+            sent = 0
+            with contextlib.suppress(OSError):
+                while sent < 8_000_000:
+                    sock.sendall(piece)
+                    sent += len(piece)
+                    eventlet.sleep(0)
+            self.assertLess(sent, 8_000_000)
+        self.assertEqual(self.requests, [])
+
+    def test_trailers_are_no_headers(self):
+        """Guards against a trailer that replaces a header of the request."""
+        sock = self.connect()
+        head = b"POST /t HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        sock.sendall(head + b"1\r\na\r\n0\r\nX-Id: forged\r\n\r\n")
+        self.receive(sock, b"/t")
+        self.assertIsNone(self.requests[0].header(b"x-id"))
+
+    def test_connections_waiting_in_the_kernel_are_answered(self):
+        """Guards against a shutdown that resets accepted connections."""
+        socks = []
+        for number in range(100):
+            # Without a pause of this thread, the server cannot accept them.
+            sock = socket.create_connection(self.address)
+            sock.sendall(b"GET /%d HTTP/1.1\r\n\r\n" % number)
+            socks.append(sock)
+            self.addCleanup(sock.close)
+        self.server.closes_after_response = True
+        self.server.stop_accepting()
+        self.server.close_idle()
+        wait_for(lambda: len(self.requests) == 100)
+        self.assertEqual(len({request.target for request in self.requests}), 100)
+
+    def test_new_connection_may_still_send_its_request(self):
+        """Guards against closing a connection before its first request arrives."""
+        sock = self.connect()
+        wait_for(lambda: self.server.connections)
+        self.server.closes_after_response = True
+        self.server.close_idle()
+        sock.sendall(b"GET /first HTTP/1.1\r\n\r\n")
+        self.assertIn(b"/first", self.receive(sock, b"/first"))
+
     def test_disconnect_is_reported(self):
         """Guards against work for a caller that has closed its connection."""
         self.holds_responses = True
