Read shards through hosts of other data centres, and share what hosts observe

Change: hosts that gather know each other across data centres (listed by seeds); an overdue read is reported to them, and they avoid the replica for 0.15 s, longer if it stays late. A group of four shards or more in another data centre goes to a host there, which hedges itself and answers with the greatest records and one signature a shard; without an acknowledgement, or with another version, the shards are read directly. A newer version at a peer ends the pause of the follower; batches are compressed; the acknowledgement may take a quarter of the time to the target. Abandoned requests end with a reset, so that a partition does not deliver them later.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -41,6 +41,9 @@
     def choose_gatherer(self, version):
         return None
 
+    def fellows_by_data_centre(self, version):
+        return {}
+
 
 class _NullEventLog:
     """Takes the place of the event log and drops all events."""
--- a/cicadalever/discovery/_directory.py
+++ b/cicadalever/discovery/_directory.py
@@ -65,6 +65,10 @@
         self._removal_times: dict[str, float] = {}
         self._grace_until = float("-inf")
 
+    def __contains__(self, replica_id: str) -> bool:
+        """Return whether a replica is known."""
+        return replica_id in self._entries
+
     def __len__(self) -> int:
         return len(self._entries)
 
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -117,4 +117,7 @@
         relay,
         adapter.decode_changes,
     )
+    link.on_late_replicas = runner.avoid_late
+    runner.on_late = link.report_late
+    link.on_newer_version = daemon.follower.hurry
     return daemon
--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -8,10 +8,12 @@
 from ._call import Call
 from ._peers import PROGRESS_PERIOD_S, STATUS_DECLINED, PeerLink
 
-# Without an acknowledgement within this time, this host gathers the query itself. A
-# round trip inside a data centre takes 0.2 ms, and a busy event loop delays the
-# acknowledgement by a few milliseconds.
-ACKNOWLEDGE_TIMEOUT_S = 0.015
+# Without an acknowledgement within this time, this host gathers the query itself: at
+# least ``MIN_ACKNOWLEDGE_S``, or a share of the time until the answer is due. A round
+# trip inside a data centre takes 0.2 ms, and a busy event loop delays the
+# acknowledgement by a few milliseconds. Gathering again costs the retry budget.
+MIN_ACKNOWLEDGE_S = 0.015
+ACKNOWLEDGE_SHARE = 0.25
 # Time between two checks whether the gatherer is alive.
 LIVENESS_CHECK_S = 0.1
 # A gatherer without a heartbeat still counts as alive for this long after it has last
@@ -49,7 +51,9 @@
             self._on_acknowledged,
         )
         peer.in_flight += 1
-        self._set_timer(self.loop.now() + ACKNOWLEDGE_TIMEOUT_S)
+        now = self.loop.now()
+        timeout_s = max(MIN_ACKNOWLEDGE_S, ACKNOWLEDGE_SHARE * (answer_by - now))
+        self._set_timer(now + timeout_s)
         self._link.send(peer.address, self._exchange)
 
     def _on_acknowledged(self) -> None:
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import eventlet
+import eventlet.event
 
 from cicadalever.outcomes import Failure
 from cicadalever.peers import RelayedChanges
@@ -21,6 +22,8 @@
 # Time after which a first read is used although the changes since then cannot be read:
 # without it, this host could serve no request at all.
 MAX_UNCONFIRMED_S = 2.0
+# Least pause between two calls when another host has a newer version.
+MIN_PAUSE_S = 0.2
 # Wait of the watch call after a failure: short, so that its answer soon shows that the
 # platform is reachable again.
 RECONNECT_WAIT_S = 0.1
@@ -124,6 +127,7 @@
         self._unconfirmed: PlatformUpdate | None = None
         self._unconfirmed_since = 0.0
         self._thread = None
+        self._pause: eventlet.event.Event | None = None
         self._lost_at: float | None = None
         self._contact_at = loop.now()
 
@@ -179,9 +183,30 @@
             pause_s = self.timing.interval_s
             if result.change_count >= CATCH_UP_MIN_CHANGES:
                 pause_s *= CATCH_UP_INTERVAL_SHARE
-            left_s = pause_s - (self.loop.now() - called_at)
-            if left_s > 0.0:
-                eventlet.sleep(left_s)
+            self._pause_until(called_at + pause_s)
+
+    def hurry(self) -> None:
+        """End the pause before the next call: another host has a newer version.
+
+        Hosts with different versions cannot gather queries for each other.
+        """
+        if self._pause is not None and not self._pause.ready():
+            self._pause.send()
+
+    def _pause_until(self, when: float) -> None:
+        """Wait until a monotonic time, or until ``hurry`` is called.
+
+        The first ``MIN_PAUSE_S`` of the wait cannot be shortened.
+        """
+        left_s = when - self.loop.now()
+        if left_s <= MIN_PAUSE_S:
+            eventlet.sleep(max(0.0, left_s))
+            return
+        eventlet.sleep(MIN_PAUSE_S)
+        self._pause = eventlet.event.Event()
+        with eventlet.Timeout(left_s - MIN_PAUSE_S, False):
+            self._pause.wait()
+        self._pause = None
 
     def _read_all(self, *, allow_stale: bool) -> None:
         backoff_s = MIN_BACKOFF_S
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 
+from cicadalever.discovery import ReplicaEntry
 from cicadalever.gather import (
     GatherEndReason,
     GatherState,
     ShardAnswer,
+    group_by_data_centre,
     merge_top_records,
     shorten_answer,
 )
@@ -13,7 +15,9 @@
 
 from ._answers import NOT_RUN_KINDS, AnswerKind
 from ._call import RETRY_AFTER_S, Call, error_response
+from ._peers import PeerLink
 from ._reads import Read, ReadResult
+from ._shard_group import ShardGroup
 
 # Longer lists of signatures are split over several header lines, because receivers
 # limit the length of a line.
@@ -27,12 +31,19 @@
 
     ``GatherState`` decides when to read a shard again and when to respond. When a
     response was due at the target time, ``on_late`` is called with the seconds by which
-    it was late.
+    it was late. With a ``link``, hosts of other data centres read the shards whose
+    replicas are there (``group_by_data_centre``); without, all reads are direct.
     """
 
-    def __init__(self, *arguments, on_late: Callable[[float], None]):
+    def __init__(
+        self,
+        *arguments,
+        on_late: Callable[[float], None],
+        link: PeerLink | None = None,
+    ):
         super().__init__(*arguments)
         self._on_late = on_late
+        self._link = link
 
     def start(self, answer_by: float, *, is_repeat: bool = False) -> None:
         """Send the first reads; the answer is due at the monotonic time ``answer_by``.
@@ -52,11 +63,20 @@
         self._tried: list[set[str]] = [set() for _ in route.shards]
         self._attempts = [0] * len(route.shards)
         self._awaiting_budget: set[int] = set()
+        self._groups: set[ShardGroup] = set()
+        # Replicas that were chosen for the first reads when the groups were formed.
+        self._chosen_replicas: dict[int, ReplicaEntry] = {}
+        self._group_answers: list[tuple[list[bytes], bytes]] = []
+        # Shards without an answer in the answer of their group.
+        self._left_out: set[int] = set()
         self._may_have_run = is_repeat
         # Result of a read that ends before ``ReadRunner.start`` returns.
         self._synchronous_result: ReadResult | None = None
         self._is_starting = True
+        grouped = set() if is_repeat else self._start_groups()
         for shard, service in enumerate(route.shards):
+            if shard in grouped:
+                continue
             if is_repeat:
                 can_read = (
                     self._read_again(shard, "repeat") or shard in self._awaiting_budget
@@ -68,11 +88,108 @@
                 self._state.mark_exhausted(shard)
         self._is_starting = False
         self._sent_at = self.loop.now()
+        self._overdue_s = self.runner.selector.overdue_s(route.name)
+        self._overdue_at = self._sent_at + self._overdue_s
         self._advance(self._sent_at)
 
+    @property
+    def missing_shards(self) -> list[int]:
+        """Shards that have not answered."""
+        return self._state.unanswered_shards()
+
+    def _start_groups(self) -> set[int]:
+        """Send groups of shards to hosts of other data centres; return these shards."""
+        if self._link is None:
+            return set()
+        fellows = self._link.fellows_by_data_centre(self.table.version)
+        if not fellows:
+            return set()
+        for shard, service in enumerate(self.route.shards):
+            replica = self.runner.choose_replica(service, self.route, ())
+            if replica is not None:
+                self._chosen_replicas[shard] = replica
+        data_centre_of = {
+            shard: replica.data_centre
+            for shard, replica in self._chosen_replicas.items()
+        }
+        own = self.runner.selector.data_centre
+        groups = group_by_data_centre(data_centre_of, own, fellows)
+        for data_centre, shards in groups.items():
+            self._state.delegate(shards)
+            for shard in shards:
+                self._attempts[shard] += 1
+            group = ShardGroup(self, self._link, fellows[data_centre], shards)
+            self._groups.add(group)
+            group.start(self._state.answer_by)
+        return {shard for shards in groups.values() for shard in shards}
+
+    def group_ended(
+        self,
+        group: ShardGroup,
+        signatures: list[bytes],
+        missing: list[int],
+        records: bytes,
+    ) -> None:
+        """Add the answer of a group, which lacks the ``missing`` shards."""
+        now = self.loop.now()
+        self._groups.discard(group)
+        self._may_have_run = True
+        self._group_answers.append((signatures, records))
+        lacking = set(missing)
+        for shard in group.shards:
+            if shard not in lacking:
+                self._state.record_answer(shard, now)
+        self._left_out |= lacking
+        self._advance(now)
+
+    def group_failed(
+        self, group: ShardGroup, reason: str, *, may_have_begun: bool
+    ) -> None:
+        """Read the shards of a group directly, because its host did not."""
+        self._groups.discard(group)
+        self._may_have_run = self._may_have_run or may_have_begun
+        self.runner.events.emit_detail(
+            "group_failed",
+            id=self.outbound.request_id,
+            host=group.peer.heartbeat.host,
+            shards=len(group.shards),
+            reason=reason,
+        )
+        self._state.reclaim(group.shards)
+        chosen = [self._chosen_replicas.pop(shard) for shard in group.shards]
+        if reason != "declined":
+            # What keeps this host from the other one mostly keeps it from the replicas
+            # there as well.
+            self.runner.avoid_late([replica.id for replica in chosen])
+        self._is_starting = True
+        for shard in group.shards:
+            if may_have_begun:
+                has_read = self._read_again(shard, "repeat")
+            else:
+                self._attempts[shard] -= 1
+                self.runner.retry_budget.earn(self.route.shards[shard])
+                has_read = self._read(shard)
+            if not has_read and shard not in self._awaiting_budget:
+                self._state.mark_exhausted(shard)
+        self._is_starting = False
+        self._advance(self.loop.now())
+
+    def _read_left_out(self) -> None:
+        """Read the shards that their groups could not, after the target time."""
+        left_out, self._left_out = self._left_out, set()
+        for shard in left_out:
+            self._state.reclaim([shard])
+            has_read = self._read_again(shard, "retry")
+            if not has_read and shard not in self._awaiting_budget:
+                self._state.mark_exhausted(shard)
+
     def _read(self, shard: int) -> bool:
-        service = self.route.shards[shard]
-        replica = self.runner.choose_replica(service, self.route, self._tried[shard])
+        replica = self._chosen_replicas.pop(shard, None)
+        if replica is None:
+            service = self.route.shards[shard]
+            replica = self.runner.choose_replica(
+                service, self.route, self._tried[shard]
+            )
         if replica is None:
             return False
         self._tried[shard].add(replica.id)
@@ -153,8 +270,20 @@
     def _on_timer(self) -> None:
         self._advance(self.loop.now())
 
+    def _close(self, detail: str) -> None:
+        super()._close(detail)
+        for group in self._groups:
+            group.cancel(detail)
+        self._groups.clear()
+
     def _advance(self, now: float) -> None:
+        if self.is_ended:
+            return
         decision = self._state.decide(now)
+        is_late = now >= self._state.answer_by or not (self._groups or self._reads)
+        if decision.end_reason is None and self._left_out and is_late:
+            self._read_left_out()
+            decision = self._state.decide(now)
         # A hedge may fail immediately and change the decision.
         while decision.end_reason is None and (
             decision.hedges or self._awaiting_budget
@@ -173,6 +302,10 @@
             self._finish(decision.end_reason)
             return
         wake_at = decision.wake_at
+        if now >= self._overdue_at:
+            self._overdue_at = float("inf")
+            self.runner.report_overdue(self._reads, self._overdue_s)
+        wake_at = min(wake_at, self._overdue_at)
         if self._awaiting_budget:
             wake_at = min(wake_at, now + BUDGET_RETRY_S)
         self._set_timer(wake_at)
@@ -190,6 +323,7 @@
             "missing": len(missing),
             "missing_services": missing[:8],
             "reads_open": len(self._reads),
+            "groups": len(self._group_answers),
             "sent_ms": _milliseconds(self._sent_at - self.request.received_at),
             "early_ms": _milliseconds(self._state.quantile_latency_s),
         }
@@ -211,6 +345,9 @@
         names = self.runner.names
         answers = list(self._shard_answers.values())
         signatures = [answer.signature.encode("latin-1") for answer in answers]
+        for group_signatures, records in self._group_answers:
+            signatures += group_signatures
+            answers.append(ShardAnswer("", "", records))
         headers = [
             (names.request_id, self.outbound.request_id),
             (names.missing_shards, b"%d" % missing),
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -2,17 +2,21 @@
 
 import contextlib
 import socket
+from collections.abc import Callable
 from random import Random
 
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
+    OBSERVATION_PREFIX,
     Address,
     Heartbeat,
     HostCount,
     Peer,
     PeerTable,
     decode_heartbeat,
+    decode_observation,
     encode_heartbeat,
+    encode_observation,
 )
 from cicadalever.wire import (
     CallerServer,
@@ -38,6 +42,11 @@
 # Largest datagram that is received, and most datagrams per callback of the socket.
 MAX_HEARTBEAT_BYTES = 2048
 MAX_HEARTBEATS_PER_READ = 64
+# Time between two reports of this host about the same replica.
+REPORT_PERIOD_S = 0.1
+# Replicas whose reports are remembered; beyond that all are forgotten, which only costs
+# some repeated reports.
+MAX_REPORTED_REPLICAS = 10_000
 UNKNOWN_COUNT = HostCount(0, 0)
 
 
@@ -67,6 +76,12 @@
         self.events = events
         self.rng = rng
         self.memory = memory or ReceiveMemory()
+        # Called when a peer has a newer version of the configuration than this host.
+        self.on_newer_version: Callable[[], None] = lambda: None
+        # Called with the ids of replicas that another host found late.
+        self.on_late_replicas: Callable[[list[str]], None] = lambda replica_ids: None
+        # When each replica may be reported again.
+        self._report_due_at: dict[str, float] = {}
         self._socket: socket.socket | None = None
         self._pools: dict[Address, ReplicaPool] = {}
         self._version = 0
@@ -94,6 +109,8 @@
         The heartbeats tell the given state of this host.
         ``version`` is the version of the configuration in force, or 0 without one.
         """
+        if version != self._version:
+            self.peer_table.announce()
         self._version = version
         self._is_serving = is_serving
         self._is_cut_off = is_cut_off
@@ -110,12 +127,38 @@
             return None
         return self.peer_table.choose_gatherer(version, self.loop.now(), self.rng)
 
+    def fellows_by_data_centre(self, version: int) -> dict[str, Peer]:
+        """Return a host of each other data centre that can read shards for this one."""
+        if self._socket is None:
+            return {}
+        return self.peer_table.choose_fellows(version, self.loop.now(), self.rng)
+
     def choose_source(self, current: Peer | None) -> Peer | None:
         """Return the peer to take changes from, or None for the platform."""
         if self._socket is None:
             return None
         return self.peer_table.choose_source(current, self.loop.now(), self.rng)
 
+    def report_late(self, replica_ids: list[str]) -> None:
+        """Tell the other hosts that gather queries which replicas are late."""
+        now = self.loop.now()
+        due = [
+            replica_id
+            for replica_id in replica_ids
+            if now >= self._report_due_at.get(replica_id, 0.0)
+        ]
+        if self._socket is None or not due:
+            return
+        if len(self._report_due_at) > MAX_REPORTED_REPLICAS:
+            self._report_due_at.clear()
+        for replica_id in due:
+            self._report_due_at[replica_id] = now + REPORT_PERIOD_S
+        data = encode_observation(due)
+        for address in self.peer_table.fellows():
+            # A lost report has the effect that another host finds out itself.
+            with contextlib.suppress(OSError):
+                self._socket.sendto(data, address)
+
     def send(self, address: Address, exchange: Exchange) -> None:
         """Send a request to the peer at ``address``."""
         pool = self._pools.get(address)
@@ -140,6 +183,7 @@
         *,
         wants_reply: bool,
         peers: list[Address] | None = None,
+        fellows: list[Address] | None = None,
         count: HostCount = UNKNOWN_COUNT,
     ) -> None:
         if self._socket is None:
@@ -158,6 +202,7 @@
             peers or [],
             count.hosts,
             count.similar,
+            fellows or [],
         )
         # An error has the effect of a lost datagram; the next heartbeat follows soon.
         with contextlib.suppress(OSError):
@@ -169,14 +214,26 @@
                 data, _sender = self._socket.recvfrom(MAX_HEARTBEAT_BYTES)
             except OSError:
                 return
+            if data.startswith(OBSERVATION_PREFIX):
+                self._handle_observation(data)
+                continue
             heartbeat = decode_heartbeat(data)
             if isinstance(heartbeat, Failure):
                 self.events.emit_detail("heartbeat_unreadable", reason=heartbeat.reason)
                 continue
             self._handle_heartbeat(heartbeat)
 
+    def _handle_observation(self, data: bytes) -> None:
+        replica_ids = decode_observation(data)
+        if isinstance(replica_ids, Failure):
+            self.events.emit_detail("heartbeat_unreadable", reason=replica_ids.reason)
+        else:
+            self.on_late_replicas(replica_ids)
+
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self.loop.now()
+        if 0 < self._version < heartbeat.version:
+            self.on_newer_version()
         if self.peer_table.record_heartbeat(heartbeat, now):
             self.events.emit(
                 "gatherer_found",
@@ -190,5 +247,6 @@
                 heartbeat.address,
                 wants_reply=False,
                 peers=peers,
+                fellows=self.peer_table.fellows_for(heartbeat, now, self.rng),
                 count=self.peer_table.count_hosts_for(heartbeat, now),
             )
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -1,9 +1,10 @@
 """Reads: requests to single replicas, with choice of the replica and accounting."""
 
-from collections.abc import Callable, Container
+from collections.abc import Callable, Collection, Container, Iterable
 from typing import NamedTuple
 
 from cicadalever.discovery import DirectoryChange, ReplicaEntry, UpstreamDirectory
+from cicadalever.gather import encode_shards
 from cicadalever.placement import LeastCostSelector
 from cicadalever.retries import RetryBudget
 from cicadalever.routing import Route, RoutingTable
@@ -23,11 +24,14 @@
 from ._events import EventLog
 from ._metrics import GatewayMetrics
 
-# Headers of queries between hosts: the configuration version of the sending host, and
-# the microseconds until it needs the answer.
+# Headers of queries between hosts: the configuration version of the sending host, the
+# microseconds until it needs the answer, and the shards to read (without it: all). The
+# answer to a query for some shards names those that are missing.
 PEER_VERSION = b"x-cicadalever-version"
 PEER_ANSWER_US = b"x-cicadalever-answer-us"
-PEER_HEADERS = (PEER_VERSION, PEER_ANSWER_US)
+PEER_SHARDS = b"x-cicadalever-shards"
+PEER_MISSING = b"x-cicadalever-missing"
+PEER_HEADERS = (PEER_VERSION, PEER_ANSWER_US, PEER_SHARDS, PEER_MISSING)
 
 # Share of a replica's connection limit that one host may use. Of the described
 # deployments, the one with the lowest limit has 25 connections for 6 hosts, and the one
@@ -116,13 +120,23 @@
             self._body,
         )
 
-    def encode_for_peer(self, version: int, answer_by: float, now: float) -> bytes:
+    def encode_for_peer(
+        self,
+        version: int,
+        answer_by: float,
+        now: float,
+        shards: Collection[int] | None = None,
+    ) -> bytes:
         """Return the bytes of the request to a peer that gathers the answer.
 
-        ``version`` is the version of the configuration in force, and ``answer_by`` the
-        monotonic time in seconds at which this host needs the answer.
+        ``version`` is the version of the configuration in force, ``answer_by`` the
+        monotonic time in seconds at which this host needs the answer, and ``shards``
+        the shards to read (None for all).
         """
-        return b"%s\r\n%s: %d\r\n%s: %d\r\n%s: %d\r\n\r\n%s" % (
+        shards_line = b""
+        if shards is not None:
+            shards_line = b"%s: %s\r\n" % (PEER_SHARDS, encode_shards(shards))
+        return b"%s\r\n%s: %d\r\n%s: %d\r\n%s: %d\r\n%s\r\n%s" % (
             self._head,
             self._deadline_name,
             max(MIN_DEADLINE_MS, int((self.deadline - now) * 1000)),
@@ -130,6 +144,7 @@
             version,
             PEER_ANSWER_US,
             max(0, int((answer_by - now) * 1_000_000)),
+            shards_line,
             self._body,
         )
 
@@ -160,6 +175,8 @@
         self.retry_budget = retry_budget
         self.events = events
         self.metrics = metrics
+        # Called with the ids of replicas whose reads are overdue.
+        self.on_late: Callable[[list[str]], None] = lambda replica_ids: None
         self._pools: dict[str, ReplicaPool] = {}
         # Services with a probe in progress.
         self._probed_services: set[str] = set()
@@ -214,6 +231,21 @@
         self.metrics.extra_read("no_allowance")
         return False
 
+    def report_overdue(self, reads: Iterable[Read], overdue_s: float) -> None:
+        """Avoid the replicas of reads older than ``overdue_s``; tell other hosts."""
+        started_before = self.loop.now() - overdue_s
+        late = [read.replica.id for read in reads if read.started_at <= started_before]
+        if late:
+            self.avoid_late(late)
+            self.on_late(late)
+
+    def avoid_late(self, replica_ids: list[str]) -> None:
+        """Avoid replicas for a while that this host or another one found late."""
+        now = self.loop.now()
+        for replica_id in replica_ids:
+            if replica_id in self.directory:
+                self.selector.health(replica_id).avoid(now)
+
     def close_expired(self) -> None:
         """Close the idle connections that replicas are about to close."""
         for pool in list(self._pools.values()):
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from cicadalever.gather import decode_shards, encode_shards
 from cicadalever.routing import Route, RoutingTable, WeightedRoundRobin
 from cicadalever.wire import CallerConnection, CallerRequest, CallerResponse
 
@@ -16,7 +17,14 @@
     STATUS_PROCESSING,
     PeerLink,
 )
-from ._reads import PEER_ANSWER_US, PEER_VERSION, OutboundRequest, ReadRunner
+from ._reads import (
+    PEER_ANSWER_US,
+    PEER_MISSING,
+    PEER_SHARDS,
+    PEER_VERSION,
+    OutboundRequest,
+    ReadRunner,
+)
 
 # Round trip between callers and hosts. The deployment requirements state 3 ms one way.
 CALLER_ROUND_TRIP_S = 0.006
@@ -164,6 +172,10 @@
         caller_deadline_s = parse_deadline(request.header(names.deadline))
         answer_us = parse_number(request.header(PEER_ANSWER_US))
         is_acceptable = None not in (route, request_id, caller_deadline_s, answer_us)
+        shards = None
+        if is_acceptable and (value := request.header(PEER_SHARDS)) is not None:
+            shards = decode_shards(value, len(route.shards))
+            is_acceptable = bool(shards)
         if not is_acceptable or self._gathered_for_peers >= MAX_GATHERED_FOR_PEERS:
             headers = [] if request_id is None else [(names.request_id, request_id)]
             connection.respond(CallerResponse(STATUS_DECLINED, headers))
@@ -174,9 +186,18 @@
         margin_s = PEER_HOP_S + self.lateness.margin_s - MIN_ANSWER_MARGIN_S
         answer_by = request.received_at + answer_us / 1e6 - margin_s
         outbound = OutboundRequest(request, names, deadline, request_id)
+        if shards is not None:
+            route = route._replace(
+                shards=tuple(route.shards[shard] for shard in shards),
+                min_shard_share=0.0,
+            )
 
         def respond(response: CallerResponse, fields: dict) -> None:
             self._gathered_for_peers -= 1
+            if shards is not None:
+                missing = [shards[index] for index in call.missing_shards]
+                header = (PEER_MISSING, encode_shards(missing))
+                response = response._replace(headers=[*response.headers, header])
             if response.header(names.request_id) is None:
                 # The peer drops answers without the id of its request.
                 id_header = (names.request_id, request_id)
@@ -195,6 +216,8 @@
             outbound,
             respond,
             on_late=self.lateness.observe,
+            # The shards of a group are not handed on again.
+            link=self.link if shards is None else None,
         )
         self._gathered_for_peers += 1
         connection.on_disconnect = cancel
@@ -215,7 +238,12 @@
         """Gather a query on this host, or on a larger one if that is faster."""
 
         def gather_here(is_repeat: bool) -> None:
-            call = GatherCall(*arguments, on_late=self.lateness.observe)
+            is_wide = len(arguments[1].shards) >= MIN_SHARDS_TO_DELEGATE
+            call = GatherCall(
+                *arguments,
+                on_late=self.lateness.observe,
+                link=self.link if is_wide else None,
+            )
             connection.on_disconnect = call.cancel
             call.start(answer_by, is_repeat=is_repeat)
 
@@ -234,7 +262,10 @@
         """Return the route of a query of a peer, or None if it must be declined."""
         if self.table is None:
             return None
-        if parse_number(request.header(PEER_VERSION)) != self.table.version:
+        version = parse_number(request.header(PEER_VERSION))
+        if version != self.table.version:
+            if version is not None and version > self.table.version:
+                self.link.on_newer_version()
             return None
         route = self._find_route(request)
         return route if route is not None and route.shards else None
--- a/cicadalever/gather/__init__.py
+++ b/cicadalever/gather/__init__.py
@@ -4,6 +4,7 @@
 replica while the first one is still in flight; the first answer counts.
 """
 
+from ._groups import decode_shards, encode_shards, group_by_data_centre
 from ._merge import ShardAnswer, merge_top_records, shorten_answer
 from ._state import GatherDecision, GatherEndReason, GatherPolicy, GatherState
 
@@ -13,6 +14,9 @@
     "GatherPolicy",
     "GatherState",
     "ShardAnswer",
+    "decode_shards",
+    "encode_shards",
+    "group_by_data_centre",
     "merge_top_records",
     "shorten_answer",
 ]
--- a/cicadalever/gather/_state.py
+++ b/cicadalever/gather/_state.py
@@ -1,5 +1,6 @@
 """Decisions of one query over many shards, free of I/O and clocks."""
 
+from collections.abc import Iterable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -101,10 +102,11 @@
         self._answer_count = 0
         # Shards that cannot answer any more.
         self._lost_shards: set[int] = set()
-        # Number of answers after which the delay of hedges is known.
-        self._quantile_answers = max(
-            1, min(shards - 1, _ceil_share(policy.hedge_quantile, shards))
-        )
+        # Shards that another host reads and hedges.
+        self._delegated: set[int] = set()
+        # Answers of the other shards, and how many of them set the delay of hedges.
+        self._own_answer_count = 0
+        self._update_quantile()
         self._quantile_at: float | None = None
         # Whether too few shards had answered at the target time.
         self._missed_target = False
@@ -137,8 +139,10 @@
         self._answered[shard] = True
         self._lost_shards.discard(shard)
         self._answer_count += 1
-        if self._answer_count == self._quantile_answers:
-            self._quantile_at = now
+        if shard not in self._delegated:
+            self._own_answer_count += 1
+            if self._own_answer_count == self._quantile_answers:
+                self._quantile_at = now
         return True
 
     def needs_decision(self, now: float) -> bool:
@@ -148,7 +152,22 @@
         """
         answers = self._answer_count
         is_last = answers + len(self._lost_shards) == self.shards
-        return is_last or answers == self._quantile_answers or now >= self.answer_by
+        has_quantile = self._own_answer_count == self._quantile_answers
+        return is_last or has_quantile or now >= self.answer_by
+
+    def delegate(self, shards: Iterable[int]) -> None:
+        """Record that another host reads ``shards``; it hedges them itself."""
+        for shard in shards:
+            self._delegated.add(shard)
+            self._reads_in_flight[shard] += 1
+        self._update_quantile()
+
+    def reclaim(self, shards: Iterable[int]) -> None:
+        """Record that the other host does not read ``shards`` after all."""
+        for shard in shards:
+            self._delegated.discard(shard)
+            self._reads_in_flight[shard] -= 1
+        self._update_quantile()
 
     def record_read_failure(self, shard: int) -> None:
         """Record a read that ended without an answer."""
@@ -178,7 +197,9 @@
         if now >= hedge_at:
             hedge_at = float("inf")
             hedges = [
-                shard for shard in self.unanswered_shards() if not self._hedged[shard]
+                shard
+                for shard in self.unanswered_shards()
+                if not self._hedged[shard] and shard not in self._delegated
             ]
         return GatherDecision(None, hedges, min(hedge_at, self._next_end_at(now)))
 
@@ -201,6 +222,11 @@
             return GatherEndReason.TIMED_OUT
         return None
 
+    def _update_quantile(self) -> None:
+        own = self.shards - len(self._delegated)
+        quantile_answers = _ceil_share(self.policy.hedge_quantile, own)
+        self._quantile_answers = max(1, min(own - 1, quantile_answers))
+
     def _update_lost_shards(self, shard: int) -> None:
         has_answer_or_read = self._answered[shard] or self._reads_in_flight[shard]
         if self._exhausted[shard] and not has_answer_or_read:
@@ -215,7 +241,7 @@
         max_hedge_s = policy.max_hedge_target_share * (self.answer_by - self.started_at)
         if self._quantile_at is None:
             # A single shard has no others whose latency could set the delay.
-            is_single = self.shards == 1
+            is_single = self.shards - len(self._delegated) == 1
             return self.started_at + max_hedge_s if is_single else float("inf")
         quantile_s = self._quantile_at - self.started_at
         hedge_s = max(policy.min_hedge_s, policy.hedge_factor * quantile_s)
--- a/cicadalever/peers/__init__.py
+++ b/cicadalever/peers/__init__.py
@@ -7,9 +7,17 @@
 
 from ._changes import ChangeLog, RelayedChanges, decode_changes, encode_changes
 from ._heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
+from ._observation import (
+    OBSERVATION_PREFIX,
+    decode_observation,
+    encode_observation,
+)
 from ._table import Address, Capacity, HostCount, Peer, PeerTable
 
 __all__ = [
+    "OBSERVATION_PREFIX",
+    "decode_observation",
+    "encode_observation",
     "Address",
     "Capacity",
     "ChangeLog",
--- a/cicadalever/peers/_changes.py
+++ b/cicadalever/peers/_changes.py
@@ -1,5 +1,6 @@
 """Log of platform changes that a host keeps for the hosts that follow it."""
 
+import zlib
 from collections import deque
 from typing import NamedTuple
 
@@ -11,11 +12,19 @@
 # platform sends changes at most a few times a second; a follower that is further behind
 # reads from the platform itself.
 MAX_BATCHES = 32
+# Fastest level: a batch is compressed once and sent to each follower.
+COMPRESSION_LEVEL = 1
+# Largest batch that is accepted from another host, in bytes before compression.
+MAX_BATCH_BYTES = 16 * 1024 * 1024
 
 
 class RelayedChanges(msgspec.Struct, array_like=True, frozen=True):
     """Changes up to ``revision``, in ``batches`` as the platform sent them.
 
+    The entries of replicas resemble each other, so that a batch shrinks to a fraction
+    when it is compressed (zlib). Without that, the links of a data centre would be busy
+    for a noticeable time when the replicas of many shards change together.
+
     ``age_s`` is the time since the platform confirmed to the sender that there were no
     further changes. ``grace_s`` is the time that is left for expired entries to be
     published again.
@@ -38,8 +47,10 @@
     >>> log = ChangeLog()
     >>> log.reset(5)
     >>> log.append(7, b"x")
-    >>> log.since(5), log.since(7), log.since(4)
-    ([b'x'], [], None)
+    >>> [zlib.decompress(batch) for batch in log.since(5)]
+    [b'x']
+    >>> log.since(7), log.since(4)
+    ([], None)
     """
 
     def __init__(self):
@@ -63,12 +74,16 @@
         self._revision = max(self._revision, revision)
         if data is None:
             return
-        self._batches.append(_Batch(revision, data))
+        compressed = zlib.compress(data, COMPRESSION_LEVEL)
+        self._batches.append(_Batch(revision, compressed))
         if len(self._batches) > MAX_BATCHES:
             self._complete_after = self._batches.popleft().revision
 
     def since(self, revision: int) -> list[bytes] | None:
-        """Return the changes after a revision, or None if some are no longer kept."""
+        """Return the compressed changes after a revision.
+
+        The result is None if some of them are no longer kept.
+        """
         if self._complete_after is None or revision < self._complete_after:
             return None
         return [batch.data for batch in self._batches if batch.revision > revision]
@@ -84,8 +99,23 @@
 
 
 def decode_changes(data: bytes) -> RelayedChanges | Failure:
-    """Return the changes, or a failure if the data is invalid."""
+    """Return the changes with batches as the platform sent them.
+
+    The result is a failure if the data is invalid or a batch is too large.
+    """
     try:
-        return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+        changes = _decoder.decode(data)
+        batches = [_decompress(batch) for batch in changes.batches]
+    except (msgspec.MsgspecError, zlib.error) as error:
         return Failure(FailureCode.INVALID, f"invalid relayed changes: {error}")
+    if None in batches:
+        reason = f"relayed batch exceeds {MAX_BATCH_BYTES} bytes or is cut"
+        return Failure(FailureCode.INVALID, reason)
+    return msgspec.structs.replace(changes, batches=batches)
+
+
+def _decompress(batch: bytes) -> bytes | None:
+    """Return the bytes of a batch, or None if it is too large or incomplete."""
+    decompressor = zlib.decompressobj()
+    data = decompressor.decompress(batch, MAX_BATCH_BYTES)
+    return data if decompressor.eof else None
--- a/cicadalever/peers/_heartbeat.py
+++ b/cicadalever/peers/_heartbeat.py
@@ -21,7 +21,8 @@
     With ``wants_reply`` the host asks the receiver for a heartbeat. In the reply,
     ``peers`` lists the hosts that may gather queries for the asking host, ``hosts``
     counts the hosts of its data centre, and ``similar`` those with about its capacity,
-    itself included (0: not known yet).
+    itself included (0: not known yet). ``fellows`` lists the hosts of all data centres
+    that gather queries, if the asking host is one of them.
     """
 
     host: str
@@ -36,6 +37,7 @@
     peers: list[tuple[str, int]] = []
     hosts: int = 0
     similar: int = 0
+    fellows: list[tuple[str, int]] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -28,6 +28,22 @@
 # then it has received a heartbeat from each host, even if one was lost, because hosts
 # send them to seeds at least every ``MAX_SEED_PERIOD_S``.
 COUNT_AFTER_S = 2.0 * MAX_SEED_PERIOD_S
+# Most hosts of one data centre that are listed to those which gather queries elsewhere.
+MAX_FELLOWS_PER_DATA_CENTRE = 4
+# Time between two heartbeats to a host that gathers queries in another data centre, and
+# for which it counts as alive after one. Between data centres, each byte counts.
+FELLOW_PERIOD_S = 4.0
+FELLOW_ALIVE_S = 9.0
+# Time for which hosts of a data centre are not asked after one of them failed: mostly
+# the whole data centre is out of reach then.
+FELLOW_PAUSE_S = 1.0
+# Round trip that is assumed to a host before it has been measured, and the weight of
+# the newest measurement.
+INITIAL_ROUND_TRIP_S = 0.005
+ROUND_TRIP_WEIGHT = 0.2
+# Time for which a seed uses the list of hosts that gather queries before it lists them
+# again.
+GATHERER_LIST_S = 1.0
 # Time for which a host gets no queries after it failed to gather one.
 FAILURE_PAUSE_S = 1.0
 
@@ -66,6 +82,10 @@
         self.heartbeat: Heartbeat | None = None
         # Number of queries of this host that the peer is gathering.
         self.in_flight = 0
+        # Seconds until the peer acknowledged a query, averaged.
+        self.round_trip_s = INITIAL_ROUND_TRIP_S
+        # When a seed last listed the peer as one that gathers queries elsewhere.
+        self.fellow_listed_at = float("-inf")
         self.last_heartbeat_at = float("-inf")
         self.known_since = float("-inf")
         # When this host should send the next heartbeat to the peer.
@@ -84,6 +104,10 @@
             else Capacity(heartbeat.link_mbps, heartbeat.cores)
         )
 
+    def observe_round_trip(self, seconds: float) -> None:
+        """Add a measured time until the peer acknowledged a query."""
+        self.round_trip_s += ROUND_TRIP_WEIGHT * (seconds - self.round_trip_s)
+
     def is_alive(self, now: float) -> bool:
         """Return whether a heartbeat of the peer arrived within ``ALIVE_TIMEOUT_S``."""
         return now - self.last_heartbeat_at <= ALIVE_TIMEOUT_S
@@ -114,6 +138,9 @@
         self._seed_period_s = MIN_SEED_PERIOD_S
         self._seeds_due_at = float("-inf")
         self._reported_counts: list[tuple[float, HostCount]] = []
+        self._paused_data_centres: dict[str, float] = {}
+        self._gatherers: dict[str, list[Address]] = {}
+        self._gatherers_listed_at = float("-inf")
 
     def set_seeds(self, seeds: list[Address]) -> None:
         """Replace the seeds and make heartbeats to all of them due at once."""
@@ -135,12 +162,26 @@
         peer.last_heartbeat_at = now
         for address in heartbeat.peers:
             self._get_or_add(address, now)
+        for address in heartbeat.fellows:
+            if address != self.address:
+                self._get_or_add(address, now).fellow_listed_at = now
+        if peer.fellow_listed_at > float("-inf"):
+            # The heartbeat that was answered or received tells both hosts enough.
+            peer.heartbeat_due_at = max(
+                peer.heartbeat_due_at, now + self._heartbeat_period_s(peer)
+            )
         if heartbeat.hosts > 0:
             self._reported_counts.append(
                 (now, HostCount(heartbeat.hosts, heartbeat.similar))
             )
         return not was_alive and self._may_gather(peer)
 
+    def announce(self) -> None:
+        """Make the next heartbeat to each gatherer due at once."""
+        for peer in self._peers.values():
+            if self._may_gather(peer) or self._is_fellow(peer):
+                peer.heartbeat_due_at = float("-inf")
+
     def take_due_addresses(self, now: float) -> list[Address]:
         """Return the addresses that should get a heartbeat now.
 
@@ -149,7 +190,7 @@
         addresses = []
         for peer in self._peers.values():
             if now >= peer.heartbeat_due_at and self._needs_heartbeats(peer):
-                peer.heartbeat_due_at = now + HEARTBEAT_PERIOD_S
+                peer.heartbeat_due_at = now + self._heartbeat_period_s(peer)
                 addresses.append(peer.address)
         if now >= self._seeds_due_at:
             self._seeds_due_at = now + self._seed_period_s
@@ -200,15 +241,20 @@
 
         It must have the same ``version`` of the configuration in force: with an older
         one, callers of this host would get answers from a configuration that has
-        already been replaced here.
+        already been replaced here. A host whose last heartbeat names another version
+        is chosen if there is no other: it may have changed since then, and declines at
+        once if it has not.
         """
-        candidates = [
+        available = [
             peer
             for peer in self._serving_gatherers(now)
-            if peer.heartbeat.version == version and now >= peer.no_queries_until
+            if now >= peer.no_queries_until
         ]
-        if not candidates:
+        if not available:
             return None
+        candidates = [
+            peer for peer in available if peer.heartbeat.version == version
+        ] or available
         return min(candidates, key=lambda peer: (peer.in_flight, rng.random()))
 
     def record_failure(self, peer: Peer, now: float) -> None:
@@ -224,6 +270,90 @@
             if peer.capacity.is_much_larger_than(capacity)
         ]
 
+    def fellows_for(
+        self, heartbeat: Heartbeat, now: float, rng: Random
+    ) -> list[Address]:
+        """Return hosts that gather queries, if the sender of a heartbeat does so too.
+
+        The result has at most ``MAX_FELLOWS_PER_DATA_CENTRE`` hosts of each data
+        centre, selected at random.
+        """
+        if now - self._gatherers_listed_at > GATHERER_LIST_S:
+            self._gatherers_listed_at = now
+            self._gatherers = self._list_gatherers(now)
+        if heartbeat.address not in self._gatherers.get(heartbeat.data_centre, ()):
+            return []
+        fellows = []
+        for addresses in self._gatherers.values():
+            others = [each for each in addresses if each != heartbeat.address]
+            count = min(MAX_FELLOWS_PER_DATA_CENTRE, len(others))
+            fellows += rng.sample(others, count)
+        return fellows
+
+    def fellows(self) -> list[Address]:
+        """Return the other hosts that gather queries, as the seeds listed them."""
+        return [peer.address for peer in self._peers.values() if self._is_fellow(peer)]
+
+    def choose_fellows(self, version: int, now: float, rng: Random) -> dict[str, Peer]:
+        """Return a host of each other data centre that can read shards for this one.
+
+        It must have the same ``version`` of the configuration in force.
+        """
+        candidates: dict[str, list[Peer]] = {}
+        for peer in self._peers.values():
+            if (
+                self._is_fellow(peer)
+                and peer.heartbeat.data_centre != self.data_centre
+                and peer.heartbeat.version == version
+                and peer.heartbeat.is_serving
+                and now - peer.last_heartbeat_at <= FELLOW_ALIVE_S
+            ):
+                candidates.setdefault(peer.heartbeat.data_centre, []).append(peer)
+        return {
+            data_centre: min(peers, key=lambda peer: (peer.in_flight, rng.random()))
+            for data_centre, peers in candidates.items()
+            if now >= self._paused_data_centres.get(data_centre, 0.0)
+        }
+
+    def record_fellow_failure(self, peer: Peer, now: float) -> None:
+        """Pause queries to the data centre of a peer that did not answer one."""
+        if peer.heartbeat is not None:
+            data_centre = peer.heartbeat.data_centre
+            self._paused_data_centres[data_centre] = now + FELLOW_PAUSE_S
+
+    def _is_fellow(self, peer: Peer) -> bool:
+        """Return whether a seed listed a known peer that gathers queries like this."""
+        return peer.heartbeat is not None and peer.fellow_listed_at > float("-inf")
+
+    def _heartbeat_period_s(self, peer: Peer) -> float:
+        is_near = self._may_gather(peer) or peer.heartbeat is None
+        return HEARTBEAT_PERIOD_S if is_near else FELLOW_PERIOD_S
+
+    def _list_gatherers(self, now: float) -> dict[str, list[Address]]:
+        """Return the hosts without a much larger one in each data centre."""
+        capacities: dict[str, list[tuple[Address, Capacity]]] = {
+            self.data_centre: [(self.address, self.capacity)]
+        }
+        for peer in self._peers.values():
+            if (
+                peer.heartbeat is not None
+                and now - peer.last_heartbeat_at <= FORGET_AFTER_S
+            ):
+                hosts = capacities.setdefault(peer.heartbeat.data_centre, [])
+                hosts.append((peer.address, peer.capacity))
+        gatherers = {}
+        for data_centre, hosts in capacities.items():
+            kinds = {capacity for _, capacity in hosts}
+            largest = {
+                capacity
+                for capacity in kinds
+                if not any(other.is_much_larger_than(capacity) for other in kinds)
+            }
+            gatherers[data_centre] = [
+                address for address, each in hosts if each in largest
+            ]
+        return gatherers
+
     def count_hosts_for(self, heartbeat: Heartbeat, now: float) -> HostCount:
         """Count the hosts in the data centre of a heartbeat's sender.
 
@@ -289,8 +419,8 @@
         ]
 
     def _needs_heartbeats(self, peer: Peer) -> bool:
-        """Return whether a peer is a gatherer, or has sent no heartbeat yet."""
-        return peer.heartbeat is None or self._may_gather(peer)
+        """Return whether a peer gathers queries, or has sent no heartbeat yet."""
+        return peer.heartbeat is None or self._may_gather(peer) or self._is_fellow(peer)
 
     def _live_gatherers(self, now: float) -> list[Peer]:
         """Return the live hosts that may gather for this one."""
--- a/cicadalever/placement/_health.py
+++ b/cicadalever/placement/_health.py
@@ -19,6 +19,13 @@
 # trial doubles it.
 MIN_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
+# Time for which a replica with an overdue read is avoided: about as long as a short
+# pause of a replica. It doubles up to the maximum each time that the replica is late
+# again soon after it was tried again.
+MIN_AVOIDANCE_S = 0.15
+MAX_AVOIDANCE_S = 1.2
+# A replica that was not late for this long is avoided for the minimum again.
+AVOIDANCE_MEMORY_S = 2.0
 
 
 class ReplicaHealth:
@@ -37,6 +44,8 @@
         "_updated_at",
         "_relative_latency",
         "_unreachable",
+        "_avoidance_s",
+        "_avoided_until",
         "in_flight",
     )
 
@@ -50,6 +59,8 @@
         self._ejection_s = MIN_EJECTION_S
         self._ejected_until = float("-inf")
         self._unreachable = False
+        self._avoidance_s = MIN_AVOIDANCE_S
+        self._avoided_until = float("-inf")
 
     @property
     def is_unreachable(self) -> bool:
@@ -65,6 +76,20 @@
         """Return whether the replica is ejected until a later trial read."""
         return now < self._ejected_until
 
+    def is_avoided(self, now: float) -> bool:
+        """Return whether the replica was late a short time ago."""
+        return now < self._avoided_until
+
+    def avoid(self, now: float) -> None:
+        """Record that a read of this host or of another one is overdue."""
+        if self.is_avoided(now):
+            return
+        if now - self._avoided_until <= AVOIDANCE_MEMORY_S:
+            self._avoidance_s = min(MAX_AVOIDANCE_S, 2.0 * self._avoidance_s)
+        else:
+            self._avoidance_s = MIN_AVOIDANCE_S
+        self._avoided_until = now + self._avoidance_s
+
     def oldest_read_age_s(self, now: float) -> float:
         """Return the age of the oldest read in flight in seconds, or 0 without any."""
         for started_at in self.in_flight.values():
--- a/cicadalever/placement/_selector.py
+++ b/cicadalever/placement/_selector.py
@@ -21,6 +21,8 @@
 # usual latencies; its cost is then multiplied by ``OVERDUE_FACTOR``.
 OVERDUE_LATENCIES = 2.5
 OVERDUE_FACTOR = 6.0
+# Cost factor of a replica that this host or another one found late.
+AVOIDED_FACTOR = 4.0
 # Width of the random factor on each cost, so that replicas whose costs differ by less
 # are chosen at random.
 COST_JITTER = 0.05
@@ -75,6 +77,10 @@
         """Return the moving average of the latency of one read of a route."""
         return self._usual_latencies_s.get(route, INITIAL_LATENCY_S)
 
+    def overdue_s(self, route: str) -> float:
+        """Return the age in seconds from which a read of a route is overdue."""
+        return max(MIN_OVERDUE_S, OVERDUE_LATENCIES * self.usual_latency_s(route))
+
     def choose(
         self,
         replicas: Iterable[ReplicaEntry],
@@ -154,4 +160,6 @@
         overdue_s = max(MIN_OVERDUE_S, OVERDUE_LATENCIES * usual_latency_s)
         if in_flight and health.oldest_read_age_s(now) > overdue_s:
             cost *= OVERDUE_FACTOR
+        elif health.is_avoided(now):
+            cost *= AVOIDED_FACTOR
         return cost
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 from collections.abc import Callable
 
 from ._answer_parser import AnswerParser
@@ -19,7 +20,8 @@
 # Fraction of the idle timeout that the replica announced, after which this host closes
 # an idle connection.
 IDLE_SHARE = 0.7
-
+# Value of SO_LINGER that makes close send a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 OnAnswer = Callable[[ReplicaAnswer], None]
 
@@ -201,6 +203,12 @@
             self.loop.unwatch(self._reader)
             self._reader = None
         with contextlib.suppress(OSError):
+            if self._on_answer is not None:
+                # A reset also discards what a partition holds up, so that the replica
+                # does not get the request after its caller has given up.
+                self._socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
             self._socket.close()
         self._parser.release()
         self.on_closed(self, detail)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -73,6 +73,29 @@
         self.assertEqual(self.choose(now=0.1), "far")
         self.assertEqual(self.choose(now=30.0), "near")
 
+    def test_late_replica_is_avoided_for_a_while(self):
+        """Guards against each host that finds a paused replica by itself."""
+        self.assertEqual(self.choose(), "near")
+        self.selector.health("near").avoid(0.0)
+        self.assertEqual({self.choose(0.001 * n) for n in range(100)}, {"far"})
+        self.assertEqual(self.choose(1.0), "near")
+
+    def test_avoidance_grows_while_a_replica_stays_late(self):
+        """Guards against one late read per host and pause in a long slow spell."""
+        health, now, lengths = ReplicaHealth(), 0.0, []
+        for _ in range(5):
+            health.avoid(now)
+            health.avoid(now)
+            end = now
+            while health.is_avoided(end):
+                end += 0.01
+            lengths.append(round(end - now, 2))
+            now = end
+        self.assertEqual(lengths, sorted(lengths))
+        self.assertGreater(lengths[-1], 1.0)
+        health.avoid(now + 10.0)
+        self.assertFalse(health.is_avoided(now + 10.2))
+
     def test_failed_trial_ejects_again(self):
         """Guards against three more failures at a replica that is still down."""
         health = ReplicaHealth()
