--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -58,6 +58,7 @@
     """Takes the place of a caller's connection; ``answered`` gets the response."""
 
     on_disconnect = None
+    round_trip_s = 0.006
 
     def __init__(self):
         self.answered = eventlet.event.Event()
--- a/cicadalever/api/__init__.py
+++ b/cicadalever/api/__init__.py
@@ -1,6 +1,7 @@
 """WSGI applications for callers and for administration."""
 
 from ._admin import AdminApplication
+from ._arrival import ArrivalClock
 from ._caller import CallerApplication, encode_answer
 from ._http import (
     Handler,
@@ -28,6 +29,7 @@
 )
 
 __all__ = [
+    "ArrivalClock",
     "AdminApplication",
     "AdminViews",
     "AuditEventView",
--- a/cicadalever/api/_caller.py
+++ b/cicadalever/api/_caller.py
@@ -24,6 +24,7 @@
 from cicadalever.transport import OnceAnswer, RunOnce
 
 from ._admin import health_response
+from ._arrival import ArrivalClock
 from ._http import Environ, Request, Response, Router, error_response, json_response
 from ._request import QueryRequest, check_query_request
 from ._views import HealthState
@@ -49,8 +50,9 @@
 
     ``once_table`` issues the ids and ``once_service`` runs the requests that have them.
     ``configuration`` returns the configuration in force, None before the first one.
-    ``encode`` turns a request id, an answer and the elapsed seconds into status and
-    body.
+    ``arrival_clock`` tells when a request may have arrived; without it, that is when
+    the request is read. ``encode`` turns a request id, an answer and the elapsed
+    seconds into status and body.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         encode: Callable[[str, QueryAnswer, float], OnceResult],
         *,
         max_body_bytes: int,
+        arrival_clock: ArrivalClock | None = None,
     ):
         self.coordinator = coordinator
         self.once_service = once_service
@@ -73,6 +76,7 @@
         self.metrics = metrics
         self.encode = encode
         self.max_body_bytes = max_body_bytes
+        self.arrival_clock = arrival_clock
         self._in_flight = 0
         self._router = Router(
             {
@@ -126,6 +130,8 @@
 
     def _query(self, request: Request) -> Response:
         started_at = time.monotonic()
+        if self.arrival_clock is not None:
+            started_at = self.arrival_clock.earliest_arrival(started_at)
         body = request.read_body(self.max_body_bytes)
         if isinstance(body, Response):
             return body
--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -5,7 +5,12 @@
 from functools import partial
 from typing import NamedTuple
 
-from cicadalever.api import AdminApplication, CallerApplication, encode_answer
+from cicadalever.api import (
+    AdminApplication,
+    ArrivalClock,
+    CallerApplication,
+    encode_answer,
+)
 from cicadalever.audit import AuditTrail
 from cicadalever.configuration import ConfigurationHistory, HttpPlatformReader
 from cicadalever.membership import (
@@ -150,6 +155,7 @@
         metrics,
         encode,
         max_body_bytes=settings["max_body_bytes"],
+        arrival_clock=ArrivalClock(time.monotonic()),
     )
     is_entry = "entry" in settings["roles"]
     caller_server = WsgiServer(settings["caller_address"], caller) if is_entry else None
--- a/cicadalever/daemon/_daemon.py
+++ b/cicadalever/daemon/_daemon.py
@@ -203,6 +203,7 @@
             # Missed ticks are skipped, so that a stall is not followed by a burst.
             due = max(due + TICK_S, time.monotonic() - TICK_S)
             eventlet.sleep(max(0.0, due - time.monotonic()))
+            self.caller_application.arrival_clock.tick(time.monotonic())
             self.metrics.observe_loop_lag(max(0.0, time.monotonic() - due))
             ticks += 1
             if ticks % TICKS_PER_MEMBERSHIP_TICK == 0:
--- a/cicadalever/explain/_explanation.py
+++ b/cicadalever/explain/_explanation.py
@@ -43,6 +43,9 @@
     "no_configuration": "refused: the host knew no configuration",
     "no_route": "no route of the version in force allows it",
     "no_request_id": "refused: the request has no id",
+    "no_budget": "failed: another host did not answer and the retry budget is used up",
+    "cut_off": "refused: the host cannot reach enough shards",
+    "crashes_replicas": "refused: replicas did not survive this request before",
 }
 
 
@@ -105,6 +108,8 @@
 
 def _find_cause(request_lines: list[LogLine]) -> str:
     ends = [line for line in request_lines if line.event in END_EVENTS]
+    # A host that read a group of the shards only knows how its part ended.
+    ends = [line for line in ends if not line.fields.get("is_group")] or ends
     if not ends:
         return "the end of the request is not in these logs"
     # If the request was delegated, the host that gathered the answer logs the cause.
--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -2,16 +2,18 @@
 
 from collections.abc import Callable
 
+from cicadalever.refusal import plan_retry_after
 from cicadalever.routing import Route, RoutingTable
-from cicadalever.wire import CallerRequest, CallerResponse
+from cicadalever.wire import AnswerFault, CallerRequest, CallerResponse
 
-from ._reads import OutboundRequest, Read, ReadRunner
+from ._answers import AnswerKind
+from ._reads import OutboundRequest, Read, ReadResult, ReadRunner
 
 # The final response is sent this long before the deadline, so that it arrives in time.
 DEADLINE_MARGIN_S = 0.006
-# Value of the Retry-After header: the time after which a caller should try again when
-# no replica can take the request or no configuration is known yet.
-RETRY_AFTER_S = 0.25
+# Time after which a service without a usable replica has probably one again, and
+# after which a host that has just started knows the configuration.
+RECOVERY_S = 0.25
 
 
 class Call:
@@ -41,6 +43,9 @@
         self.hedges = 0
         self.retries = 0
         self.is_ended = False
+        # Reads whose connection was lost, and whether any replica has answered.
+        self.lost_reads = 0
+        self.has_answer = False
         # Shards of the reads in progress; 0 for a route without shards.
         self._reads: dict[Read, int] = {}
         self._timer = None
@@ -63,9 +68,23 @@
         self._log_end(end, fields, response.status)
         self.on_end(response, fields)
 
+    def _refusal(self) -> CallerResponse:
+        """Return the response to a request that has not run and will not run."""
+        selector = self.runner.selector
+        retry_after_s = plan_retry_after(
+            RECOVERY_S,
+            self.outbound.deadline - self.loop.now(),
+            self.route.rank,
+            selector.rng,
+        )
+        return error_response(503, retry_after_s)
+
     def _log_end(self, end: str, fields: dict, status: int | None = None) -> None:
         elapsed_s = self.loop.now() - self.request.received_at
         self.runner.metrics.request_ended(self.route.rank, end, elapsed_s)
+        self.runner.record_request_end(
+            self.outbound, self.lost_reads, has_answer=self.has_answer
+        )
         self.runner.events.emit(
             "request_ended",
             id=self.outbound.request_id,
@@ -81,6 +100,13 @@
             **fields,
         )
 
+    def _observe(self, result: ReadResult) -> None:
+        """Record whether a replica survived the request."""
+        if result.answer.fault is AnswerFault.LOST:
+            self.lost_reads += 1
+        elif result.kind in (AnswerKind.SUCCESS, AnswerKind.FAILURE):
+            self.has_answer = True
+
     def _close(self, detail: str) -> None:
         self.is_ended = True
         if self._timer is not None:
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -105,6 +105,7 @@
         ),
         CallerServer(loop, metrics_address, handle_metrics_request, limits),
     )
+    service.is_cut_off = lambda: components.readiness.is_cut_off
     daemon = GatewayDaemon(components, adapter.settings_path)
     daemon.follower = PlatformFollower(
         adapter.connect(settings.platform_address),
@@ -119,5 +120,7 @@
     )
     link.on_late_replicas = runner.avoid_late
     runner.on_late = link.report_late
+    runner.on_crash = link.report_crashes
+    link.on_crash_report = runner.record_crash_report
     link.on_newer_version = daemon.follower.hurry
     return daemon
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -6,6 +6,7 @@
 
 from cicadalever.discovery import UpstreamDirectory
 from cicadalever.outcomes import Failure
+from cicadalever.placement import HostCounts
 from cicadalever.retries import compute_host_slack
 from cicadalever.wire import (
     CallerConnection,
@@ -34,6 +35,9 @@
 # Number of ticks between two passes that close expired idle connections and update the
 # slack.
 TICKS_PER_IDLE_CHECK = 5
+# Number of ticks after the start before connections are opened in advance. By then, a
+# host knows whether others gather its queries, so that it needs none.
+TICKS_BEFORE_WARM_UP = 10
 # Time for which a draining host still accepts requests. The load balancer checks the
 # readiness every second and stops sending requests after two failed checks; one more
 # second covers requests that are already in transit.
@@ -230,6 +234,14 @@
         self._handle_directory_changes(components.directory.expire(now))
         self._update_readiness(now)
         self._send_heartbeats()
+        table = components.service.table
+        knows_gatherer = components.link.peer_table.knows_gatherer()
+        if (
+            table is not None
+            and self._ticks >= TICKS_BEFORE_WARM_UP
+            and not knows_gatherer
+        ):
+            components.runner.warm_up(table)
         if self._ticks % TICKS_PER_IDLE_CHECK == 0:
             self._update_slack(now)
             components.runner.close_expired()
@@ -279,18 +291,22 @@
         )
 
     def _update_slack(self, now: float) -> None:
-        """Set this host's share of the slack for the current number of hosts."""
+        """Set this host's shares of slack and connections for the number of hosts."""
         peer_table = self.components.link.peer_table
         count = peer_table.reported_count(now)
         if count is None:
             return
+        data_centres = self.settings.data_centres
+        is_gatherer = not peer_table.knows_gatherer()
         slack = compute_host_slack(
             self.settings.retries.slack,
-            self.settings.data_centres,
+            data_centres,
             count.hosts,
             count.similar,
-            is_delegating=peer_table.knows_gatherer(),
+            is_delegating=not is_gatherer,
         )
+        counts = HostCounts(count.hosts * data_centres, count.similar * data_centres)
+        self.components.runner.share_connections(counts, is_gatherer=is_gatherer)
         budget = self.components.runner.retry_budget
         if slack != budget.slack:
             self.components.events.emit(
--- a/cicadalever/gateway/_forward_call.py
+++ b/cicadalever/gateway/_forward_call.py
@@ -3,7 +3,7 @@
 from cicadalever.wire import CallerResponse, is_hop_by_hop
 
 from ._answers import NOT_RUN_KINDS, AnswerKind
-from ._call import RETRY_AFTER_S, Call, error_response
+from ._call import Call, error_response
 from ._reads import Read, ReadResult
 
 # An idempotent request without an answer after this share of the route's target latency
@@ -35,7 +35,7 @@
         self._hedge_at = self.request.received_at + hedge_s
         self.runner.retry_budget.earn(service)
         if not self._send():
-            self._end(error_response(503, RETRY_AFTER_S), "no_replica", service=service)
+            self._end(self._refusal(), "no_replica", service=service)
             return
         self._schedule()
 
@@ -65,6 +65,7 @@
     def _handle_result(self, result: ReadResult) -> None:
         if self.is_ended:
             return
+        self._observe(result)
         kind = result.kind
         if kind is AnswerKind.SUCCESS:
             self._respond(result)
@@ -152,7 +153,7 @@
         if last.kind is AnswerKind.FAILURE:
             self._respond(last)
         elif last.kind in NOT_RUN_KINDS:
-            self._end(error_response(503, RETRY_AFTER_S), "not_run", **fields)
+            self._end(self._refusal(), "not_run", **fields)
         else:
             detail = last.answer.detail
             self._end(error_response(502), "outcome_unknown", detail=detail, **fields)
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -14,7 +14,7 @@
 from cicadalever.wire import CallerResponse
 
 from ._answers import NOT_RUN_KINDS, AnswerKind
-from ._call import RETRY_AFTER_S, Call, error_response
+from ._call import Call, error_response
 from ._peers import PeerLink
 from ._reads import Read, ReadResult
 from ._shard_group import ShardGroup
@@ -32,7 +32,8 @@
     ``GatherState`` decides when to read a shard again and when to respond. When a
     response was due at the target time, ``on_late`` is called with the seconds by which
     it was late. With a ``link``, hosts of other data centres read the shards whose
-    replicas are there (``group_by_data_centre``); without, all reads are direct.
+    replicas are there (``group_by_data_centre``); without, all reads are direct. A call
+    that is itself such a group (``is_group``) reads a part of the shards.
     """
 
     def __init__(
@@ -40,16 +41,18 @@
         *arguments,
         on_late: Callable[[float], None],
         link: PeerLink | None = None,
+        is_group: bool = False,
     ):
         super().__init__(*arguments)
         self._on_late = on_late
+        self._is_group = is_group
         self._link = link
 
     def start(self, answer_by: float, *, is_repeat: bool = False) -> None:
         """Send the first reads; the answer is due at the monotonic time ``answer_by``.
 
         With ``is_repeat``, another host may already have sent these reads, so each of
-        them counts as an extra read.
+        them counts as an extra read and as a second attempt.
         """
         route = self.route
         self._state = GatherState(
@@ -61,14 +64,12 @@
         )
         self._shard_answers: dict[int, ShardAnswer] = {}
         self._tried: list[set[str]] = [set() for _ in route.shards]
-        self._attempts = [0] * len(route.shards)
+        self._attempts = [int(is_repeat)] * len(route.shards)
         self._awaiting_budget: set[int] = set()
         self._groups: set[ShardGroup] = set()
         # Replicas that were chosen for the first reads when the groups were formed.
         self._chosen_replicas: dict[int, ReplicaEntry] = {}
         self._group_answers: list[tuple[list[bytes], bytes]] = []
-        # Shards without an answer in the answer of their group.
-        self._left_out: set[int] = set()
         self._may_have_run = is_repeat
         # Result of a read that ends before ``ReadRunner.start`` returns.
         self._synchronous_result: ReadResult | None = None
@@ -88,6 +89,12 @@
                 self._state.mark_exhausted(shard)
         self._is_starting = False
         self._sent_at = self.loop.now()
+        unread = len(self._awaiting_budget)
+        if is_repeat and len(route.shards) - unread < self._state.required_answers:
+            # The budget for repeated reads recovers too slowly for this request. The
+            # caller can try another host.
+            self._end(error_response(502), "no_budget", unread=unread)
+            return
         self._overdue_s = self.runner.selector.overdue_s(route.name)
         self._overdue_at = self._sent_at + self._overdue_s
         self._advance(self._sent_at)
@@ -130,22 +137,30 @@
         missing: list[int],
         records: bytes,
     ) -> None:
-        """Add the answer of a group, which lacks the ``missing`` shards."""
+        """Add the answer of a group, which lacks the ``missing`` shards.
+
+        The other host has hedged these, so that no attempt is left for them.
+        """
         now = self.loop.now()
         self._groups.discard(group)
-        self._may_have_run = True
+        self._may_have_run = self.has_answer = True
         self._group_answers.append((signatures, records))
         lacking = set(missing)
         for shard in group.shards:
-            if shard not in lacking:
+            if shard in lacking:
+                self._give_up_group_shard(shard)
+            else:
                 self._state.record_answer(shard, now)
-        self._left_out |= lacking
         self._advance(now)
 
     def group_failed(
         self, group: ShardGroup, reason: str, *, may_have_begun: bool
     ) -> None:
-        """Read the shards of a group directly, because its host did not."""
+        """Read the shards of a group directly, because its host did not.
+
+        A host that has acknowledged the group may have hedged it, so that no attempt is
+        left for its shards.
+        """
         self._groups.discard(group)
         self._may_have_run = self._may_have_run or may_have_begun
         self.runner.events.emit_detail(
@@ -155,6 +170,11 @@
             shards=len(group.shards),
             reason=reason,
         )
+        if group.is_acknowledged:
+            for shard in group.shards:
+                self._give_up_group_shard(shard)
+            self._advance(self.loop.now())
+            return
         self._state.reclaim(group.shards)
         chosen = [self._chosen_replicas.pop(shard) for shard in group.shards]
         if reason != "declined":
@@ -174,14 +194,9 @@
         self._is_starting = False
         self._advance(self.loop.now())
 
-    def _read_left_out(self) -> None:
-        """Read the shards that their groups could not, after the target time."""
-        left_out, self._left_out = self._left_out, set()
-        for shard in left_out:
-            self._state.reclaim([shard])
-            has_read = self._read_again(shard, "retry")
-            if not has_read and shard not in self._awaiting_budget:
-                self._state.mark_exhausted(shard)
+    def _give_up_group_shard(self, shard: int) -> None:
+        self._state.record_read_failure(shard)
+        self._state.mark_exhausted(shard)
 
     def _read(self, shard: int) -> bool:
         replica = self._chosen_replicas.pop(shard, None)
@@ -242,6 +257,7 @@
             self._advance(now)
 
     def _handle_result(self, shard: int, result: ReadResult) -> None:
+        self._observe(result)
         if result.kind is AnswerKind.SUCCESS:
             self._add_shard_answer(shard, result)
             return
@@ -280,10 +296,6 @@
         if self.is_ended:
             return
         decision = self._state.decide(now)
-        is_late = now >= self._state.answer_by or not (self._groups or self._reads)
-        if decision.end_reason is None and self._left_out and is_late:
-            self._read_left_out()
-            decision = self._state.decide(now)
         # A hedge may fail immediately and change the decision.
         while decision.end_reason is None and (
             decision.hedges or self._awaiting_budget
@@ -324,6 +336,7 @@
             "missing_services": missing[:8],
             "reads_open": len(self._reads),
             "groups": len(self._group_answers),
+            "is_group": self._is_group,
             "sent_ms": _milliseconds(self._sent_at - self.request.received_at),
             "early_ms": _milliseconds(self._state.quantile_latency_s),
         }
@@ -339,7 +352,7 @@
             return error_response(504)
         if self._may_have_run or self._reads:
             return error_response(502)
-        return error_response(503, RETRY_AFTER_S)
+        return self._refusal()
 
     def _success(self, missing: int) -> CallerResponse:
         names = self.runner.names
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -2,19 +2,23 @@
 
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
+    CRASH_REPORT_PREFIX,
     OBSERVATION_PREFIX,
     Address,
+    CrashReport,
     Heartbeat,
     HostCount,
     Peer,
     PeerTable,
+    decode_crash_report,
     decode_heartbeat,
     decode_observation,
+    encode_crash_report,
     encode_heartbeat,
     encode_observation,
 )
@@ -47,6 +51,7 @@
 # Replicas whose reports are remembered; beyond that all are forgotten, which only costs
 # some repeated reports.
 MAX_REPORTED_REPLICAS = 10_000
+CRASH_REPORTS_PER_S = 20.0
 UNKNOWN_COUNT = HostCount(0, 0)
 
 
@@ -80,6 +85,8 @@
         self.on_newer_version: Callable[[], None] = lambda: None
         # Called with the ids of replicas that another host found late.
         self.on_late_replicas: Callable[[list[str]], None] = lambda replica_ids: None
+        self.on_crash_report: Callable[[CrashReport], None] = lambda report: None
+        self._crash_report_due_at = float("-inf")
         # When each replica may be reported again.
         self._report_due_at: dict[str, float] = {}
         self._socket: socket.socket | None = None
@@ -159,6 +166,27 @@
             with contextlib.suppress(OSError):
                 self._socket.sendto(data, address)
 
+    def report_crashes(self, fingerprint: int, crashes: int) -> None:
+        """Tell other hosts how many replicas this host lost to a request.
+
+        At most ``CRASH_REPORTS_PER_S`` are sent.
+        """
+        now = self.loop.now()
+        if self._socket is None or now < self._crash_report_due_at:
+            return
+        self._crash_report_due_at = now + 1.0 / CRASH_REPORTS_PER_S
+        report = CrashReport(self.host_id, fingerprint, crashes)
+        self._send_crash_report(report, self.peer_table.advisers())
+
+    def _send_crash_report(
+        self, report: CrashReport, addresses: Iterable[Address]
+    ) -> None:
+        data = encode_crash_report(report)
+        for address in addresses:
+            # The next crash is reported with its full count.
+            with contextlib.suppress(OSError):
+                self._socket.sendto(data, address)
+
     def send(self, address: Address, exchange: Exchange) -> None:
         """Send a request to the peer at ``address``."""
         pool = self._pools.get(address)
@@ -217,6 +245,9 @@
             if data.startswith(OBSERVATION_PREFIX):
                 self._handle_observation(data)
                 continue
+            if data.startswith(CRASH_REPORT_PREFIX):
+                self._handle_crash_report(data)
+                continue
             heartbeat = decode_heartbeat(data)
             if isinstance(heartbeat, Failure):
                 self.events.emit_detail("heartbeat_unreadable", reason=heartbeat.reason)
@@ -230,6 +261,20 @@
         else:
             self.on_late_replicas(replica_ids)
 
+    def _handle_crash_report(self, data: bytes) -> None:
+        report = decode_crash_report(data)
+        if isinstance(report, Failure):
+            self.events.emit_detail("heartbeat_unreadable", reason=report.reason)
+            return
+        if report.host == self.host_id:
+            return
+        self.on_crash_report(report)
+        if not report.is_forwarded:
+            forwarded = CrashReport(
+                report.host, report.fingerprint, report.crashes, True
+            )
+            self._send_crash_report(forwarded, self.peer_table.known_hosts())
+
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self.loop.now()
         if 0 < self._version < heartbeat.version:
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -1,11 +1,19 @@
 """Reads: requests to single replicas, with choice of the replica and accounting."""
 
+from collections import deque
 from collections.abc import Callable, Collection, Container, Iterable
+from hashlib import blake2b
 from typing import NamedTuple
 
+from cicadalever.crashes import CrashCounter
 from cicadalever.discovery import DirectoryChange, ReplicaEntry, UpstreamDirectory
 from cicadalever.gather import encode_shards
-from cicadalever.placement import LeastCostSelector
+from cicadalever.peers import CrashReport
+from cicadalever.placement import (
+    HostCounts,
+    LeastCostSelector,
+    connections_per_host,
+)
 from cicadalever.retries import RetryBudget
 from cicadalever.routing import Route, RoutingTable
 from cicadalever.wire import (
@@ -33,11 +41,6 @@
 PEER_MISSING = b"x-cicadalever-missing"
 PEER_HEADERS = (PEER_VERSION, PEER_ANSWER_US, PEER_SHARDS, PEER_MISSING)
 
-# Share of a replica's connection limit that one host may use. Of the described
-# deployments, the one with the lowest limit has 25 connections for 6 hosts, and the one
-# with the most hosts has 54 for 63. In both, one connection of a host to a replica is
-# enough for most reads.
-CONNECTION_SHARE = 0.12
 # Connection limit of replicas whose service is not in the configuration.
 DEFAULT_MAX_CONNECTIONS = 8
 # A read whose result is no longer needed may still complete within this time, which
@@ -46,6 +49,10 @@
 ABANDON_GRACE_S = 0.3
 # Most connections that a cut-off host tries to open per tick.
 MAX_PROBES = 8
+# Most connections that are opened in advance per tick, so that they do not delay reads.
+MAX_WARM_UPS = 20
+# Most replicas that wait for a connection in advance; the oldest are dropped.
+MAX_NEW_REPLICAS = 4096
 # Least remaining time that is sent to a replica.
 MIN_DEADLINE_MS = 1
 
@@ -88,6 +95,7 @@
     ):
         self.request_id = request_id
         self.deadline = deadline
+        self._request = request
         lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
         replaced = (names.deadline, names.expected_replica, *PEER_HEADERS)
         connection_options = _connection_options(request)
@@ -110,6 +118,19 @@
             b"%s",
         )
 
+    @property
+    def fingerprint(self) -> int:
+        """Unsigned 64-bit hash of what the caller asks for, without the request id."""
+        request = self._request
+        parts = (
+            request.method,
+            request.header(b"host") or b"",
+            request.target,
+            request.body,
+        )
+        digest = blake2b(b"\0".join(parts), digest_size=8)
+        return int.from_bytes(digest.digest(), "big")
+
     def encode(self, replica_id: str, now: float) -> bytes:
         """Return the bytes of the request to one replica."""
         remaining_ms = max(MIN_DEADLINE_MS, int((self.deadline - now) * 1000))
@@ -177,7 +198,15 @@
         self.metrics = metrics
         # Called with the ids of replicas whose reads are overdue.
         self.on_late: Callable[[list[str]], None] = lambda replica_ids: None
+        self.crashes = CrashCounter()
+        # Called with a fingerprint and the number of replicas lost to it.
+        self.on_crash: Callable[[int, int], None] = lambda fingerprint, crashes: None
+        # Hosts that share the connections of replicas, or None while unknown.
+        self._host_counts: HostCounts | None = None
+        self._is_gatherer = True
         self._pools: dict[str, ReplicaPool] = {}
+        # Replicas of the own data centre that were found since the last ``warm_up``.
+        self._new_replicas: deque[str] = deque(maxlen=MAX_NEW_REPLICAS)
         # Services with a probe in progress.
         self._probed_services: set[str] = set()
 
@@ -231,6 +260,24 @@
         self.metrics.extra_read("no_allowance")
         return False
 
+    def record_request_end(
+        self, outbound: OutboundRequest, losses: int, *, has_answer: bool
+    ) -> None:
+        """Record whether replicas were lost to a request, for other hosts as well."""
+        if losses == 0 and not self.crashes:
+            return
+        crashes = self.crashes.record_end(
+            outbound.fingerprint, losses, has_answer=has_answer, now=self.loop.now()
+        )
+        if crashes:
+            self.on_crash(outbound.fingerprint, crashes)
+
+    def record_crash_report(self, report: CrashReport) -> None:
+        """Add the crashes that another host counted."""
+        self.crashes.record_report(
+            report.host, report.fingerprint, report.crashes, self.loop.now()
+        )
+
     def report_overdue(self, reads: Iterable[Read], overdue_s: float) -> None:
         """Avoid the replicas of reads older than ``overdue_s``; tell other hosts."""
         started_before = self.loop.now() - overdue_s
@@ -279,6 +326,25 @@
                 probes += 1
                 self._probe(replicas[self.selector.rng.randrange(len(replicas))])
 
+    def warm_up(self, table: RoutingTable) -> None:
+        """Connect to new replicas near this host before queries need them.
+
+        When the index is divided into other shards, the replicas of all of them are new
+        at once, and the first queries would otherwise wait for that many connections.
+        Replicas of services that no route names may belong to such shards.
+        """
+        opened = 0
+        while self._new_replicas and opened < MAX_WARM_UPS:
+            replica = self.directory.get(self._new_replicas.popleft())
+            if replica is None or replica.id in self._pools:
+                continue
+            if self._may_be_gathered(replica.service, table):
+                self._pool_for(replica, table).warm_up()
+                opened += 1
+
+    def _may_be_gathered(self, service: str, table: RoutingTable) -> bool:
+        return service in table.shard_names or service not in table.service_names
+
     def _probe(self, replica: ReplicaEntry) -> None:
         self._probed_services.add(replica.service)
 
@@ -297,6 +363,8 @@
     def directory_changed(self, change: DirectoryChange) -> None:
         """Drop the connections and health data of a replica that restarted or left."""
         previous, current = change.previous, change.current
+        if current is not None and current.data_centre == self.selector.data_centre:
+            self._new_replicas.append(current.id)
         if previous is None:
             return
         is_same_process = (
@@ -349,16 +417,31 @@
         pool = self._pools.get(replica_id)
         return pool is not None and pool.has_idle
 
+    def share_connections(self, counts: HostCounts, *, is_gatherer: bool) -> None:
+        """Use this host's share of the connections for pools that are opened now."""
+        self._host_counts = counts
+        self._is_gatherer = is_gatherer
+
+    def _max_connections(self, service: str, table: RoutingTable) -> int:
+        options = table.services.get(service)
+        return connections_per_host(
+            options.max_connections if options else DEFAULT_MAX_CONNECTIONS,
+            self._host_counts,
+            is_gathered=service in table.shard_names,
+            is_gatherer=self._is_gatherer,
+        )
+
     def _pool_for(self, replica: ReplicaEntry, table: RoutingTable) -> ReplicaPool:
         pool = self._pools.get(replica.id)
-        if pool is None:
-            options = table.services.get(replica.service)
-            limit = options.max_connections if options else DEFAULT_MAX_CONNECTIONS
+        max_connections = self._max_connections(replica.service, table)
+        if pool is not None:
+            pool.max_connections = max_connections
+        else:
             pool = self._pools[replica.id] = ReplicaPool(
                 self.loop,
                 self.names,
                 replica.address,
-                max(1, int(limit * CONNECTION_SHARE)),
+                max_connections,
                 self.metrics.connection_opened,
                 self.memory,
             )
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -1,12 +1,14 @@
 """Dispatch of requests: finds the route and starts the call that answers it."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
-from cicadalever.gather import decode_shards, encode_shards
+from cicadalever.gather import decode_shards, encode_shards, required_shards
+from cicadalever.refusal import plan_retry_after
 from cicadalever.routing import Route, RoutingTable, WeightedRoundRobin
 from cicadalever.wire import CallerConnection, CallerRequest, CallerResponse
 
-from ._call import RETRY_AFTER_S, error_response
+from ._call import RECOVERY_S, error_response
 from ._delegated_call import DelegatedCall
 from ._events import EventLog
 from ._forward_call import ForwardCall
@@ -26,8 +28,10 @@
     ReadRunner,
 )
 
-# Round trip between callers and hosts. The deployment requirements state 3 ms one way.
-CALLER_ROUND_TRIP_S = 0.006
+# Round trip between callers and hosts if the kernel has not measured it, and the
+# longest one that is planned for.
+DEFAULT_ROUND_TRIP_S = 0.006
+MAX_ROUND_TRIP_S = 0.1
 # Least time to merge the answers of the shards and send the result.
 MIN_ANSWER_MARGIN_S = 0.008
 # A busy event loop reads requests about as late as it sends answers, and only the
@@ -43,6 +47,8 @@
 # Time in which the answer of a gatherer reaches this host inside a data centre.
 PEER_HOP_S = 0.002
 INITIAL_LATENESS_S = 0.001
+# Time that a caller without a deadline is assumed to have.
+DEFAULT_TIME_LEFT_S = 1.0
 
 
 class RequestTimes(NamedTuple):
@@ -78,25 +84,48 @@
     caller_deadline_s: float | None,
     is_first: bool,
     margin_s: float = MIN_ANSWER_MARGIN_S,
+    round_trip_s: float | None = None,
 ) -> RequestTimes:
     """Return the times by which a request has to be answered.
 
     A caller measures the latency until the answer arrives, from sending the request or,
     for the first request of a connection, from opening it. The measurement therefore
     starts half a round trip or one and a half round trips before ``received_at``, and
-    the answer takes another half. The answer is due early enough to meet the target
+    the answer takes another half; ``round_trip_s`` is the measured one in seconds, or
+    None for ``DEFAULT_ROUND_TRIP_S``. The answer is due early enough to meet the target
     latency, but not before half of the target or after the deadline.
     """
     timeout_s = route.timeout_s
     if caller_deadline_s is not None:
         timeout_s = min(timeout_s, caller_deadline_s)
-    transit_s = CALLER_ROUND_TRIP_S * (2 if is_first else 1)
+    if round_trip_s is None:
+        round_trip_s = DEFAULT_ROUND_TRIP_S
+    transit_s = min(MAX_ROUND_TRIP_S, round_trip_s) * (2 if is_first else 1)
     target_s = route.target_latency_s - transit_s - margin_s
     deadline = received_at + timeout_s
     answer_by = received_at + max(0.5 * route.target_latency_s, target_s)
     return RequestTimes(min(answer_by, deadline), deadline)
 
 
+def select_shards(route: Route, shards: list[int]) -> Route:
+    """Return the part of a route that another host asked this one to read.
+
+    The part may lack as many shards as the whole query may: with more, the query cannot
+    be answered yet, so that waiting for them costs nothing.
+
+    >>> whole = Route("r", "h", "/", True, 1, 1, 2, 0, (), tuple("abcdefgh"), 5, 0.75)
+    >>> select_shards(whole, [0, 1, 2, 3]).min_shard_share
+    0.5
+    """
+    max_missing = len(route.shards) - required_shards(
+        route.min_shard_share, len(route.shards)
+    )
+    return route._replace(
+        shards=tuple(route.shards[shard] for shard in shards),
+        min_shard_share=max(0.0, 1.0 - max_missing / len(shards)),
+    )
+
+
 def parse_deadline(value: bytes | None) -> float | None:
     """Return the seconds in a deadline header in ms, or None without a valid one."""
     milliseconds = parse_number(value)
@@ -121,6 +150,8 @@
         self.link = link
         self.events = events
         self.table: RoutingTable | None = None
+        # Whether too few shards are reachable for any query; see ``Readiness``.
+        self.is_cut_off: Callable[[], bool] = lambda: False
         self.lateness = AnswerLateness()
         self._round_robin = WeightedRoundRobin()
         self._gathered_for_peers = 0
@@ -134,18 +165,26 @@
         if route is None:
             self._refuse(connection, request, 404, "no_route")
             return
+        if route.shards and self.is_cut_off():
+            # The load balancer needs some seconds to stop sending requests here.
+            self._refuse(connection, request, 503, "cut_off", route.rank)
+            return
         names = self.runner.names
         request_id = request.header(names.request_id)
         if request_id is None:
             self._refuse(connection, request, 400, "no_request_id")
             return
         caller_deadline_s = parse_deadline(request.header(names.deadline))
+        if self.runner.crashes and self._is_quarantined(request, request_id):
+            self._refuse(connection, request, 503, "crashes_replicas", route.rank)
+            return
         times = plan_times(
             route,
             request.received_at,
             caller_deadline_s,
             request.is_first_on_connection,
             self.lateness.margin_s,
+            connection.round_trip_s,
         )
         outbound = OutboundRequest(request, names, times.deadline, request_id)
 
@@ -187,10 +226,7 @@
         answer_by = request.received_at + answer_us / 1e6 - margin_s
         outbound = OutboundRequest(request, names, deadline, request_id)
         if shards is not None:
-            route = route._replace(
-                shards=tuple(route.shards[shard] for shard in shards),
-                min_shard_share=0.0,
-            )
+            route = select_shards(route, shards)
 
         def respond(response: CallerResponse, fields: dict) -> None:
             self._gathered_for_peers -= 1
@@ -218,11 +254,18 @@
             on_late=self.lateness.observe,
             # The shards of a group are not handed on again.
             link=self.link if shards is None else None,
+            is_group=shards is not None,
         )
         self._gathered_for_peers += 1
         connection.on_disconnect = cancel
         call.start(answer_by)
 
+    def _is_quarantined(self, request: CallerRequest, request_id: bytes) -> bool:
+        """Return whether replicas did not survive this request before."""
+        outbound = OutboundRequest(request, self.runner.names, 0.0, request_id)
+        now = self.runner.loop.now()
+        return self.runner.crashes.refusal_left_s(outbound.fingerprint, now) > 0.0
+
     def _report_progress(
         self, connection: CallerConnection, request: CallerRequest
     ) -> None:
@@ -280,6 +323,7 @@
         request: CallerRequest,
         status: int,
         reason: str,
+        rank: int = 0,
     ) -> None:
         self.events.emit(
             "request_refused",
@@ -289,5 +333,13 @@
             status=status,
             reason=reason,
         )
-        retry_after_s = RETRY_AFTER_S if status == 503 else None
+        retry_after_s = None
+        if status == 503:
+            deadline_s = parse_deadline(request.header(self.runner.names.deadline))
+            retry_after_s = plan_retry_after(
+                RECOVERY_S,
+                DEFAULT_TIME_LEFT_S if deadline_s is None else deadline_s,
+                rank,
+                self.runner.selector.rng,
+            )
         connection.respond(error_response(status, retry_after_s))
--- a/cicadalever/gateway/_shard_group.py
+++ b/cicadalever/gateway/_shard_group.py
@@ -32,7 +32,8 @@
         self.peer = peer
         self.shards = shards
         self._is_ended = False
-        self._is_acknowledged = False
+        # Whether the peer has begun to read the shards.
+        self.is_acknowledged = False
         self._sent_at = 0.0
         self._timer = None
         self._exchange: Exchange | None = None
@@ -70,9 +71,9 @@
             self._exchange.cancel(detail)
 
     def _on_acknowledged(self) -> None:
-        if self._is_ended or self._is_acknowledged:
+        if self._is_ended or self.is_acknowledged:
             return
-        self._is_acknowledged = True
+        self.is_acknowledged = True
         self._timer.cancel()
         self.peer.observe_round_trip(self.call.loop.now() - self._sent_at)
 
@@ -108,6 +109,7 @@
             self.call.group_failed(self, reason, may_have_begun=True)
             return
         self._end()
+        self.link.peer_table.record_fellow_answer(self.peer)
         self.call.group_ended(self, signatures, missing, answer.body)
 
     def _fail(self, reason: str) -> None:
--- a/cicadalever/gather/__init__.py
+++ b/cicadalever/gather/__init__.py
@@ -6,7 +6,13 @@
 
 from ._groups import decode_shards, encode_shards, group_by_data_centre
 from ._merge import ShardAnswer, merge_top_records, shorten_answer
-from ._state import GatherDecision, GatherEndReason, GatherPolicy, GatherState
+from ._state import (
+    GatherDecision,
+    GatherEndReason,
+    GatherPolicy,
+    GatherState,
+    required_shards,
+)
 
 __all__ = [
     "GatherDecision",
@@ -18,5 +24,6 @@
     "encode_shards",
     "group_by_data_centre",
     "merge_top_records",
+    "required_shards",
     "shorten_answer",
 ]
--- a/cicadalever/gather/_state.py
+++ b/cicadalever/gather/_state.py
@@ -90,8 +90,7 @@
         self.answer_by = answer_by
         self.deadline = deadline
         self.policy = policy
-        # A successful answer contains at least one shard, also with a share of 0.
-        self.required_answers = max(1, _ceil_share(min_share, shards))
+        self.required_answers = required_shards(min_share, shards)
         self.late_answer_by = min(
             deadline, started_at + policy.late_answer_factor * (answer_by - started_at)
         )
@@ -248,6 +247,14 @@
         return self.started_at + min(hedge_s, max(max_hedge_s, quantile_s))
 
 
+def required_shards(min_share: float, shards: int) -> int:
+    """Return how many of ``shards`` a successful answer contains at least.
+
+    That is at least one, also with a share of 0.
+    """
+    return max(1, _ceil_share(min_share, shards))
+
+
 def _ceil_share(share: float, count: int) -> int:
     """Return ``share`` of ``count``, rounded up except for rounding errors."""
     exact = share * count
--- a/cicadalever/peers/__init__.py
+++ b/cicadalever/peers/__init__.py
@@ -8,13 +8,21 @@
 from ._changes import ChangeLog, RelayedChanges, decode_changes, encode_changes
 from ._heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
 from ._observation import (
+    CRASH_REPORT_PREFIX,
     OBSERVATION_PREFIX,
+    CrashReport,
+    decode_crash_report,
     decode_observation,
+    encode_crash_report,
     encode_observation,
 )
 from ._table import Address, Capacity, HostCount, Peer, PeerTable
 
 __all__ = [
+    "CRASH_REPORT_PREFIX",
+    "CrashReport",
+    "decode_crash_report",
+    "encode_crash_report",
     "OBSERVATION_PREFIX",
     "decode_observation",
     "encode_observation",
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -30,13 +30,17 @@
 COUNT_AFTER_S = 2.0 * MAX_SEED_PERIOD_S
 # Most hosts of one data centre that are listed to those which gather queries elsewhere.
 MAX_FELLOWS_PER_DATA_CENTRE = 4
+# Most hosts to which a host passes on what it heard.
+MAX_KNOWN_HOSTS = 1024
 # Time between two heartbeats to a host that gathers queries in another data centre, and
 # for which it counts as alive after one. Between data centres, each byte counts.
 FELLOW_PERIOD_S = 4.0
 FELLOW_ALIVE_S = 9.0
-# Time for which hosts of a data centre are not asked after one of them failed: mostly
-# the whole data centre is out of reach then.
-FELLOW_PAUSE_S = 1.0
+# Time for which hosts of a data centre are not asked after one of them failed, because
+# mostly the whole data centre is out of reach then. It doubles up to the maximum with
+# each further failure.
+MIN_FELLOW_PAUSE_S = 1.0
+MAX_FELLOW_PAUSE_S = 8.0
 # Round trip that is assumed to a host before it has been measured, and the weight of
 # the newest measurement.
 INITIAL_ROUND_TRIP_S = 0.005
@@ -138,7 +142,10 @@
         self._seed_period_s = MIN_SEED_PERIOD_S
         self._seeds_due_at = float("-inf")
         self._reported_counts: list[tuple[float, HostCount]] = []
-        self._paused_data_centres: dict[str, float] = {}
+        # Until when the hosts of a data centre are not asked, and for how long they are
+        # not asked after the next failure.
+        self._fellow_paused_until: dict[str, float] = {}
+        self._fellow_pause_s: dict[str, float] = {}
         self._gatherers: dict[str, list[Address]] = {}
         self._gatherers_listed_at = float("-inf")
 
@@ -294,6 +301,25 @@
         """Return the other hosts that gather queries, as the seeds listed them."""
         return [peer.address for peer in self._peers.values() if self._is_fellow(peer)]
 
+    def advisers(self) -> list[Address]:
+        """Return the seeds and the hosts that gather queries for or beside this one."""
+        addresses = dict.fromkeys(self._seeds)
+        addresses.update(
+            dict.fromkeys(
+                peer.address
+                for peer in self._peers.values()
+                if self._may_gather(peer) or self._is_fellow(peer)
+            )
+        )
+        return list(addresses)
+
+    def known_hosts(self) -> list[Address]:
+        """Return at most ``MAX_KNOWN_HOSTS`` hosts with a heartbeat."""
+        known = [
+            peer.address for peer in self._peers.values() if peer.heartbeat is not None
+        ]
+        return known[:MAX_KNOWN_HOSTS]
+
     def choose_fellows(self, version: int, now: float, rng: Random) -> dict[str, Peer]:
         """Return a host of each other data centre that can read shards for this one.
 
@@ -312,14 +338,22 @@
         return {
             data_centre: min(peers, key=lambda peer: (peer.in_flight, rng.random()))
             for data_centre, peers in candidates.items()
-            if now >= self._paused_data_centres.get(data_centre, 0.0)
+            if now >= self._fellow_paused_until.get(data_centre, 0.0)
         }
 
     def record_fellow_failure(self, peer: Peer, now: float) -> None:
         """Pause queries to the data centre of a peer that did not answer one."""
-        if peer.heartbeat is not None:
-            data_centre = peer.heartbeat.data_centre
-            self._paused_data_centres[data_centre] = now + FELLOW_PAUSE_S
+        data_centre = peer.heartbeat.data_centre
+        if now < self._fellow_paused_until.get(data_centre, 0.0):
+            # Several queries that were sent together count as one failure.
+            return
+        pause_s = self._fellow_pause_s.get(data_centre, MIN_FELLOW_PAUSE_S)
+        self._fellow_paused_until[data_centre] = now + pause_s
+        self._fellow_pause_s[data_centre] = min(MAX_FELLOW_PAUSE_S, 2.0 * pause_s)
+
+    def record_fellow_answer(self, peer: Peer) -> None:
+        """Record that a peer of another data centre has answered a query."""
+        self._fellow_pause_s.pop(peer.heartbeat.data_centre, None)
 
     def _is_fellow(self, peer: Peer) -> bool:
         """Return whether a seed listed a known peer that gathers queries like this."""
--- a/cicadalever/retries/_budget.py
+++ b/cicadalever/retries/_budget.py
@@ -3,12 +3,14 @@
 from collections import deque
 
 # Slack of a host (extra reads per window and service beyond the ratio) before it knows
-# how many hosts share the slack of the platform. The platform grants 52 to 6 hosts
-# together, 166 to 63 and 212 to 86: at least two to each host.
+# how many hosts share the slack of the platform.
 SLACK_PER_HOST = 2
 
 # Slack of a host whose queries are gathered by other hosts: it needs few extra reads.
 SLACK_PER_DELEGATING_HOST = 1
+# Largest share of a data centre's slack for hosts whose queries are gathered by others.
+# In a fleet with too many of them for one extra read each, they have none.
+MAX_DELEGATING_SHARE = 0.75
 # Share of the slack that is divided among the known hosts; the rest covers hosts that
 # are not counted yet.
 ALLOCATED_SLACK_SHARE = 0.8
@@ -29,20 +31,23 @@
     ``slack`` is the bound for all hosts together; each data centre gets an equal share.
     ``similar`` of the ``hosts`` of a data centre have about the capacity of this host,
     itself included. A host whose queries are gathered by others (``is_delegating``)
-    gets ``SLACK_PER_DELEGATING_HOST``. The gatherers divide what these leave equally.
+    gets ``SLACK_PER_DELEGATING_HOST``, unless there are too many of them. The gatherers
+    divide what these leave equally.
 
     >>> compute_host_slack(212, 5, hosts=18, similar=2, is_delegating=False)
     8
     >>> compute_host_slack(212, 5, hosts=18, similar=16, is_delegating=True)
     1
+    >>> compute_host_slack(212, 5, hosts=200, similar=198, is_delegating=True)
+    0
     """
+    share = ALLOCATED_SLACK_SHARE * slack / data_centres
+    fits = SLACK_PER_DELEGATING_HOST * hosts <= MAX_DELEGATING_SHARE * share
+    per_delegating = SLACK_PER_DELEGATING_HOST if fits else 0
     if is_delegating:
-        return SLACK_PER_DELEGATING_HOST
-    remaining = (
-        ALLOCATED_SLACK_SHARE * slack / data_centres
-        - SLACK_PER_DELEGATING_HOST * (hosts - similar)
-    )
-    return max(SLACK_PER_DELEGATING_HOST, int(remaining / similar))
+        return per_delegating
+    remaining = share - per_delegating * (hosts - similar)
+    return max(0, int(remaining / similar))
 
 
 class _ServiceBudget:
--- a/cicadalever/routing/_table.py
+++ b/cicadalever/routing/_table.py
@@ -32,6 +32,17 @@
             self._routes_by_host.setdefault(route.host.lower(), {})[route.prefix] = (
                 route
             )
+        self._shard_names = frozenset(
+            shard for route in self.routes for shard in route.shards
+        )
+        self._service_names = self._shard_names | {
+            weighted.service for route in self.routes for weighted in route.services
+        }
+
+    @property
+    def shard_names(self) -> frozenset[str]:
+        """Names of the services that are shards of some route."""
+        return self._shard_names
 
     @property
     def routes(self) -> list[Route]:
@@ -43,13 +54,9 @@
         ]
 
     @property
-    def service_names(self) -> set[str]:
+    def service_names(self) -> frozenset[str]:
         """Names of the services and shards of all routes."""
-        names = set()
-        for route in self.routes:
-            names.update(route.shards)
-            names.update(weighted.service for weighted in route.services)
-        return names
+        return self._service_names
 
     def find(self, host: str, target: str) -> Route | None:
         """Return the route for a ``Host`` header and a request target, or None.
--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
@@ -21,6 +22,10 @@
 # Bytes of trailers and chunk extensions that a request may have beyond the limit of its
 # head, in addition to the framing of chunks.
 MAX_EXTRA_BYTES = 64 * 1024
+# Size of the part of ``struct tcp_info`` of Linux that is read, and the place of its
+# smoothed round trip, an unsigned number of microseconds.
+TCP_INFO_BYTES = 72
+TCP_INFO_RTT_OFFSET = 68
 # Time for which a connection without any request counts as busy after it was accepted.
 NEW_CONNECTION_GRACE_S = 0.5
 # Time after which the connection of a caller that does not read is closed.
@@ -75,6 +80,22 @@
         age_s = self.loop.now() - self._accepted_at
         return self._request_count == 0 and age_s < NEW_CONNECTION_GRACE_S
 
+    @property
+    def round_trip_s(self) -> float | None:
+        """Round trip to the caller that the kernel has measured, in seconds.
+
+        None if the kernel does not tell it.
+        """
+        try:
+            info = self._socket.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+            )
+        except OSError:
+            return None
+        if len(info) < TCP_INFO_BYTES:
+            return None
+        return struct.unpack_from("I", info, TCP_INFO_RTT_OFFSET)[0] / 1e6 or None
+
     def respond(self, response: CallerResponse) -> None:
         """Send the response to the current request."""
         request = self._request
--- a/cicadalever/wire/_replica_pool.py
+++ b/cicadalever/wire/_replica_pool.py
@@ -126,6 +126,11 @@
             answer = ReplicaAnswer(0, [], b"", AnswerFault.UNREACHABLE, detail)
             self.loop.call_later(0.0, exchange.end, answer)
 
+    def warm_up(self) -> None:
+        """Open a connection in advance if there is none."""
+        if not self._connections and not self._is_closing:
+            self._connect()
+
     def close_expired(self) -> None:
         """Close the idle connections that the replica is about to close."""
         now = self.loop.now()
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -66,6 +66,8 @@
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.address = "{}:{}".format(*self._listener.getsockname())
         self._sockets = set()
+        # Number of connections that were accepted.
+        self.connections = 0
         self._threads = [eventlet.spawn(self._accept)]
 
     def stop(self):
@@ -79,6 +81,7 @@
         while True:
             sock, _ = self._listener.accept()
             self._sockets.add(sock)
+            self.connections += 1
             self._threads.append(eventlet.spawn(self._serve, sock))
 
     def _serve(self, sock):
@@ -206,6 +209,8 @@
         self.record = record
         self.behaviour = "answer"
         self.delay_s = 0.0
+        # Path whose requests reset their connection after they have run.
+        self.poison_path = None
         self.executed_ids = []
         self.requests = []
         super().__init__()
@@ -243,7 +248,8 @@
             eventlet.sleep(self.delay_s)
         if behaviour == "hang":
             eventlet.sleep(WAIT_S)
-        if behaviour == "reset":
+        is_poison = start_line.split()[1] == self.poison_path
+        if behaviour == "reset" or is_poison:
             sock.shutdown(socket.SHUT_RDWR)
             return
         if behaviour == "foreign":
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -7,6 +7,7 @@
 
 from cicadalever.api import (
     AdminApplication,
+    ArrivalClock,
     CallerApplication,
     Request,
     Router,
@@ -99,6 +100,26 @@
         self.assert_refused(400, "invalid", "reset", "POST", "/echo", b"{}", **extra)
 
 
+class TestArrivalClock(unittest.TestCase):
+    """Deadlines of requests that arrived while the process was paused."""
+
+    def test_request_may_have_come_at_the_start_of_the_pause(self):
+        """Guards against work for callers whose deadline passed during a pause."""
+        clock = ArrivalClock(0.0)
+        clock.tick(1.0)
+        self.assertEqual(clock.earliest_arrival(4.0), 1.0)
+        clock.tick(4.0)
+        self.assertEqual(clock.earliest_arrival(4.2), 1.0)
+
+    def test_busy_process_is_not_paused(self):
+        """Guards against deadlines that are cut short under load."""
+        clock = ArrivalClock(0.0)
+        for tick in range(1, 20):
+            clock.tick(0.4 * tick)
+            now = 0.4 * tick + 0.39
+            self.assertEqual(clock.earliest_arrival(now), now)
+
+
 class TestCallerApplication(unittest.TestCase):
     """Requests that a host receives before it has a configuration."""
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -62,6 +62,15 @@
         cause = explain_request(read_lines([delegating, gathering]), "r4").cause
         self.assertIn("answered only after the target", cause)
 
+    def test_cause_does_not_come_from_a_group(self):
+        """Guards against a cause that holds for a part of the shards only."""
+        group = line(
+            101.0, "request_ended", host="h2", id="r5", end="complete", is_group=True
+        )
+        whole = line(100.9, "request_ended", id="r5", end="enough_late")
+        cause = explain_request(read_lines([group, whole]), "r5").cause
+        self.assertIn("answered only after the target", cause)
+
     def test_unfinished_request(self):
         """Guards against a cause that no line of the log shows."""
         cause = explain_request(read_lines(LOG), "r2").cause
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -140,6 +140,14 @@
         first = plan_times(route, 10.0, 0.5, True, margin_s=0.004)
         self.assertAlmostEqual(first.answer_by, 10.084)
 
+    def test_measured_round_trip_replaces_the_assumed_one(self):
+        """Guards against shards that are left out although there was time for them."""
+        route = gather_route(["a"])
+        near = plan_times(route, 10.0, 0.5, False, margin_s=0.004, round_trip_s=0.002)
+        self.assertAlmostEqual(near.answer_by, 10.094)
+        far = plan_times(route, 10.0, 0.5, True, margin_s=0.004, round_trip_s=0.01)
+        self.assertAlmostEqual(far.answer_by, 10.076)
+
     def test_shorter_timeout_applies(self):
         """Guards against work after the deadline of the caller or the route."""
         route = gather_route(["a"], timeout_s=0.3)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -263,6 +263,22 @@
         self.assertEqual(self.gateway.ask("/nowhere/x")[0], 404)
 
 
+class TestConnectionsInAdvance(GatewayTestCase):
+    """Replicas of shards that no route names yet."""
+
+    def test_new_shard_is_connected_before_it_is_read(self):
+        """Guards against queries that wait for connections to all new shards."""
+        near = ReplicaStandIn("new0", "i-new0")
+        far = ReplicaStandIn("new1", "i-new1")
+        for replica, zone in ((near, "dc-a"), (far, "dc-b")):
+            self.addCleanup(replica.stop)
+            self.store.put(f"servers/{replica.id}", replica.entry(Zone=zone))
+        wait_for(lambda: near.connections, "a connection")
+        eventlet.sleep(0.5)
+        self.assertEqual((near.connections, far.connections), (1, 0))
+        self.assertEqual((near.requests, far.requests), ([], []))
+
+
 class TestPlatformChanges(GatewayTestCase):
     """Configuration and replicas that change while the gateway runs."""
 
@@ -315,6 +331,36 @@
         wait_for(lambda: self.gateway.events("platform_back"), "the return")
 
 
+class TestCrashingRequest(GatewayTestCase):
+    """A request that no replica survives."""
+
+    def test_request_is_refused_after_three_crashes(self):
+        """Guards against a request that takes all replicas of a service."""
+        for replica in self.replicas_of("one"):
+            replica.poison_path = "/read/poison"
+        statuses = [
+            self.gateway.ask("/read/poison", request_id=f"p{number}")[0]
+            for number in range(10)
+        ]
+        runs = sum(self.count_runs("one", f"p{number}") for number in range(10))
+        self.assertLessEqual(runs, 4)
+        self.assertEqual(statuses[-5:], [503] * 5)
+        status, _, _ = self.gateway.ask("/read/innocent", request_id="i1")
+        self.assertEqual(status, 200)
+        refused = self.gateway.events("request_refused")
+        self.assertIn("crashes_replicas", {event["reason"] for event in refused})
+
+    def test_lost_answers_do_not_accuse_a_request(self):
+        """Guards against refusing a request because connections broke."""
+        one, other = self.replicas_of("one")
+        one.behaviour = "reset"
+        for number in range(12):
+            status, _, _ = self.gateway.ask("/read/x", request_id=f"l{number}")
+            self.assertIn(status, (200, 502))
+        other.behaviour = one.behaviour = "answer"
+        self.assertEqual(self.gateway.ask("/read/x", request_id="last")[0], 200)
+
+
 class TestCutOff(GatewayTestCase):
     """A host that no longer reaches its upstreams."""
 
@@ -333,8 +379,12 @@
 
         wait_for(is_cut_off, "the cut")
         self.assertEqual(len(self.gateway.events("cut_off")), 1)
-        _, headers, _ = self.gateway.ask("/search/q", request_id="last")
+        status, headers, _ = self.gateway.ask("/search/q", request_id="last")
         self.assertEqual(headers["connection"], "close")
+        self.assertEqual(status, 503)
+        self.assertLess(float(headers["retry-after"]), 0.7)
+        refused = self.gateway.events("request_refused")
+        self.assertIn(("last", "cut_off"), [(e["id"], e["reason"]) for e in refused])
         with eventlet.Timeout(5, AssertionError("the idle connection is still open")):
             self.assertEqual(kept.recv(1), b"")
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -285,6 +285,27 @@
         self.assertEqual(table.choose_fellows(7, 1.5, Random(1)), {})
         self.assertEqual(list(table.choose_fellows(7, 2.5, Random(1))), ["dc-d"])
 
+    def test_data_centre_out_of_reach_is_asked_rarely(self):
+        """Guards against queries that wait for a cut-off data centre each second."""
+        table = PeerTable(OWN, "dc-a", SMALL_HOST, 0.0)
+        table.record_heartbeat(heartbeat(SEED, fellows=[LARGE]), 0.0)
+        table.record_heartbeat(heartbeat(data_centre="dc-b"), 0.0)
+        fellow = table.get(LARGE)
+        now, pauses = 0.0, []
+        for _ in range(5):
+            table.record_fellow_failure(fellow, now)
+            table.record_fellow_failure(fellow, now)
+            end = now
+            while not table.choose_fellows(7, end, Random(1)):
+                end += 0.1
+                table.record_heartbeat(heartbeat(data_centre="dc-b"), end)
+            pauses.append(round(end - now))
+            now = end
+        self.assertEqual(pauses, [1, 2, 4, 8, 8])
+        table.record_fellow_answer(fellow)
+        table.record_fellow_failure(fellow, now)
+        self.assertIn("dc-b", table.choose_fellows(7, now + 1.1, Random(1)))
+
     def test_heartbeats_to_fellows_are_rare(self):
         """Guards against bytes between data centres that say nothing new."""
         table = PeerTable(OWN, "dc-a", SMALL_HOST, 0.0)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -2,6 +2,10 @@
 
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cicadalever.placement import HostCounts, connections_per_host
 from cicadalever.retries import RetryBudget, compute_host_slack
 
 
@@ -80,7 +84,60 @@
             self.assertLessEqual(total, slack)
             self.assertGreater(total, 0.5 * slack)
 
-    def test_many_hosts_still_get_one_read_each(self):
+    @given(
+        st.integers(1, 8),
+        st.integers(1, 125),
+        st.floats(0.0, 1.0),
+        st.integers(0, 2000),
+    )
+    def test_any_fleet_keeps_the_slack(self, data_centres, hosts, large_share, slack):
+        """Guards against fleets of some size that spend more than is allowed."""
+        gatherers = max(1, round(hosts * large_share))
+        delegating = hosts - gatherers
+        total = 0
+        for similar, is_delegating in ((delegating, True), (gatherers, False)):
+            if similar:
+                total += similar * compute_host_slack(
+                    slack,
+                    data_centres,
+                    hosts=hosts,
+                    similar=similar,
+                    is_delegating=is_delegating,
+                )
+        self.assertLessEqual(total * data_centres, slack)
+
+    def test_host_without_slack_earns_extra_reads(self):
         """Guards against a host that can never retry a read."""
         share = compute_host_slack(10, 4, hosts=100, similar=100, is_delegating=False)
-        self.assertEqual(share, 1)
+        budget = RetryBudget(ratio=0.2, window_s=10.0, slack=share)
+        for _ in range(6):
+            budget.earn("index-1")
+        self.assertTrue(budget.try_spend("index-1", 0.0))
+
+
+class TestConnectionsPerHost(unittest.TestCase):
+    """Division of a replica's connections between hosts."""
+
+    @given(st.integers(1, 1000), st.floats(0.0, 1.0), st.integers(8, 2000))
+    def test_all_hosts_together_keep_the_limit(self, hosts, large_share, limit):
+        """Guards against connections that replicas reset, whatever the fleet.
+
+        One connection of each reader may be too many only if the limit is smaller than
+        the number of readers.
+        """
+        gatherers = max(1, round(hosts * large_share))
+        counts = HostCounts(hosts, gatherers)
+        for is_gathered, readers in ((True, gatherers), (False, hosts)):
+            share = connections_per_host(
+                limit, counts, is_gathered=is_gathered, is_gatherer=True
+            )
+            self.assertLessEqual(readers * share, max(limit, readers))
+
+    def test_reading_hosts_get_more_than_others(self):
+        """Guards against gatherers that wait for connections which nobody uses."""
+        counts = HostCounts(195, 18)
+        gatherer, other = (
+            connections_per_host(120, counts, is_gathered=True, is_gatherer=is_gatherer)
+            for is_gatherer in (True, False)
+        )
+        self.assertEqual((gatherer, other), (5, 1))
--- a/tests/test_shard_groups.py
+++ b/tests/test_shard_groups.py
@@ -137,6 +137,36 @@
         services = self.ended(self.own, "m1")[0]["missing_services"]
         self.assertEqual(services, [lost.service])
 
+    def test_no_shard_is_read_from_more_replicas_than_allowed(self):
+        """Guards against attempts of two hosts that add up beyond the limit."""
+        second = {}
+        for service in REMOTE_SHARDS[:4]:
+            self.replicas[service].behaviour = "error"
+            replica = second[service] = ReplicaStandIn(service, f"i-{service}x")
+            third = ReplicaStandIn(service, f"i-{service}y")
+            for each in (replica, third):
+                each.behaviour = "error"
+                self.addCleanup(each.stop)
+                self.store.put(f"servers/{each.id}", each.entry(Zone="dc-b"))
+                self.replicas[each.id] = each
+        wait_for(
+            lambda: (
+                {"i-s00x", "i-s03y"}
+                <= {each["replica"] for each in self.other.events("replica_changed")}
+            ),
+            "the replicas",
+        )
+        for number in range(10):
+            request_id = f"a{number}"
+            self.own.ask("/search/q", request_id=request_id)
+            for service in REMOTE_SHARDS[:4]:
+                runs = [
+                    each.executed_ids.count(request_id)
+                    for each in self.replicas.values()
+                    if each.service == service
+                ]
+                self.assertLessEqual(sum(runs), 2)
+
     def test_suspended_host_is_replaced_by_direct_reads(self):
         """Guards against queries that wait for a host that does not answer."""
         self.other.process.send_signal(signal.SIGSTOP)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -286,6 +286,14 @@
         self.receive(sock, b"/a")
         self.assertEqual(self.requests[0].body, b"abcd")
 
+    def test_round_trip_is_measured_by_the_kernel(self):
+        """Guards against answers that are planned for a wrong transit time."""
+        sock = self.connect()
+        sock.sendall(b"GET /r HTTP/1.1\r\n\r\n")
+        self.receive(sock, b"/r")
+        self.assertGreater(self.connections[0].round_trip_s, 0.0)
+        self.assertLess(self.connections[0].round_trip_s, 5.0)
+
     def test_chunked_body(self):
         """Guards against losing a body without a Content-Length."""
         sock = self.connect()
