--- a/cicadalever/cli/_app.py
+++ b/cicadalever/cli/_app.py
@@ -6,8 +6,10 @@
 
 from ._ask_command import ask
 from ._explain import explain
+from ._gateway_status import gateway_status
 from ._inspect import members, quarantine, routes, status, upstreams, versions
 from ._operate import audit, check_patch, check_settings, drain
+from ._report import report
 
 app = typer.Typer(
     add_completion=False,
@@ -36,6 +38,8 @@
     app.command()(_command)
 app.command()(drain)
 app.command()(explain)
+app.command()(report)
+app.command("gateway-status")(gateway_status)
 app.command("check-settings")(check_settings)
 app.command("check-patch")(check_patch)
 
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,137 @@
+"""Tests of the gateway's calls in virtual time, with simulated hosts and replicas."""
+
+import unittest
+from types import SimpleNamespace
+
+from bench.fleet import Fleet, FleetSite, Policy
+from bench.fleet._host import HEADER_NAMES
+from cicadalever.gateway._delegated_call import DelegatedCall
+from cicadalever.gateway._gather_call import GatherCall
+from cicadalever.gateway._reads import OutboundRequest
+from cicadalever.wire import AnswerFault, CallerRequest, ReplicaAnswer
+
+SITE = FleetSite(data_centres=1, hosts=1, shards=4, replicas=2, pause_s=0.0)
+
+
+class CallTestCase(unittest.TestCase):
+    """Builds calls of one simulated host; ``responses`` are their responses."""
+
+    def setUp(self):
+        self.fleet = Fleet(SITE, Policy.ALONE, seed=1)
+        self.loop = self.fleet.loop
+        self.host = self.fleet.hosts[0]
+        self.responses = []
+
+    def call_arguments(self):
+        headers = [(b"host", b"h"), (HEADER_NAMES.request_id, b"1")]
+        request = CallerRequest(b"GET", b"/q", headers, b"", 0.0, False, True)
+        table = self.host.service.table
+        outbound = OutboundRequest(request, HEADER_NAMES, 10.0, b"1")
+
+        def on_end(response, fields):
+            self.responses.append((round(self.loop.now(), 3), response))
+
+        return request, table.routes[0], table, self.host.runner, outbound, on_end
+
+
+class TestRepeatedQueries(CallTestCase):
+    """Queries that another host may already have begun."""
+
+    def gather(self, *, is_repeat):
+        call = GatherCall(*self.call_arguments(), on_late=lambda late_s: None)
+        call.start(0.1, is_repeat=is_repeat)
+        self.loop.run_until(2.0)
+        [(ended_at, response)] = self.responses
+        return ended_at, response
+
+    def remove_replicas(self):
+        self.host.runner.directory.replace_all([], set(), 0.0)
+        self.host.runner.directory.expire(1e9)
+
+    def test_lost_query_may_have_run(self):
+        """Guards against "not run" for a query that another host has begun."""
+        self.remove_replicas()
+        self.assertEqual(self.gather(is_repeat=True)[1].status, 502)
+
+    def test_query_that_nobody_began_has_not_run(self):
+        """Guards against an unknown outcome where it is known."""
+        self.remove_replicas()
+        _, response = self.gather(is_repeat=False)
+        self.assertEqual(response.status, 503)
+        self.assertIsNotNone(response.header(b"retry-after"))
+
+    def test_query_without_budget_ends_at_once(self):
+        """Guards against a caller that waits for a budget until its deadline."""
+        self.host.runner.retry_budget.slack = 0
+        ended_at, response = self.gather(is_repeat=True)
+        self.assertEqual((ended_at, response.status), (0.0, 502))
+
+    def test_repeated_reads_are_second_attempts(self):
+        """Guards against more attempts than the route allows on two hosts."""
+        self.assertEqual(self.gather(is_repeat=True)[1].status, 200)
+        runs = [len(each.executed_ids) for each in self.fleet.replicas.values()]
+        self.assertEqual(sum(runs), SITE.shards)
+
+
+class TestSilentGatherer(CallTestCase):
+    """A gatherer whose heartbeats are lost while it works on a query."""
+
+    def delegate(self, heartbeat_is_fresh):
+        self.sent, self.fallbacks = [], []
+        self.failures = 0
+
+        def record_failure(peer, now):
+            self.failures += 1
+
+        def send(address, exchange):
+            exchange.connection = SimpleNamespace(
+                was_sent=True, close=lambda detail: None
+            )
+            self.sent.append(exchange)
+
+        link = SimpleNamespace(
+            send=send, peer_table=SimpleNamespace(record_failure=record_failure)
+        )
+        peer = SimpleNamespace(
+            address=("h", 1),
+            in_flight=0,
+            heartbeat=SimpleNamespace(host="large"),
+            is_alive=heartbeat_is_fresh,
+        )
+        call = DelegatedCall(
+            *self.call_arguments(), link=link, gather_here=self.fallbacks.append
+        )
+        call.start(peer, 0.1)
+        return self.sent[0]
+
+    def test_work_that_makes_progress_is_not_given_up(self):
+        """Guards against work that is started again because datagrams were lost."""
+        exchange = self.delegate(lambda now: False)
+        for step in range(20):
+            self.loop.run_until(0.01 + 0.4 * step)
+            exchange.on_interim()
+        answer = ReplicaAnswer(200, [(b"x-id", b"1")], b"body")
+        exchange.end(answer)
+        self.assertEqual(self.fallbacks, [])
+        self.assertEqual([each.body for _, each in self.responses], [b"body"])
+
+    def test_silent_gatherer_is_replaced(self):
+        """Guards against callers that wait for a suspended host."""
+        exchange = self.delegate(lambda now: now < 0.5)
+        self.loop.run_until(0.01)
+        exchange.on_interim()
+        self.loop.run_until(3.0)
+        self.assertEqual(self.fallbacks, [True])
+
+    def test_query_that_was_never_sent_has_not_begun(self):
+        """Guards against a budget that is spent for reads that nobody sent."""
+        exchange = self.delegate(lambda now: True)
+        exchange.connection = None
+        self.loop.run_until(1.0)
+        self.assertEqual(self.fallbacks, [False])
+
+    def test_lost_connection_may_have_begun(self):
+        """Guards against first reads that are sent twice without budget."""
+        exchange = self.delegate(lambda now: True)
+        exchange.end(ReplicaAnswer(0, [], b"", AnswerFault.LOST, "reset"))
+        self.assertEqual((self.fallbacks, self.failures), ([True], 1))
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -312,6 +312,26 @@
         self.assertEqual(len(leaving.requests), before)
         self.assertGreaterEqual(len(staying.requests), 5)
 
+    def test_running_read_survives_the_expiry_of_its_entry(self):
+        """Guards against giving up work of a replica that only reports late."""
+        for replica in self.replicas_of("one"):
+            replica.delay_s = 0.8
+        running = eventlet.spawn(
+            self.gateway.ask, "/order/x", request_id="late1", method="POST"
+        )
+        wait_for(lambda: self.count_runs("one", "late1"), "the run")
+        for replica in self.replicas_of("one"):
+            self.store.delete(f"servers/{replica.id}")
+        wait_for(
+            lambda: any(
+                e["replica"] == "i-onea" and e["known"]
+                for e in self.gateway.events("replica_changed")
+            ),
+            "the removal",
+        )
+        self.assertEqual(running.wait()[0], 200)
+        self.assertEqual(self.count_runs("one", "late1"), 1)
+
     def test_full_state_is_read_after_lost_history(self):
         """Guards against a gateway that keeps an old version after a compaction."""
         self.store.forget_history()
