Do not promise "not run" while a group of shards is being read

Cause: found at the read-through: a query whose own reads had all not run ended with 503 although a host of another data centre was still reading a group of its shards. Change: a group under way counts like a read under way (502). The stand-in replica echoes the request id in refusals, as the protocol says. Result: tests.test_calls.TestRefusalBesideGroups failed before (503) and passes.

--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -54,11 +54,12 @@
                 break
             number += 1
             host = self.hosts[self.rng.randrange(len(self.hosts))]
-            self.loop.call_at(at, self._send, host, number)
+            self.loop.call_at(at, self.send, host, number)
         self.loop.run_until(self.site.length_s + 2.0 * self.site.timeout_s)
         return self.records
 
-    def _send(self, host: SimulatedHost, number: int) -> None:
+    def send(self, host: SimulatedHost, number: int) -> None:
+        """Send the query with a number to a host now."""
         sent_at = self.loop.now()
         names = HEADER_NAMES
 
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -350,7 +350,7 @@
     def _failure(self, end_reason: GatherEndReason) -> CallerResponse:
         if end_reason is GatherEndReason.TIMED_OUT:
             return error_response(504)
-        if self._may_have_run or self._reads:
+        if self._may_have_run or self._reads or self._groups:
             return error_response(502)
         return self._refusal()
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -241,11 +241,15 @@
         request_id = headers["x-request-id"].encode()
         behaviour = self.behaviour
         if behaviour == "other" or headers["x-expect-instance"] != self.id:
-            sock.sendall(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+            sock.sendall(
+                b"HTTP/1.1 421 X\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
+                % request_id
+            )
             return
         if behaviour == "shed":
             sock.sendall(
-                b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                b"HTTP/1.1 503 X\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n"
+                b"Content-Length: 0\r\n\r\n" % request_id
             )
             return
         self.executed_ids.append(headers["x-request-id"])
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -8,6 +8,7 @@
 from cicadalever.gateway._delegated_call import DelegatedCall
 from cicadalever.gateway._gather_call import GatherCall
 from cicadalever.gateway._reads import OutboundRequest
+from cicadalever.routing import Limits, RoutingTable
 from cicadalever.wire import AnswerFault, CallerRequest, ReplicaAnswer
 
 SITE = FleetSite(data_centres=1, hosts=1, shards=4, replicas=2, pause_s=0.0)
@@ -73,6 +74,34 @@
         self.assertEqual(sum(runs), SITE.shards)
 
 
+class TestRefusalBesideGroups(unittest.TestCase):
+    """Queries that fail while hosts of other data centres still read for them."""
+
+    def test_running_group_may_have_run(self):
+        """Guards against "not run" for a query that another host still reads."""
+        site = FleetSite(data_centres=2, hosts=1, shards=40, replicas=1)
+        fleet = Fleet(site, Policy.GROUPS, seed=1)
+        local = 0
+        received = []
+        for replica in fleet.replicas.values():
+            if replica.entry.data_centre == "dc-0":
+                local += 1
+                replica.receive = lambda read: read.answer(503, is_run=False)
+            else:
+                replica.receive = received.append
+        # The query fails with the last of its own reads.
+        min_share = (site.shards - local + 1) / site.shards
+        host = fleet.hosts[0]
+        table = host.service.table
+        route = table.routes[0]._replace(min_shard_share=min_share)
+        for each in fleet.hosts:
+            each.service.table = RoutingTable(1, [route], table.services, Limits())
+        fleet.send(host, 1)
+        fleet.loop.run_until(2.0)
+        self.assertEqual(len(received), site.shards - local)
+        self.assertEqual([record.status for record in fleet.records], [502])
+
+
 class TestSilentGatherer(CallTestCase):
     """A gatherer whose heartbeats are lost while it works on a query."""
 
