--- a/cicadalever/cli/_audit.py
+++ b/cicadalever/cli/_audit.py
@@ -36,12 +36,16 @@
         self._incarnation: int | None = None
 
     def read_available(self) -> list[dict[str, Any]] | Reply | NoReply:
-        """Return all events that the host has now, or the result of a failed call."""
+        """Return all events that the host has now, or the result of a failed call.
+
+        If a call fails after others have returned events, the result is these events;
+        the next call reads on after them.
+        """
         events: list[dict[str, Any]] = []
         while True:
             page = self._read_page()
             if not isinstance(page, list):
-                return page
+                return events or page
             events += page
             if len(page) < EVENTS_PER_PAGE:
                 return events
--- a/cicadalever/cli/_query_sender.py
+++ b/cicadalever/cli/_query_sender.py
@@ -1,5 +1,6 @@
 """Sends a query, and sends it again when that is safe and requested."""
 
+import math
 import time
 import uuid
 from collections.abc import Callable
@@ -147,6 +148,8 @@
     retry_after_s = reply.body.get("retry_after_s") if reply else None
     if isinstance(retry_after_s, bool) or not isinstance(retry_after_s, int | float):
         return DEFAULT_RETRY_DELAY_S
+    if math.isnan(retry_after_s):
+        return DEFAULT_RETRY_DELAY_S
     return min(max(retry_after_s, MIN_RETRY_DELAY_S), MAX_RETRY_DELAY_S)
 
 
--- a/cicadalever/daemon/_configuration_synchronizer.py
+++ b/cicadalever/daemon/_configuration_synchronizer.py
@@ -154,7 +154,12 @@
                 return
             self._load_document(full, "peer")
         for entry in message.entries:
-            sequence, patch = msgspec.json.decode(entry)
+            try:
+                sequence, patch = msgspec.json.decode(entry, type=tuple[int, dict])
+            except msgspec.MsgspecError as error:
+                # The platform has the entry too, so the log does not stay behind.
+                logger.warning("ignored an invalid log entry from a peer: {}", error)
+                return
             self._append_entries([LogEntry(sequence, patch)], "peer")
 
     def _watch_log(self) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -330,7 +330,9 @@
 
     def test_retry_delay_is_bounded(self):
         """Guards against a busy loop or a hang when ``retry_after_s`` is invalid."""
-        for named, expected in ((0, 0.05), (1e9, 60.0), ("x", 1.0), (True, 1.0)):
+        nan = float("nan")
+        values = (0, 0.05), (1e9, 60.0), ("x", 1.0), (True, 1.0), (nan, 1.0)
+        for named, expected in values:
             answer = Reply("a", 503, {"retry_after_s": named})
             self.assertEqual(retry_delay(answer), expected)
 
@@ -495,6 +497,15 @@
         text = self.run_cli(0, "audit", "--admin", self.host.address).stdout
         self.assertIn("1970-01-01T00:00:00.000Z       1  v7  k", text)
 
+    def test_first_page_stays_when_the_second_fails(self):
+        """Guards against events that are read and then lost."""
+        first = self.page(*range(1, 1001))
+        self.host.script("/v1/audit", first, LOST, self.page(1001))
+        reader = AuditReader(Client(), self.host.address, notify=print)
+        self.assertEqual(len(reader.read_available()), 1000)
+        rest = reader.read_available()
+        self.assertEqual([event["sequence"] for event in rest], [1001])
+
     def test_follow(self):
         """Guards against events that are repeated or lost, also after a restart."""
         pages = self.page(1, 2), self.page(5), LOST, self.page(last=1, incarnation=2)
--- a/tests/test_configuration_synchronizer.py
+++ b/tests/test_configuration_synchronizer.py
@@ -17,6 +17,14 @@
 class TestConfigurationSynchronizer(unittest.TestCase):
     """Replies of peers."""
 
+    def test_malformed_entry_of_a_peer_is_ignored(self):
+        """Guards against a green thread that ends because of a damaged message."""
+        synchronizer = ConfigurationSynchronizer(
+            ConfigurationHistory(), Mock(), Mock(), Mock(), Mock(), Mock(), Mock()
+        )
+        for entry in (b"", b"{", b"7", b"[1]", b'["x", {}]', b"[1, 2]", b"\xff"):
+            synchronizer.handle_reply(ConfigurationReply([entry], b""))
+
     def test_first_document_with_sequence_zero_is_put_in_force(self):
         """Guards against components that are not notified of such a document."""
         audit = AuditTrail("h1", 100, lambda: 0.0)
