Put the version in force before the stop in a test of the stop

Traced from the test's steps: the stop was right. Change: the version is in force before the signal, and the request is sent as soon as the host drains; what is asserted stays.

--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -541,13 +541,12 @@
     def test_request_that_never_ends_is_answered_before_the_kill(self):
         """Guards against a connection that ends without an answer."""
         self.set_behaviour("one", "hang")
-        self.gateway.process.send_signal(signal.SIGTERM)
-        wait_for(lambda: not self.gateway.is_ready(), "the drain")
-        eventlet.sleep(2.0)
         self.store.put("op/config", self.patient_configuration())
         wait_for(
             lambda: 9 in [e["version"] for e in self.events_in_force()], "version 9"
         )
+        self.gateway.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: not self.gateway.is_ready(), "the drain")
         status, _, _ = self.gateway.ask(
             "/order/x", request_id="late", method="POST", deadline_ms=20000
         )
