--- a/cicadalever/api/_arrival.py
+++ b/cicadalever/api/_arrival.py
@@ -18,8 +18,12 @@
     >>> clock.earliest_arrival(10.2), clock.earliest_arrival(13.2)
     (10.2, 10.1)
     >>> clock.tick(13.2)
-    >>> clock.earliest_arrival(13.3), clock.earliest_arrival(14.0)
-    (10.1, 14.0)
+    >>> clock.earliest_arrival(13.3)
+    10.1
+    >>> clock.tick(13.6)
+    >>> clock.tick(13.9)
+    >>> clock.earliest_arrival(14.0)
+    14.0
     """
 
     def __init__(self, started_at: float):
