--- a/bench/fleet/_host.py
+++ b/bench/fleet/_host.py
@@ -24,7 +24,14 @@
 from ._site import FleetSite, Policy
 
 HEADER_NAMES = HeaderNames(
-    b"x-id", b"x-left", b"x-signed", b"x-replica", b"x-not-run", b"x-parts", b"x-miss"
+    b"x-id",
+    b"x-left",
+    b"x-signed",
+    b"x-replica",
+    b"x-not-run",
+    b"x-parts",
+    b"x-miss",
+    b"x-limit",
 )
 # Delay between two hosts or a host and a replica of one data centre.
 LOCAL_ONE_WAY_S = 0.0001
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -27,7 +27,14 @@
 from cicadalever.wire import CallerRequest, EventLoop, HeaderNames
 
 HEADER_NAMES = HeaderNames(
-    b"x-id", b"x-left", b"x-signed", b"x-replica", b"x-not-run", b"x-parts", b"x-miss"
+    b"x-id",
+    b"x-left",
+    b"x-signed",
+    b"x-replica",
+    b"x-not-run",
+    b"x-parts",
+    b"x-miss",
+    b"x-limit",
 )
 RECORD_BYTES = 400
 ROUNDS = 5
--- a/cicadalever/explain/_explanation.py
+++ b/cicadalever/explain/_explanation.py
@@ -17,6 +17,8 @@
         "gatherer_found",
         "gatherer_lost",
         "history_lost",
+        "limit_ended",
+        "limit_named",
         "platform_back",
         "platform_lost",
         "reconnected",
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -140,6 +140,7 @@
             age_s=self.follower.contact_age_s,
             version=table.version if table else 0,
             replicas=len(components.directory),
+            limited=len(components.runner.limits),
             lag_s=self._lag_s,
         )
         content_type = (b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")
--- a/cicadalever/gateway/_metrics.py
+++ b/cicadalever/gateway/_metrics.py
@@ -51,6 +51,9 @@
         )
         self._version = self._gauge("configuration_version", "Version in force")
         self._replicas = self._gauge("replicas", "Known replicas")
+        self._limited_replicas = self._gauge(
+            "limited_replicas", "Replicas that name a rate limit"
+        )
         self._loop_lag = self._gauge("loop_lag_seconds", "Lateness of the last tick")
 
     def request_ended(self, rank: int, end: str, seconds: float) -> None:
@@ -89,16 +92,25 @@
         self._connections_opened.inc()
 
     def set_gauges(
-        self, *, calls: int, age_s: float, version: int, replicas: int, lag_s: float
+        self,
+        *,
+        calls: int,
+        age_s: float,
+        version: int,
+        replicas: int,
+        limited: int,
+        lag_s: float,
     ) -> None:
         """Set the gauges; ``age_s`` is the time since the platform last answered.
 
-        ``lag_s`` is the delay of the last periodic tick of the event loop.
+        ``limited`` is the number of replicas that name a rate limit, and ``lag_s`` the
+        delay of the last periodic tick of the event loop.
         """
         self._platform_calls.set(calls)
         self._platform_age.set(age_s)
         self._version.set(version)
         self._replicas.set(replicas)
+        self._limited_replicas.set(limited)
         self._loop_lag.set(lag_s)
 
     def render(self) -> bytes:
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -8,12 +8,14 @@
 from cicadalever.crashes import CrashCounter
 from cicadalever.discovery import DirectoryChange, ReplicaEntry, UpstreamDirectory
 from cicadalever.gather import encode_shards
+from cicadalever.outcomes import Failure
 from cicadalever.peers import CrashReport
 from cicadalever.placement import (
     HostCounts,
     LeastCostSelector,
     connections_per_host,
 )
+from cicadalever.ratelimits import LimitChange, NamedLimits, parse_rate_limit
 from cicadalever.retries import RetryBudget
 from cicadalever.routing import Route, RoutingTable
 from cicadalever.wire import (
@@ -55,6 +57,8 @@
 MAX_NEW_REPLICAS = 4096
 # Least remaining time that is sent to a replica.
 MIN_DEADLINE_MS = 1
+# Kinds of answers that the replica itself has sent.
+_LIMIT_KINDS = frozenset((AnswerKind.SUCCESS, AnswerKind.FAILURE, AnswerKind.NOT_RUN))
 
 
 class ReadResult(NamedTuple):
@@ -201,6 +205,7 @@
         self.crashes = CrashCounter()
         # Called with a fingerprint and the number of replicas lost to it.
         self.on_crash: Callable[[int, int], None] = lambda fingerprint, crashes: None
+        self.limits = NamedLimits()
         # Hosts that share the connections of replicas, or None while unknown.
         self._host_counts: HostCounts | None = None
         self._is_gatherer = True
@@ -241,6 +246,7 @@
         read = Read(replica, now)
         read.on_end = on_end
         self.selector.record_start(replica.id, read, now)
+        self.limits.record_read(replica.id)
         pool = self._pool_for(replica, table)
 
         def finish(answer: ReplicaAnswer) -> None:
@@ -377,6 +383,7 @@
         pool = self._pools.pop(change.replica_id, None)
         if pool is not None:
             pool.close()
+        self._end_limit(previous, "restarted" if current is not None else "left")
         if current is None:
             self.selector.forget(change.replica_id)
         else:
@@ -399,6 +406,7 @@
                 failures=self.selector.health(replica.id).consecutive_failures,
             )
         self.metrics.read_ended(kind, now - read.started_at)
+        self._observe_limit(replica, kind, answer, read.started_at)
         if kind is not AnswerKind.SUCCESS:
             self.events.emit_detail(
                 "read_failed",
@@ -413,6 +421,46 @@
         if on_end is not None:
             on_end(read, ReadResult(kind, answer, replica))
 
+    def _observe_limit(
+        self, replica: ReplicaEntry, kind: AnswerKind, answer, sent_at: float
+    ) -> None:
+        """Record whether a replica names a rate limit in an answer."""
+        if kind not in _LIMIT_KINDS:
+            return
+        value = answer.header(self.names.rate_limit)
+        if value is None and not self.limits:
+            return
+        limit_per_s = None if value is None else parse_rate_limit(value)
+        if isinstance(limit_per_s, Failure):
+            self.events.emit_detail(
+                "limit_unreadable", replica=replica.id, reason=limit_per_s.reason
+            )
+            return
+        change = self.limits.record_answer(
+            replica.id, limit_per_s, sent_at, self.loop.now()
+        )
+        if change is LimitChange.NAMED:
+            self.events.emit(
+                "limit_named",
+                replica=replica.id,
+                service=replica.service,
+                limit_per_s=limit_per_s,
+            )
+        elif change is LimitChange.ENDED:
+            self._end_limit(replica, "not named any more")
+
+    def _end_limit(self, replica: ReplicaEntry, reason: str) -> None:
+        ended = self.limits.forget(replica.id, self.loop.now())
+        if ended is not None:
+            self.events.emit(
+                "limit_ended",
+                replica=replica.id,
+                service=replica.service,
+                reason=reason,
+                seconds=round(ended.seconds, 2),
+                reads=ended.reads,
+            )
+
     def _is_connected(self, replica_id: str) -> bool:
         pool = self._pools.get(replica_id)
         return pool is not None and pool.has_idle
--- a/cicadalever/wire/_headers.py
+++ b/cicadalever/wire/_headers.py
@@ -35,6 +35,7 @@
     - ``expected_replica``: the only replica that may run the request.
     - ``not_run``: says that the replica did not run the request.
     - ``signatures`` and ``missing_shards``: the coverage of a query over many shards.
+    - ``rate_limit``: the requests per second that a replica takes from all hosts.
     """
 
     request_id: bytes
@@ -44,3 +45,4 @@
     not_run: bytes
     signatures: bytes
     missing_shards: bytes
+    rate_limit: bytes
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -30,7 +30,14 @@
 )
 
 NAMES = HeaderNames(
-    b"x-id", b"x-left", b"x-signed", b"x-replica", b"x-not-run", b"x-parts", b"x-miss"
+    b"x-id",
+    b"x-left",
+    b"x-signed",
+    b"x-replica",
+    b"x-not-run",
+    b"x-parts",
+    b"x-miss",
+    b"x-limit",
 )
 SIGNED = [(b"x-id", b"1"), (b"x-signed", b"s")]
 FAILURE = Failure(FailureCode.UNREACHABLE, "reset")
--- a/tests/test_gateway_status.py
+++ b/tests/test_gateway_status.py
@@ -16,7 +16,9 @@
     def test_row_of_the_metrics_that_gateways_serve(self):
         """Guards against metrics that are renamed on one side only."""
         metrics = GatewayMetrics()
-        metrics.set_gauges(calls=3, age_s=0.5, version=7, replicas=12, lag_s=0.0)
+        metrics.set_gauges(
+            calls=3, age_s=0.5, version=7, replicas=12, limited=0, lag_s=0.0
+        )
         metrics.request_ended(0, "complete", 0.1)
         metrics.request_ended(1, "too_few", 0.1)
         metrics.extra_read("hedge")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -20,7 +20,14 @@
 from cicadalever.wire._replica_connection import RESET_ON_CLOSE
 
 NAMES = HeaderNames(
-    b"x-id", b"x-left", b"x-signed", b"x-replica", b"x-not-run", b"x-parts", b"x-miss"
+    b"x-id",
+    b"x-left",
+    b"x-signed",
+    b"x-replica",
+    b"x-not-run",
+    b"x-parts",
+    b"x-miss",
+    b"x-limit",
 )
 LIMITS = ServerLimits(2048, 4096, 5.0, 5.0)
 # Fails a test that hangs.
