--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from base64 import b64encode
 from collections import Counter
 from pathlib import Path
@@ -214,6 +215,10 @@
         self.cut_at = -4
         self.cuts_by_reset = False
         self.is_chunked = False
+        # Requests per second that its answers name as taken from all hosts, or None.
+        self.rate_limit = None
+        # Time of arrival of each request, in seconds on the monotonic clock.
+        self.arrivals = []
         # Path whose requests reset their connection after they have run.
         self.poison_path = None
         self.executed_ids = []
@@ -238,6 +243,7 @@
     def answer(self, sock, start_line, headers, body):
         """Answer one request according to the behaviour."""
         self.requests.append((start_line, headers, body))
+        self.arrivals.append(time.monotonic())
         request_id = headers["x-request-id"].encode()
         behaviour = self.behaviour
         if behaviour == "other" or headers["x-expect-instance"] != self.id:
@@ -249,7 +255,7 @@
         if behaviour == "shed":
             sock.sendall(
                 b"HTTP/1.1 503 X\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n"
-                b"Content-Length: 0\r\n\r\n" % request_id
+                b"%sContent-Length: 0\r\n\r\n" % (request_id, self._limit_line())
             )
             return
         self.executed_ids.append(headers["x-request-id"])
@@ -283,10 +289,15 @@
             framing = b"Content-Length: %d" % len(body)
         return (
             b"HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s\r\n"
-            b"Keep-Alive: timeout=15\r\n%s\r\n\r\n%s"
-            % (status, request_id, signature, framing, body)
+            b"Keep-Alive: timeout=15\r\n%s%s\r\n\r\n%s"
+            % (status, request_id, signature, self._limit_line(), framing, body)
         )
 
+    def _limit_line(self):
+        if self.rate_limit is None:
+            return b""
+        return b"Server-Limit: %.2f\r\n" % self.rate_limit
+
 
 class FaultProxy(_Server):
     """Proxy that forwards connections to ``target``; ``mode`` selects a fault.
