Keep the reads of all hosts within the rate limit that a replica names

Callers saw nothing; a replica in need got 20 reads a second where it had asked for 1.2. Cause: placement knew latency and failures only, and nothing that is bounded over all hosts (retry slack, connections) covers first reads.

A host that learns a limit from an answer tells the others (datagrams by way of the seeds). Each uses its share by the counted hosts: single reads at regular intervals from a random start; an unused permit is void after a second, since permits that many hosts have saved would all be used when the other replicas fail. A host that has just started, or does not know how many there are, assumes 1,000. Every read starts in ReadRunner, so gathered, second and repeated reads and orders count alike. Other replicas are chosen first; orders, and queries too many of whose shards may not be read, are refused at once with a Retry-After of the mean wait. A read with a permit checks the limit when no host has confirmed it for 2 s; the first answer without it ends it everywhere. A seed counts hosts itself as well, so that it knows their number when the other seeds are down.

--- a/cicadalever/explain/_explanation.py
+++ b/cicadalever/explain/_explanation.py
@@ -40,6 +40,7 @@
     "outcome_unknown": "unknown: the replica ended without an answer",
     "not_run": "refused: no replica ran it",
     "no_replica": "refused: the service has no replica",
+    "limited": "refused: the replicas of the service take no more requests now",
     "cancelled": "the caller left",
     "delegated": "gathered by another host, whose log tells more",
     "no_configuration": "refused: the host knew no configuration",
--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -71,11 +71,14 @@
         self._log_end(end, fields, response.status)
         self.on_end(response, fields)
 
-    def _refusal(self) -> CallerResponse:
-        """Return the response to a request that has not run and will not run."""
+    def _refusal(self, expected_s: float = RECOVERY_S) -> CallerResponse:
+        """Return the response to a request that has not run and will not run.
+
+        ``expected_s`` is the time after which the request can probably be served.
+        """
         selector = self.runner.selector
         retry_after_s = plan_retry_after(
-            RECOVERY_S,
+            expected_s,
             self.outbound.deadline - self.loop.now(),
             self.route.rank,
             selector.rng,
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -121,6 +121,7 @@
     link.on_late_replicas = runner.avoid_late
     runner.on_late = link.report_late
     runner.on_crash = link.report_crashes
+    link.on_limit_report = runner.record_limit_reports
     link.on_crash_report = runner.record_crash_report
     link.on_newer_version = daemon.follower.hurry
     return daemon
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -6,6 +6,7 @@
 
 from cicadalever.discovery import UpstreamDirectory
 from cicadalever.outcomes import Failure
+from cicadalever.peers import COUNT_AFTER_S
 from cicadalever.placement import HostCounts
 from cicadalever.retries import compute_host_slack
 from cicadalever.wire import (
@@ -199,6 +200,7 @@
         if current is not None and table.version <= current.version:
             return
         service.table = table
+        self.components.runner.gathered_services = table.shard_names
         limits = table.limits
         self.components.caller_server.limits = ServerLimits(*limits)
         self.components.events.emit(
@@ -235,6 +237,7 @@
         self._handle_directory_changes(components.directory.expire(now))
         self._update_readiness(now)
         self._send_heartbeats()
+        self._update_limits(now)
         table = components.service.table
         knows_gatherer = components.link.peer_table.knows_gatherer()
         if (
@@ -291,6 +294,30 @@
             is_cut_off=self.components.readiness.is_cut_off,
         )
 
+    def _update_limits(self, now: float) -> None:
+        """Report the limits of replicas, and divide them by the number of hosts.
+
+        A host takes part in the division only when the others have counted it as well:
+        after that time, each has got a count that includes it.
+        """
+        runner, peer_table = self.components.runner, self.components.link.peer_table
+        runner.end_unconfirmed_limits()
+        reports = runner.limits.take_reports(now)
+        if reports:
+            self.components.link.report_limits(reports)
+        counts = None
+        if now - peer_table.started_at >= COUNT_AFTER_S:
+            counts = self._host_counts(now)
+        is_gatherer = not peer_table.knows_gatherer()
+        runner.limits.divide(counts, now, is_gatherer=is_gatherer)
+
+    def _host_counts(self, now: float) -> HostCounts | None:
+        count = self.components.link.peer_table.reported_count(now)
+        data_centres = self.settings.data_centres
+        return count and HostCounts(
+            count.hosts * data_centres, count.similar * data_centres
+        )
+
     def _update_slack(self, now: float) -> None:
         """Set this host's shares of slack and connections for the number of hosts."""
         peer_table = self.components.link.peer_table
@@ -306,8 +333,9 @@
             count.similar,
             is_delegating=not is_gatherer,
         )
-        counts = HostCounts(count.hosts * data_centres, count.similar * data_centres)
-        self.components.runner.share_connections(counts, is_gatherer=is_gatherer)
+        self.components.runner.share_connections(
+            self._host_counts(now), is_gatherer=is_gatherer
+        )
         budget = self.components.runner.retry_budget
         if slack != budget.slack:
             self.components.events.emit(
--- a/cicadalever/gateway/_forward_call.py
+++ b/cicadalever/gateway/_forward_call.py
@@ -35,7 +35,11 @@
         self._hedge_at = self.request.received_at + hedge_s
         self.runner.retry_budget.earn(service)
         if not self._send():
-            self._end(self._refusal(), "no_replica", service=service)
+            wait_s = self.runner.limit_wait_s([service])
+            if wait_s is None:
+                self._end(self._refusal(), "no_replica", service=service)
+            else:
+                self._end(self._refusal(wait_s), "limited", service=service)
             return
         self._schedule()
 
@@ -93,7 +97,8 @@
         None for a hedge. A read that was never sent is replaced without using the
         budget.
         """
-        if self._attempts >= self.route.max_attempts:
+        has_attempts = self._attempts < self.route.max_attempts
+        if not has_attempts or not self.runner.can_read(self._service, self._tried):
             return False
         if kind is not AnswerKind.NOT_SENT:
             if not self.runner.try_spend(self._service):
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -73,6 +73,8 @@
         self._may_have_run = is_repeat
         # Result of a read that ends before ``ReadRunner.start`` returns.
         self._synchronous_result: ReadResult | None = None
+        if not is_repeat and self._refuse_if_limited():
+            return
         self._is_starting = True
         grouped = set() if is_repeat else self._start_groups()
         for shard, service in enumerate(route.shards):
@@ -99,6 +101,29 @@
         self._overdue_at = self._sent_at + self._overdue_s
         self._advance(self._sent_at)
 
+    def _refuse_if_limited(self) -> bool:
+        """Refuse the query if too many shards may not be read; return whether it was.
+
+        Otherwise the shards that can be read would be read in vain.
+        """
+        if not self.runner.limits:
+            return False
+        services = self.route.shards
+        unreadable = [each for each in services if not self.runner.can_read(each)]
+        if len(services) - len(unreadable) >= self._state.required_answers:
+            return False
+        wait_s = self.runner.limit_wait_s(unreadable)
+        if wait_s is None:
+            return False
+        self._end(
+            self._refusal(wait_s),
+            "limited",
+            missing=len(unreadable),
+            missing_services=unreadable[:8],
+            is_group=self._is_group,
+        )
+        return True
+
     @property
     def missing_shards(self) -> list[int]:
         """Shards that have not answered."""
@@ -200,7 +225,7 @@
 
     def _read(self, shard: int) -> bool:
         replica = self._chosen_replicas.pop(shard, None)
-        if replica is None:
+        if replica is None or not self.runner.may_read(replica):
             service = self.route.shards[shard]
             replica = self.runner.choose_replica(
                 service, self.route, self._tried[shard]
@@ -241,8 +266,7 @@
         return self._read(shard)
 
     def _has_untried_replica(self, shard: int) -> bool:
-        replicas = self.runner.directory.ready_replicas(self.route.shards[shard])
-        return any(replica.id not in self._tried[shard] for replica in replicas)
+        return self.runner.can_read(self.route.shards[shard], self._tried[shard])
 
     def _on_read_end(self, read: Read, result: ReadResult) -> None:
         shard = self._reads.pop(read, None)
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -8,20 +8,26 @@
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
     CRASH_REPORT_PREFIX,
+    LIMIT_REPORT_PREFIX,
+    MAX_REPLICAS,
     OBSERVATION_PREFIX,
     Address,
     CrashReport,
     Heartbeat,
     HostCount,
+    LimitReport,
     Peer,
     PeerTable,
     decode_crash_report,
     decode_heartbeat,
+    decode_limit_report,
     decode_observation,
     encode_crash_report,
     encode_heartbeat,
+    encode_limit_report,
     encode_observation,
 )
+from cicadalever.ratelimits import LimitNews
 from cicadalever.wire import (
     CallerServer,
     EventLoop,
@@ -86,6 +92,10 @@
         # Called with the ids of replicas that another host found late.
         self.on_late_replicas: Callable[[list[str]], None] = lambda replica_ids: None
         self.on_crash_report: Callable[[CrashReport], None] = lambda report: None
+        # Called with the id of another host and what it learned about rate limits.
+        self.on_limit_report: Callable[[str, list[LimitNews]], None] = (
+            lambda host, reports: None
+        )
         self._crash_report_due_at = float("-inf")
         # When each replica may be reported again.
         self._report_due_at: dict[str, float] = {}
@@ -187,6 +197,30 @@
             with contextlib.suppress(OSError):
                 self._socket.sendto(data, address)
 
+    def report_limits(self, reports: list[LimitNews]) -> None:
+        """Tell the other hosts which rate limits replicas have named to this one."""
+        if self._socket is None:
+            return
+        for start in range(0, len(reports), MAX_REPLICAS):
+            limits = [tuple(news) for news in reports[start : start + MAX_REPLICAS]]
+            report = LimitReport(self.host_id, limits)
+            self._send_limit_report(report, self.peer_table.advisers())
+            if self.peer_table.is_seed:
+                self._forward_limit_report(report)
+
+    def _forward_limit_report(self, report: LimitReport) -> None:
+        forwarded = LimitReport(report.host, report.limits, True)
+        self._send_limit_report(forwarded, self.peer_table.known_hosts())
+
+    def _send_limit_report(
+        self, report: LimitReport, addresses: Iterable[Address]
+    ) -> None:
+        data = encode_limit_report(report)
+        for address in addresses:
+            # Limits that still apply are reported again, and their ends several times.
+            with contextlib.suppress(OSError):
+                self._socket.sendto(data, address)
+
     def send(self, address: Address, exchange: Exchange) -> None:
         """Send a request to the peer at ``address``."""
         pool = self._pools.get(address)
@@ -248,6 +282,9 @@
             if data.startswith(CRASH_REPORT_PREFIX):
                 self._handle_crash_report(data)
                 continue
+            if data.startswith(LIMIT_REPORT_PREFIX):
+                self._handle_limit_report(data)
+                continue
             heartbeat = decode_heartbeat(data)
             if isinstance(heartbeat, Failure):
                 self.events.emit_detail("heartbeat_unreadable", reason=heartbeat.reason)
@@ -275,6 +312,18 @@
             )
             self._send_crash_report(forwarded, self.peer_table.known_hosts())
 
+    def _handle_limit_report(self, data: bytes) -> None:
+        report = decode_limit_report(data)
+        if isinstance(report, Failure):
+            self.events.emit_detail("heartbeat_unreadable", reason=report.reason)
+            return
+        if report.host == self.host_id:
+            return
+        self.on_limit_report(report.host, [LimitNews(*each) for each in report.limits])
+        # All hosts send heartbeats to the seeds, so these know where to forward it.
+        if self.peer_table.is_seed and not report.is_forwarded:
+            self._forward_limit_report(report)
+
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self.loop.now()
         if 0 < self._version < heartbeat.version:
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -15,7 +15,12 @@
     LeastCostSelector,
     connections_per_host,
 )
-from cicadalever.ratelimits import LimitChange, NamedLimits, parse_rate_limit
+from cicadalever.ratelimits import (
+    LimitChange,
+    LimitNews,
+    NamedLimits,
+    parse_rate_limit,
+)
 from cicadalever.retries import RetryBudget
 from cicadalever.routing import Route, RoutingTable
 from cicadalever.wire import (
@@ -205,7 +210,9 @@
         self.crashes = CrashCounter()
         # Called with a fingerprint and the number of replicas lost to it.
         self.on_crash: Callable[[int, int], None] = lambda fingerprint, crashes: None
-        self.limits = NamedLimits()
+        self.limits = NamedLimits(selector.rng)
+        # Services that the configuration in force names as shards.
+        self.gathered_services: Container[str] = frozenset()
         # Hosts that share the connections of replicas, or None while unknown.
         self._host_counts: HostCounts | None = None
         self._is_gatherer = True
@@ -220,16 +227,55 @@
     ) -> ReplicaEntry | None:
         """Return the replica for the next read from a service, or None.
 
-        Replicas whose ids are in ``exclude`` are not chosen.
+        Replicas whose ids are in ``exclude`` are not chosen, nor are those whose rate
+        limit leaves this host no read now.
         """
+        now = self.loop.now()
+        replicas = self.directory.ready_replicas(service)
+        if self.limits:
+            replicas = [each for each in replicas if self.may_read(each)]
+            if not exclude and route.idempotent:
+                for replica in replicas:
+                    if self._needs_check(replica.id, now):
+                        return replica
         return self.selector.choose(
-            self.directory.ready_replicas(service),
-            self.loop.now(),
+            replicas,
+            now,
             route=route.name,
             exclude=exclude,
             is_connected=self._is_connected,
+            limited=self.limits,
+        )
+
+    def may_read(self, replica: ReplicaEntry) -> bool:
+        """Return whether the rate limit of a replica allows a read of this host."""
+        return self.limits.may_read(replica.id, self.loop.now())
+
+    def can_read(self, service: str, exclude: Container[str] = ()) -> bool:
+        """Return whether a service has a replica for a read that starts now."""
+        return any(
+            replica.id not in exclude and self.may_read(replica)
+            for replica in self.directory.ready_replicas(service)
         )
 
+    def limit_wait_s(self, services: Iterable[str]) -> float | None:
+        """Return the expected wait for a read, if rate limits forbid it now.
+
+        The result is None unless one of the services has replicas, of which none may be
+        read now.
+        """
+        waits_s = [
+            self.limits.expected_wait_s(each.id for each in replicas)
+            for service in services
+            if (replicas := self.directory.ready_replicas(service))
+            and not any(map(self.may_read, replicas))
+        ]
+        return max(waits_s, default=None)
+
+    def _needs_check(self, replica_id: str, now: float) -> bool:
+        is_ejected = self.selector.health(replica_id).is_ejected(now)
+        return not is_ejected and self.limits.needs_check(replica_id, now)
+
     def start(
         self,
         replica: ReplicaEntry,
@@ -437,18 +483,48 @@
             )
             return
         change = self.limits.record_answer(
-            replica.id, limit_per_s, sent_at, self.loop.now()
+            replica.id,
+            limit_per_s,
+            sent_at,
+            self.loop.now(),
+            is_gathered=replica.service in self.gathered_services,
         )
         if change is LimitChange.NAMED:
-            self.events.emit(
-                "limit_named",
-                replica=replica.id,
-                service=replica.service,
-                limit_per_s=limit_per_s,
-            )
+            self._log_limit(replica, limit_per_s, "answer")
         elif change is LimitChange.ENDED:
             self._end_limit(replica, "not named any more")
 
+    def record_limit_reports(self, host: str, reports: Iterable[LimitNews]) -> None:
+        """Record what another host has learned about limits from answers."""
+        for news in reports:
+            replica = self.directory.get(news.replica_id)
+            if replica is None:
+                continue
+            change = self.limits.record_report(
+                news,
+                self.loop.now(),
+                is_gathered=replica.service in self.gathered_services,
+            )
+            if change is LimitChange.NAMED:
+                self._log_limit(replica, news.limit_per_s, host)
+            elif change is LimitChange.ENDED:
+                self._end_limit(replica, f"reported by {host}")
+
+    def end_unconfirmed_limits(self) -> None:
+        """End the limits that other hosts have reported, but not lately."""
+        for replica_id in self.limits.find_unconfirmed(self.loop.now()):
+            self._end_limit(self.directory.get(replica_id), "not reported any more")
+
+    def _log_limit(self, replica: ReplicaEntry, limit_per_s: float, source: str):
+        self.events.emit(
+            "limit_named",
+            replica=replica.id,
+            service=replica.service,
+            limit_per_s=limit_per_s,
+            share_per_s=round(self.limits.share_per_s(replica.id), 4),
+            source=source,
+        )
+
     def _end_limit(self, replica: ReplicaEntry, reason: str) -> None:
         ended = self.limits.forget(replica.id, self.loop.now())
         if ended is not None:
--- a/cicadalever/peers/_observation.py
+++ b/cicadalever/peers/_observation.py
@@ -1,5 +1,8 @@
 """Datagrams in which hosts tell each other what they observed at replicas."""
 
+from math import isfinite
+from typing import Annotated
+
 import msgspec
 
 from cicadalever.outcomes import Failure, FailureCode
@@ -7,6 +10,7 @@
 # First byte of each kind of datagram; a heartbeat is an array and begins otherwise.
 OBSERVATION_PREFIX = b"L"
 CRASH_REPORT_PREFIX = b"C"
+LIMIT_REPORT_PREFIX = b"R"
 # Replicas that one datagram names, so that it fits into one packet.
 MAX_REPLICAS = 32
 
@@ -24,9 +28,26 @@
     is_forwarded: bool = False
 
 
+class LimitReport(msgspec.Struct, array_like=True, frozen=True):
+    """Rate limits that replicas have named to ``host``.
+
+    ``limits`` are pairs of the id of a replica and the requests per second that it
+    takes from all hosts, or None if it names no limit any more. ``is_forwarded`` is
+    that of ``CrashReport``.
+    """
+
+    host: str
+    limits: Annotated[
+        list[tuple[str, Annotated[float, msgspec.Meta(ge=0.0)] | None]],
+        msgspec.Meta(max_length=MAX_REPLICAS),
+    ]
+    is_forwarded: bool = False
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(list[str])
 _crash_decoder = msgspec.msgpack.Decoder(CrashReport)
+_limit_decoder = msgspec.msgpack.Decoder(LimitReport)
 
 
 def encode_observation(replica_ids: list[str]) -> bytes:
@@ -53,3 +74,19 @@
         return _crash_decoder.decode(data[len(CRASH_REPORT_PREFIX) :])
     except msgspec.MsgspecError as error:
         return Failure(FailureCode.INVALID, f"invalid crash report: {error}")
+
+
+def encode_limit_report(report: LimitReport) -> bytes:
+    """Return the datagram of a report of at most ``MAX_REPLICAS`` rate limits."""
+    return LIMIT_REPORT_PREFIX + _encoder.encode(report)
+
+
+def decode_limit_report(data: bytes) -> LimitReport | Failure:
+    """Return the report of rate limits, or a failure for an invalid datagram."""
+    try:
+        report = _limit_decoder.decode(data[len(LIMIT_REPORT_PREFIX) :])
+    except msgspec.MsgspecError as error:
+        return Failure(FailureCode.INVALID, f"invalid limit report: {error}")
+    if not all(limit is None or isfinite(limit) for _, limit in report.limits):
+        return Failure(FailureCode.INVALID, "invalid limit report: limit not finite")
+    return report
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -139,6 +139,7 @@
         self.started_at = started_at
         self._peers: dict[Address, Peer] = {}
         self._seeds: list[Address] = []
+        self._is_seed = False
         self._seed_period_s = MIN_SEED_PERIOD_S
         self._seeds_due_at = float("-inf")
         self._reported_counts: list[tuple[float, HostCount]] = []
@@ -149,8 +150,14 @@
         self._gatherers: dict[str, list[Address]] = {}
         self._gatherers_listed_at = float("-inf")
 
+    @property
+    def is_seed(self) -> bool:
+        """Whether this host is one of the seeds, to which all hosts send heartbeats."""
+        return self._is_seed
+
     def set_seeds(self, seeds: list[Address]) -> None:
         """Replace the seeds and make heartbeats to all of them due at once."""
+        self._is_seed = self.address in seeds
         self._seeds = [seed for seed in seeds if seed != self.address]
         self._seed_period_s = MIN_SEED_PERIOD_S
         self._seeds_due_at = float("-inf")
@@ -394,33 +401,41 @@
         ``similar`` counts those with about the capacity of the sender. Both are 0 until
         this host has run for ``COUNT_AFTER_S``.
         """
+        capacity = Capacity(heartbeat.link_mbps, heartbeat.cores)
+        return self._count_hosts(heartbeat.data_centre, capacity, now)
+
+    def _count_hosts(
+        self, data_centre: str, capacity: Capacity, now: float
+    ) -> HostCount:
         if now - self.started_at < COUNT_AFTER_S:
             return HostCount(0, 0)
-        sender = Capacity(heartbeat.link_mbps, heartbeat.cores)
-        capacities = [
-            peer.capacity for peer in self._recent_hosts(heartbeat.data_centre, now)
-        ]
-        if heartbeat.data_centre == self.data_centre:
+        capacities = [peer.capacity for peer in self._recent_hosts(data_centre, now)]
+        if data_centre == self.data_centre:
             capacities.append(self.capacity)
         similar = [
-            capacity
-            for capacity in capacities
-            if not capacity.is_much_larger_than(sender)
-            and not sender.is_much_larger_than(capacity)
+            other
+            for other in capacities
+            if not other.is_much_larger_than(capacity)
+            and not capacity.is_much_larger_than(other)
         ]
         return HostCount(len(capacities), len(similar))
 
     def reported_count(self, now: float) -> HostCount | None:
         """Return the greatest count reported within ``FORGET_AFTER_S``, or None.
 
-        A smaller one may come from a seed that does not know all hosts.
+        A smaller one may come from a seed that does not know all hosts. A seed counts
+        by itself as well, because the other seeds may be down.
         """
         self._reported_counts = [
             report
             for report in self._reported_counts
             if now - report[0] <= FORGET_AFTER_S
         ]
-        return max((count for _, count in self._reported_counts), default=None)
+        counts = [count for _, count in self._reported_counts]
+        if self._is_seed:
+            own = self._count_hosts(self.data_centre, self.capacity, now)
+            counts += [own] if own.hosts else []
+        return max(counts, default=None)
 
     def are_gatherers_cut_off(self, now: float) -> bool:
         """Return whether all live gatherers are cut off from their upstreams.
--- a/cicadalever/placement/_selector.py
+++ b/cicadalever/placement/_selector.py
@@ -89,27 +89,29 @@
         route: str,
         exclude: Container[str] = (),
         is_connected: Callable[[str], bool] = lambda replica_id: True,
+        limited: Container[str] = (),
     ) -> ReplicaEntry | None:
         """Return the replica with the least cost, or None when all are excluded.
 
         ``exclude`` holds ids of replicas. ``is_connected`` returns whether there is an
-        idle connection to the replica of an id.
+        idle connection to the replica of an id. Replicas whose ids are in ``limited``
+        are chosen only when all others are ejected or excluded.
         """
-        best, best_cost, best_ejected = None, float("inf"), True
+        best, best_cost, best_standing = None, float("inf"), (True, True)
         usual_latency_s = self.usual_latency_s(route)
         for replica in replicas:
             if replica.id in exclude:
                 continue
             health = self.health(replica.id)
-            is_ejected = health.is_ejected(now)
-            if is_ejected and not best_ejected:
+            standing = (health.is_ejected(now), replica.id in limited)
+            if standing > best_standing:
                 continue
             cost = self._cost(replica, health, now, usual_latency_s)
             if not is_connected(replica.id):
                 cost *= CONNECT_FACTOR
             cost *= 1.0 + COST_JITTER * self.rng.random()
-            if cost < best_cost or (best_ejected and not is_ejected):
-                best, best_cost, best_ejected = replica, cost, is_ejected
+            if cost < best_cost or standing < best_standing:
+                best, best_cost, best_standing = replica, cost, standing
         return best
 
     def record_start(self, replica_id: str, read: object, now: float) -> None:
--- a/cicadalever/ratelimits/__init__.py
+++ b/cicadalever/ratelimits/__init__.py
@@ -1,6 +1,15 @@
-"""Rate limits that upstream replicas name in their answers."""
+"""Rate limits that upstream replicas name, and how the hosts divide them."""
 
 from ._header import parse_rate_limit
-from ._named import LimitChange, NamedLimits
+from ._named import LimitChange, LimitNews, NamedLimits
+from ._permits import PermitSchedule
+from ._share import compute_share
 
-__all__ = ["LimitChange", "NamedLimits", "parse_rate_limit"]
+__all__ = [
+    "LimitChange",
+    "LimitNews",
+    "NamedLimits",
+    "PermitSchedule",
+    "compute_share",
+    "parse_rate_limit",
+]
