Read the rate limit in the head of an answer that breaks off

An answer without a complete body is a fault without headers, so that its limit was not looked at. The parser keeps the limit of the latest head of an exchange, and a fault carries it.

--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -62,8 +62,11 @@
 MAX_NEW_REPLICAS = 4096
 # Least remaining time that is sent to a replica.
 MIN_DEADLINE_MS = 1
-# Kinds of answers that the replica itself has sent.
-_LIMIT_KINDS = frozenset((AnswerKind.SUCCESS, AnswerKind.FAILURE, AnswerKind.NOT_RUN))
+# Kinds of answers that end the limit of a replica if they do not name it: those that
+# the replica itself has sent, as far as this host can tell.
+_UNLIMITED_KINDS = frozenset(
+    (AnswerKind.SUCCESS, AnswerKind.FAILURE, AnswerKind.NOT_RUN)
+)
 
 
 class ReadResult(NamedTuple):
@@ -471,10 +474,9 @@
         self, replica: ReplicaEntry, kind: AnswerKind, answer, sent_at: float
     ) -> None:
         """Record whether a replica names a rate limit in an answer."""
-        if kind not in _LIMIT_KINDS:
-            return
         value = answer.header(self.names.rate_limit)
-        if value is None and not self.limits:
+        is_unlimited = value is None and kind in _UNLIMITED_KINDS and self.limits
+        if kind is AnswerKind.WRONG_REPLICA or not (value or is_unlimited):
             return
         limit_per_s = None if value is None else parse_rate_limit(value)
         if isinstance(limit_per_s, Failure):
--- a/cicadalever/wire/_answer_parser.py
+++ b/cicadalever/wire/_answer_parser.py
@@ -33,7 +33,8 @@
 
     ``answer`` is the complete answer, ``fault_detail`` says why the bytes are none, and
     ``must_close`` whether the connection cannot be used again. ``idle_s`` is the idle
-    timeout that the replica announced, in seconds.
+    timeout that the replica announced, in seconds. ``rate_limit`` is the value of that
+    header in the latest head of the exchange, whatever becomes of the rest.
     """
 
     def __init__(self, names: HeaderNames, memory: ReceiveMemory):
@@ -43,6 +44,7 @@
         self.fault_detail: str | None = None
         self.must_close = False
         self.idle_s = DEFAULT_IDLE_S
+        self.rate_limit: bytes | None = None
         self._request_id = b""
         self._on_interim: Callable[[], None] | None = None
         self._exchanges = 0
@@ -60,6 +62,7 @@
         An empty ``request_id`` stands for a request that carries none.
         """
         self.answer = None
+        self.rate_limit = None
         self._request_id = request_id
         self._on_interim = on_interim
         self._exchanges += 1
@@ -150,6 +153,8 @@
                 self._has_framing = True
             elif name == b"keep-alive":
                 self.idle_s = _parse_idle_timeout(value, self.idle_s)
+            elif name == self.names.rate_limit:
+                self.rate_limit = value
         if not self._parser.should_keep_alive():
             self.must_close = True
 
--- a/cicadalever/wire/_message.py
+++ b/cicadalever/wire/_message.py
@@ -76,7 +76,10 @@
 
 
 class ReplicaAnswer(NamedTuple):
-    """A complete answer to a request, or the ``fault`` that explains its absence."""
+    """A complete answer to a request, or the ``fault`` that explains its absence.
+
+    The headers of an absent answer are only the rate limit, if its head arrived.
+    """
 
     status: int
     headers: list[Header]
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -63,6 +63,14 @@
         arrivals = self.arrivals_after_naming(limited)
         self.assertLessEqual(count_in_worst_window(arrivals), count_allowed(0.5))
 
+    def test_truncated_answers_name_the_limit(self):
+        """Guards against a limit that is overlooked because the body broke off."""
+        (limited,) = self.limit("s0", 0.5, "a")
+        limited.behaviour = "cut"
+        self.ask_for(4.5, "/search/x")
+        arrivals = self.arrivals_after_naming(limited)
+        self.assertLessEqual(count_in_worst_window(arrivals), count_allowed(0.5))
+
     def test_orders_beyond_the_limit_are_refused_at_once(self):
         """Guards against orders that wait for, or run at, replicas beyond the limit."""
         limited = self.limit("one", 0.5)
