--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -309,7 +309,9 @@
         if now - peer_table.started_at >= COUNT_AFTER_S:
             counts = self._host_counts(now)
         is_gatherer = not peer_table.knows_gatherer()
-        runner.limits.divide(counts, now, is_gatherer=is_gatherer)
+        runner.limits.divide(
+            counts, now, is_gatherer=is_gatherer, is_seed=peer_table.is_seed
+        )
 
     def _host_counts(self, now: float) -> HostCounts | None:
         count = self.components.link.peer_table.reported_count(now)
--- a/cicadalever/ratelimits/_named.py
+++ b/cicadalever/ratelimits/_named.py
@@ -91,6 +91,7 @@
         self._limits: dict[str, _NamedLimit] = {}
         self._counts: HostCounts | None = None
         self._is_gatherer = True
+        self._is_seed = False
         # Ended limits that are still to be reported, and when.
         self._ends_to_report: list[tuple[float, str]] = []
 
@@ -138,12 +139,18 @@
         return 1.0 / max(MIN_LIMIT_PER_S, total_per_s)
 
     def divide(
-        self, counts: HostCounts | None, now: float, *, is_gatherer: bool
+        self,
+        counts: HostCounts | None,
+        now: float,
+        *,
+        is_gatherer: bool,
+        is_seed: bool = False,
     ) -> None:
         """Use this host's share for a number of hosts, or None if it is not known."""
-        if (counts, is_gatherer) == (self._counts, self._is_gatherer):
+        known = (self._counts, self._is_gatherer, self._is_seed)
+        if (counts, is_gatherer, is_seed) == known:
             return
-        self._counts, self._is_gatherer = counts, is_gatherer
+        self._counts, self._is_gatherer, self._is_seed = counts, is_gatherer, is_seed
         for limit in self._limits.values():
             self._set_rate(limit, now)
 
@@ -254,4 +261,5 @@
             self._counts,
             is_gathered=is_gathered,
             is_gatherer=self._is_gatherer,
+            is_seed=self._is_seed,
         )
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -26,6 +26,7 @@
     free_port,
 )
 from tests.test_gateway_process import SHARDS, configuration
+from tests.test_rate_limits import WINDOW_S, count_allowed
 
 FAULT_PHASE_S = 4.0
 CALLERS = 6
@@ -50,6 +51,15 @@
 LINK_FAULTS = ("delay", "reset", "silence", "one_way")
 
 
+class NamedLimit(NamedTuple):
+    """A rate limit that a replica named between two monotonic times in seconds."""
+
+    replica_id: str
+    limit_per_s: float
+    named_at: float
+    ended_at: float
+
+
 class Answer(NamedTuple):
     """The answer to a request; ``status`` is None if the connection ended before it."""
 
@@ -67,10 +77,17 @@
         self.shards = WIDE_SHARDS if is_wide else SHARDS
         self.callers = CALLERS // 3 if is_wide else CALLERS
         self.rng = Random(seed)
+        # Faults of their own, so that earlier seeds still draw the same sequence.
+        self.limit_rng = Random(f"limits {seed}")
         self.answers = []
         self.history = []
         self.version = 7
         self.is_stopping = False
+        # Limits that have ended, and the times at which gateways began to run again.
+        self.ended_limits = []
+        # Replicas whose answers were held back or lost on their link.
+        self.unheard_replicas = set()
+        self.gateway_starts = []
         # Last lines of the log of each gateway, printed if a guarantee is violated.
         self.log_tails = []
         self.store = StoreStandIn()
@@ -135,6 +152,7 @@
 
     def _inject_faults(self):
         deadline = time.monotonic() + FAULT_PHASE_S
+        limits = eventlet.spawn(self._inject_limits, deadline)
         while time.monotonic() < deadline:
             fault = self.rng.choice(
                 (
@@ -147,6 +165,12 @@
             )
             fault()
             eventlet.sleep(self.rng.uniform(0.05, 0.5))
+        limits.wait()
+
+    def _inject_limits(self, deadline):
+        while time.monotonic() < deadline:
+            self._limit_replica()
+            eventlet.sleep(self.limit_rng.uniform(0.3, 1.5))
 
     def _break_replica(self):
         replica = self.rng.choice(list(self.replicas.values()))
@@ -154,11 +178,38 @@
         self._log_fault(f"{replica.id} {behaviour}")
         replica.behaviour = behaviour
 
+    def _limit_replica(self):
+        """Let a replica name a rate limit, or all replicas of its service."""
+        replica = self.limit_rng.choice(list(self.replicas.values()))
+        if replica.rate_limit is not None:
+            self._end_limit(replica)
+            return
+        limit_per_s = round(self.limit_rng.uniform(0.0, 5.0), 1)
+        is_whole_service = self.limit_rng.random() < 0.5
+        for each in self.replicas.values():
+            is_chosen = each is replica or (
+                is_whole_service and each.service == replica.service
+            )
+            if is_chosen and each.rate_limit is None:
+                self._log_fault(f"{each.id} names {limit_per_s} a second")
+                each.rate_limit = limit_per_s
+
+    def _end_limit(self, replica):
+        self._log_fault(f"{replica.id} names no limit")
+        if replica.limit_named_at is not None:
+            named_at, ended_at = replica.limit_named_at, time.monotonic()
+            self.ended_limits.append(
+                NamedLimit(replica.id, replica.rate_limit, named_at, ended_at)
+            )
+        replica.rate_limit = None
+
     def _break_link(self):
         replica_id = self.rng.choice(list(self.proxies))
         mode = self.rng.choice((*LINK_FAULTS, "pass"))
         self._log_fault(f"link of {replica_id} {mode}")
         self.proxies[replica_id].mode = mode
+        if mode not in ("pass", "delay"):
+            self.unheard_replicas.add(replica_id)
 
     def _break_store(self):
         what = self.rng.choice((*LINK_FAULTS, "pass", "down", "up", "forget"))
@@ -175,12 +226,17 @@
         what = self.rng.choice(("SIGKILL", "SIGTERM", "SIGHUP", "SIGSTOP"))
         self._log_fault(f"gateway {self.gateways.index(gateway)} {what}")
         if gateway.process.poll() is not None:
-            gateway.start()
+            self._start(gateway)
             return
         gateway.process.send_signal(signal.Signals[what])
         if what == "SIGSTOP":
             pause_s = self.rng.uniform(0.1, 1.5)
             eventlet.spawn_after(pause_s, gateway.process.send_signal, signal.SIGCONT)
+            self.gateway_starts.append(time.monotonic() + pause_s)
+
+    def _start(self, gateway):
+        gateway.start()
+        self.gateway_starts.append(time.monotonic())
 
     def _change_configuration(self):
         self.version += self.rng.randint(1, 3)
@@ -198,6 +254,8 @@
         self.store_proxy.mode = "pass"
         for replica_id, replica in self.replicas.items():
             replica.behaviour = "answer"
+            if replica.rate_limit is not None:
+                self._end_limit(replica)
             self.proxies[replica_id].mode = "pass"
 
     def _log_fault(self, text):
@@ -210,7 +268,7 @@
         while incomplete and time.monotonic() < deadline:
             for gateway in incomplete[:]:
                 if gateway.process.poll() is not None:
-                    gateway.start()
+                    self._start(gateway)
                 answer = self._ask(gateway, "search", f"whole{time.monotonic_ns()}")
                 if answer.status == 200 and answer.headers["x-missing-parts"] == "0":
                     incomplete.remove(gateway)
@@ -271,8 +329,33 @@
                 )
             if answer.status == 200:
                 violations += self._check_ok_answer(answer)
+        for limit in self.ended_limits:
+            if limit.replica_id not in self.unheard_replicas:
+                violations += self._check_limit(limit)
         return violations
 
+    def _check_limit(self, limit):
+        """Compare the arrivals at a replica with the limit that it named.
+
+        A gateway that has not got an answer since it began to run, or since the limit
+        was named, may have sent the requests that its callers have under way.
+        """
+        arrivals = [
+            at
+            for at in self.replicas[limit.replica_id].arrivals
+            if limit.named_at <= at < limit.ended_at
+        ]
+        for start in arrivals:
+            window = [at for at in arrivals if start <= at < start + WINDOW_S]
+            begun = [start < limit.named_at + WINDOW_S] * len(self.gateways)
+            begun += [
+                start - WINDOW_S <= at < start + WINDOW_S for at in self.gateway_starts
+            ]
+            allowed = count_allowed(limit.limit_per_s) + sum(begun) * self.callers
+            if len(window) > allowed:
+                return [f"{limit}: {len(window)} requests in {WINDOW_S} s"]
+        return []
+
     def _check_ok_answer(self, answer):
         name = f"{answer.kind} {answer.request_id}"
         if answer.kind != "search":
