--- a/cicadalever/explain/_explanation.py
+++ b/cicadalever/explain/_explanation.py
@@ -14,6 +14,7 @@
         "configuration_in_force",
         "cut_off",
         "draining",
+        "era_changed",
         "gatherer_found",
         "gatherer_lost",
         "history_lost",
--- a/cicadalever/gateway/_adapter.py
+++ b/cicadalever/gateway/_adapter.py
@@ -60,6 +60,8 @@
     of removed ones, and ``unreadable`` maps the ids of replicas whose entry is not
     valid to the reason. An update that ``is_complete`` lists all replicas. ``raw`` is
     the answer of the platform as received; it is relayed to hosts that follow this one.
+    ``era`` numbers the histories of the platform: when it comes back from an older copy
+    of its data, a new one begins, in which revisions are given out again.
     """
 
     table: RoutingTable | Failure | None
@@ -69,6 +71,7 @@
     revision: int
     is_complete: bool
     raw: bytes = b""
+    era: int = 0
 
     @property
     def change_count(self) -> int:
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -181,7 +181,7 @@
                 "configuration_unreadable", reason=update.table.reason
             )
         elif update.table is not None:
-            self._apply_table(update.table, update.revision)
+            self._apply_table(update.table, update)
 
     def start_grace_period(self, grace_s: float | None) -> None:
         """Give replicas ``grace_s`` seconds to publish expired entries again.
@@ -194,7 +194,7 @@
         else:
             directory.start_grace_period(now, grace_s)
 
-    def _apply_table(self, table, revision: int) -> None:
+    def _apply_table(self, table, update: PlatformUpdate) -> None:
         service = self.components.service
         current = service.table
         if current is not None and table.version <= current.version:
@@ -207,7 +207,8 @@
             "configuration_in_force",
             version=table.version,
             previous=current.version if current else None,
-            revision=revision,
+            revision=update.revision,
+            era=update.era,
             routes=len(table.routes),
         )
 
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -123,6 +123,7 @@
         self._source: str | None = None
         self._has_rejected_source = False
         self._revision: int | None = None
+        self._era = 0
         # A first read that may be out of date, and when it arrived.
         self._unconfirmed: PlatformUpdate | None = None
         self._unconfirmed_since = 0.0
@@ -179,6 +180,7 @@
                 continue
             backoff_s = MIN_BACKOFF_S
             self._record_contact()
+            self._observe_era(result.era)
             self._apply(result)
             pause_s = self.timing.interval_s
             if result.change_count >= CATCH_UP_MIN_CHANGES:
@@ -218,6 +220,7 @@
             self._sleep_with_jitter(backoff_s)
             backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
         self._record_contact()
+        self._observe_era(result.era)
         self._revision = result.revision
         self._unconfirmed = result
         self._unconfirmed_since = self.loop.now()
@@ -287,6 +290,13 @@
         if self.relay is not None:
             self.relay.publish(update)
 
+    def _observe_era(self, era: int) -> None:
+        if era != self._era:
+            self.events.emit(
+                "era_changed", era=era, previous=self._era, revision=self._revision
+            )
+            self._era = era
+
     def _set_source(self, host: str | None, reason: str) -> None:
         if host != self._source:
             self._source = host
