Reproduce missed versions after a restore of the platform with the stand-ins

The store stand-in names its era, can return to an earlier revision and answers a watch from a revision that it does not have with 410.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -100,6 +100,8 @@
     """Store with revisions, paged range reads, and watches."""
 
     def __init__(self):
+        # Number of the history, which rises when the store returns to an older state.
+        self.era = 1
         self.revision = 1
         self.items = {}
         self.log = []
@@ -133,6 +135,22 @@
         del self.items[key]
         self.log.append({"Key": key, "Rev": self.revision, "Deleted": True})
 
+    def restore(self, revision):
+        """Return to the state at a revision and forget all changes since then.
+
+        Revisions are given out again from there. Waiting watches are answered when a
+        later revision than theirs is given out.
+        """
+        self.era += 1
+        self.revision = revision
+        self.log = [event for event in self.log if event["Rev"] <= revision]
+        self.items = {
+            event["Key"]: event for event in self.log if "Deleted" not in event
+        }
+        for event in self.log:
+            if "Deleted" in event and self.items[event["Key"]]["Rev"] < event["Rev"]:
+                del self.items[event["Key"]]
+
     def keep_stale_copy(self):
         """Answer reads that may be stale with the present state from now on."""
         self.stale_copy = (dict(self.items), self.revision)
@@ -155,8 +173,8 @@
             status, content = self._watch(query)
         data = json.dumps(content).encode()
         sock.sendall(
-            b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-            b"Content-Length: %d\r\n\r\n%s" % (status, len(data), data)
+            b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (status, self.era, len(data), data)
         )
 
     def _range(self, query):
@@ -174,6 +192,8 @@
 
     def _watch(self, query):
         after = int(query["after"])
+        if after > self.revision:
+            return 410, {}
         for _ in range(max(1, int(query["WaitMs"]) // 5)):
             if after < self.history_from:
                 return 410, {}
