Go on from a revision only within one era of the platform

Callers got 404 and old routes from hosts that had been frozen during a restore of the platform, until the next change. Cause: a revision was taken as a place in one history. A watch after a revision that has been given out again is answered, and leaves out what lies below it.

The follower keeps the era with its revision. An answer of another era, or one that does not reach the revision it continues, makes it read everything again; so does a first read that may be out of date if 2 s passed before a watch went on from it. After a failed read the next one is not a stale one. Entries that the older copy lacks are kept for the grace period, since the replicas publish themselves again. After a suspension the first watch waits 0.1 s instead of up to 4, so that its answer shows the era soon.

The test of the replica that left also looks at the log now: which replica a read goes to is partly random, so that it passed in some runs although the fault was there.

--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -92,6 +92,10 @@
     that were removed. It is delivered together with the changes since then, or alone
     if these cannot be had for ``MAX_UNCONFIRMED_S``.
 
+    A revision tells where to go on only within one era of the platform. When an answer
+    belongs to another one, or does not reach the revision that it should continue, the
+    full state is read again.
+
     The source is a larger host of the data centre as long as there is one with fresh
     data (``relay``), and a watch of the platform otherwise. ``on_update`` gets each
     update. When the platform is reachable again, for this host or for the larger one,
@@ -124,6 +128,10 @@
         self._has_rejected_source = False
         self._revision: int | None = None
         self._era = 0
+        # Whether the revision comes from a read that may be out of date.
+        self._is_stale = False
+        # Whether no watch call has been answered since the start or a suspension.
+        self._is_resuming = True
         # A first read that may be out of date, and when it arrived.
         self._unconfirmed: PlatformUpdate | None = None
         self._unconfirmed_since = 0.0
@@ -139,6 +147,7 @@
 
     def start(self) -> None:
         """Start the green thread."""
+        self._is_resuming = True
         self._thread = eventlet.spawn(self._run)
 
     def stop(self) -> None:
@@ -163,8 +172,8 @@
             called_at = self.loop.now()
             wait_s = self._watch_wait_s()
             result = self.client.watch(self._revision, wait_s)
-            if isinstance(result, HistoryLost):
-                self.events.emit("history_lost", revision=self._revision)
+            if isinstance(result, HistoryLost) or not self._can_go_on(result):
+                self.events.emit("history_lost", revision=self._revision, era=self._era)
                 # A stale read may return a revision that is older than the history of
                 # changes that the platform still has.
                 self._read_all(allow_stale=False)
@@ -180,7 +189,7 @@
                 continue
             backoff_s = MIN_BACKOFF_S
             self._record_contact()
-            self._observe_era(result.era)
+            self._is_stale = self._is_resuming = False
             self._apply(result)
             pause_s = self.timing.interval_s
             if result.change_count >= CATCH_UP_MIN_CHANGES:
@@ -217,11 +226,15 @@
             if not isinstance(result, Failure):
                 break
             self._record_failure(result)
+            # The platform may be coming back from an older copy, which a read that may
+            # be out of date does not show.
+            allow_stale = False
             self._sleep_with_jitter(backoff_s)
             backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
         self._record_contact()
-        self._observe_era(result.era)
+        self._begin_era(result.era)
         self._revision = result.revision
+        self._is_stale = allow_stale
         self._unconfirmed = result
         self._unconfirmed_since = self.loop.now()
         if not allow_stale:
@@ -235,7 +248,7 @@
     def _watch_wait_s(self) -> float:
         if self._unconfirmed is not None:
             return 0.0
-        if self._lost_at is not None:
+        if self._lost_at is not None or self._is_resuming:
             return RECONNECT_WAIT_S
         if self.relay is not None and self.relay.has_followers:
             return self.timing.followed_wait_s
@@ -290,12 +303,30 @@
         if self.relay is not None:
             self.relay.publish(update)
 
-    def _observe_era(self, era: int) -> None:
-        if era != self._era:
+    def _can_go_on(self, result: PlatformUpdate | Failure) -> bool:
+        """Return whether a watch call has failed or continues what this host knows."""
+        if isinstance(result, Failure):
+            return True
+        if self._is_stale:
+            # The read may show an era that had ended by then. The longer ago that was,
+            # the more of its revisions have been given out again.
+            read_age_s = self.loop.now() - self._unconfirmed_since
+            if read_age_s > MAX_UNCONFIRMED_S:
+                return False
+        return result.era == self._era and result.revision >= self._revision
+
+    def _begin_era(self, era: int) -> None:
+        """Note the era of a complete read.
+
+        Replicas that have published their entry in a later part of the previous era
+        will do so again.
+        """
+        if self._revision is not None and era != self._era:
             self.events.emit(
                 "era_changed", era=era, previous=self._era, revision=self._revision
             )
-            self._era = era
+            self.on_platform_returned(None)
+        self._era = era
 
     def _set_source(self, host: str | None, reason: str) -> None:
         if host != self._source:
--- a/tests/test_restored_platform.py
+++ b/tests/test_restored_platform.py
@@ -91,10 +91,11 @@
         copy = self.store.revision
 
         def has_changed(reason):
+            return reason in reasons()
+
+        def reasons():
             events = self.gateway.events("replica_changed")
-            return any(
-                e["replica"] == leaving.id and e["reason"] == reason for e in events
-            )
+            return [e["reason"] for e in events if e["replica"] == leaving.id]
 
         wait_for(lambda: has_changed("published ready"), "the replica")
         self.store.put(key, leaving.entry(State="draining", Seq=2))
@@ -109,6 +110,7 @@
                 self.gateway.ask("/read/x", request_id=f"l{number}")[0], 200
             )
         self.assertEqual(len(leaving.requests), before)
+        self.assertEqual(reasons()[-1], "entry removed")
 
     def test_replica_that_only_the_newer_history_lists_is_kept_for_a_while(self):
         """Guards against shards without replicas until these publish again."""
