Relay changes of the platform only within one era

Cause: the larger host went on with lower revisions after the restore, and its followers and the log of relayed changes kept the greater of two revisions, so that what it relayed counted as known.

Polls and answers name a position, era and revision. The log holds one era; a follower of another one gets 410 and asks the platform itself. A follower that is ahead waits for its source to reach its revision, and asks the platform if it does not. No maximum of revisions is left.

--- a/cicadalever/gateway/_adapter.py
+++ b/cicadalever/gateway/_adapter.py
@@ -5,7 +5,7 @@
 
 from cicadalever.discovery import ReplicaEntry
 from cicadalever.outcomes import Failure
-from cicadalever.peers import Capacity
+from cicadalever.peers import Capacity, Position
 from cicadalever.routing import RoutingTable
 from cicadalever.wire import HeaderNames
 
@@ -73,6 +73,11 @@
     raw: bytes = b""
     era: int = 0
 
+    @property
+    def position(self) -> Position:
+        """Place in the history of the platform up to which the update goes."""
+        return Position(self.era, self.revision)
+
     @property
     def change_count(self) -> int:
         """Number of new, changed, removed and invalid items in the update."""
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -8,7 +8,7 @@
 import eventlet.event
 
 from cicadalever.outcomes import Failure
-from cicadalever.peers import RelayedChanges
+from cicadalever.peers import Position, RelayedChanges
 from cicadalever.wire import EventLoop
 
 from ._adapter import HistoryLost, PlatformClient, PlatformUpdate
@@ -263,9 +263,13 @@
         if source is None:
             self._set_source(None, "no larger host is known")
             return False
-        changes = self.relay.poll(source, self._revision)
+        if self._is_read_too_old():
+            return False
+        changes = self.relay.poll(source, Position(self._era, self._revision))
         if isinstance(changes, Failure):
             reason = changes.reason
+        elif changes.era != self._era:
+            reason = f"larger host is in era {changes.era}, this one in {self._era}"
         elif changes.age_s > self.timing.max_age_s:
             reason = f"data of the larger host is {changes.age_s:.2f} s old"
         else:
@@ -288,14 +292,15 @@
         if changes.grace_s > 0.0:
             self.on_platform_returned(changes.grace_s)
         self._deliver_unconfirmed()
+        self._is_stale = self._is_resuming = False
         for update in updates:
-            self._apply(update)
-        self._revision = max(self._revision, changes.revision)
+            self._apply(update._replace(era=changes.era))
+        self._revision = changes.revision
         return None
 
     def _apply(self, update: PlatformUpdate) -> None:
         self._deliver_unconfirmed()
-        self._revision = max(self._revision, update.revision)
+        self._revision = update.revision
         self._deliver(update)
 
     def _deliver(self, update: PlatformUpdate) -> None:
@@ -307,13 +312,17 @@
         """Return whether a watch call has failed or continues what this host knows."""
         if isinstance(result, Failure):
             return True
-        if self._is_stale:
-            # The read may show an era that had ended by then. The longer ago that was,
-            # the more of its revisions have been given out again.
-            read_age_s = self.loop.now() - self._unconfirmed_since
-            if read_age_s > MAX_UNCONFIRMED_S:
-                return False
-        return result.era == self._era and result.revision >= self._revision
+        is_continued = result.era == self._era and result.revision >= self._revision
+        return is_continued and not self._is_read_too_old()
+
+    def _is_read_too_old(self) -> bool:
+        """Return whether the first read may not be continued.
+
+        It may show an era that had ended by then. The longer ago that was, the more of
+        its revisions have been given out again.
+        """
+        read_age_s = self.loop.now() - self._unconfirmed_since
+        return self._is_stale and read_age_s > MAX_UNCONFIRMED_S
 
     def _begin_era(self, era: int) -> None:
         """Note the era of a complete read.
--- a/cicadalever/gateway/_relay.py
+++ b/cicadalever/gateway/_relay.py
@@ -9,6 +9,7 @@
 from cicadalever.peers import (
     ChangeLog,
     Peer,
+    Position,
     RelayedChanges,
     decode_changes,
     encode_changes,
@@ -41,10 +42,10 @@
 
 
 class _Follower(NamedTuple):
-    """A waiting poll for the changes after the revision ``after``."""
+    """A waiting poll for the changes after the position ``after``."""
 
     connection: CallerConnection
-    after: int
+    after: Position
 
 
 class ChangeRelay:
@@ -84,7 +85,7 @@
     def publish(self, update: PlatformUpdate) -> None:
         """Add an update to the log and send it to the waiting followers."""
         if update.is_complete:
-            self._log.reset(update.revision)
+            self._log.reset(update.position)
         else:
             self._log.append(
                 update.revision, update.raw if update.change_count else None
@@ -95,15 +96,15 @@
     def handle(self, connection: CallerConnection, request: CallerRequest) -> None:
         """Respond to a long poll, at once or as soon as there is a change.
 
-        The status is 410 if the log does not reach back to the requested revision.
+        The status is 410 if the log does not reach back to the requested position, or
+        does not reach it in time: the follower may come from another era.
         """
         had_followers = self.has_followers
         self._last_poll_at = self.loop.now()
         if not had_followers:
             self.on_first_follower()
-        number = request.target.removeprefix(RELAY_PATH)
-        after = int(number) if number.isdigit() else -1
-        batches = self._log.since(after)
+        after = _parse_position(request.target.removeprefix(RELAY_PATH))
+        batches = None if after is None else self._log.since(after)
         if batches is None:
             connection.respond(CallerResponse(410, []))
             return
@@ -135,12 +136,11 @@
 
     def _respond(self, follower: _Follower) -> None:
         batches = self._log.since(follower.after)
-        if batches is None:
+        era, revision = self._log.position
+        if batches is None or revision < follower.after.revision:
             follower.connection.respond(CallerResponse(410, []))
             return
-        changes = RelayedChanges(
-            self._log.revision, self.age_s(), self.grace_s(), batches
-        )
+        changes = RelayedChanges(era, revision, self.age_s(), self.grace_s(), batches)
         follower.connection.respond(CallerResponse(200, [], encode_changes(changes)))
 
     # Client side: the host that this one follows
@@ -154,14 +154,14 @@
         """Do not choose a peer as source for ``REJECTION_S``."""
         source.not_followed_until = self.loop.now() + REJECTION_S
 
-    def poll(self, source: Peer, after: int) -> RelayedChanges | Failure:
-        """Return the changes after a revision; blocks only the green thread."""
+    def poll(self, source: Peer, after: Position) -> RelayedChanges | Failure:
+        """Return the changes after a position; blocks only the green thread."""
         answered = eventlet.event.Event()
         host, port = source.address
 
         def encode() -> bytes:
-            line = b"GET %s%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
-            return line % (RELAY_PATH, after, host.encode(), port)
+            line = b"GET %s%d-%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
+            return line % (RELAY_PATH, *after, host.encode(), port)
 
         exchange = Exchange(encode, b"", RELAY_RANK, answered.send)
         timer = self.loop.call_later(
@@ -177,3 +177,11 @@
                 FailureCode.UNAVAILABLE, f"poll answered with status {answer.status}"
             )
         return decode_changes(answer.body)
+
+
+def _parse_position(value: bytes) -> Position | None:
+    """Return the position in the path of a poll, or None if it is invalid."""
+    era, _, revision = value.partition(b"-")
+    if not era.isdigit() or not revision.isdigit():
+        return None
+    return Position(int(era), int(revision))
--- a/cicadalever/peers/__init__.py
+++ b/cicadalever/peers/__init__.py
@@ -5,7 +5,13 @@
 host as the source of platform changes, instead of calling the platform itself.
 """
 
-from ._changes import ChangeLog, RelayedChanges, decode_changes, encode_changes
+from ._changes import (
+    ChangeLog,
+    Position,
+    RelayedChanges,
+    decode_changes,
+    encode_changes,
+)
 from ._heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
 from ._observation import (
     CRASH_REPORT_PREFIX,
@@ -44,6 +50,7 @@
     "HostCount",
     "Peer",
     "PeerTable",
+    "Position",
     "RelayedChanges",
     "decode_changes",
     "decode_heartbeat",
--- a/cicadalever/peers/_changes.py
+++ b/cicadalever/peers/_changes.py
@@ -19,7 +19,7 @@
 
 
 class RelayedChanges(msgspec.Struct, array_like=True, frozen=True):
-    """Changes up to ``revision``, in ``batches`` as the platform sent them.
+    """Changes up to ``revision`` of ``era``, in ``batches`` as the platform sent them.
 
     The entries of replicas resemble each other, so that a batch shrinks to a fraction
     when it is compressed (zlib). Without that, the links of a data centre would be busy
@@ -30,48 +30,62 @@
     published again.
     """
 
+    era: int
     revision: int
     age_s: float
     grace_s: float
     batches: list[bytes]
 
 
+class Position(NamedTuple):
+    """Place in the history of the platform: all changes up to it are known.
+
+    When the platform comes back from an older copy of its data, a new ``era`` begins,
+    in which revisions are given out again, so that positions of different eras cannot
+    be compared.
+    """
+
+    era: int
+    revision: int
+
+
 class _Batch(NamedTuple):
     revision: int
     data: bytes
 
 
 class ChangeLog:
-    """The latest changes of the platform, in the order of their revisions.
+    """The latest changes of one era of the platform, in the order of their revisions.
 
     >>> log = ChangeLog()
-    >>> log.reset(5)
+    >>> log.reset(Position(era=1, revision=5))
     >>> log.append(7, b"x")
-    >>> [zlib.decompress(batch) for batch in log.since(5)]
+    >>> [zlib.decompress(batch) for batch in log.since(Position(1, 5))]
     [b'x']
-    >>> log.since(7), log.since(4)
-    ([], None)
+    >>> log.since(Position(1, 7)), log.since(Position(1, 4)), log.since(Position(2, 5))
+    ([], None, None)
     """
 
     def __init__(self):
         self._batches: deque[_Batch] = deque()
         # All changes after this revision are kept; None before the first reset.
         self._complete_after: int | None = None
-        self._revision = 0
+        self._position = Position(0, 0)
 
     @property
-    def revision(self) -> int:
-        """Latest revision that the platform has confirmed."""
-        return self._revision
+    def position(self) -> Position:
+        """Latest position that the platform has confirmed."""
+        return self._position
 
-    def reset(self, revision: int) -> None:
+    def reset(self, position: Position) -> None:
         """Discard all changes after a complete read of the platform."""
         self._batches.clear()
-        self._complete_after = self._revision = revision
+        self._position = position
+        self._complete_after = position.revision
 
     def append(self, revision: int, data: bytes | None) -> None:
         """Add the changes up to ``revision``; None means that there were none."""
-        self._revision = max(self._revision, revision)
+        self._position = self._position._replace(revision=revision)
         if data is None:
             return
         compressed = zlib.compress(data, COMPRESSION_LEVEL)
@@ -79,12 +93,16 @@
         if len(self._batches) > MAX_BATCHES:
             self._complete_after = self._batches.popleft().revision
 
-    def since(self, revision: int) -> list[bytes] | None:
-        """Return the compressed changes after a revision.
+    def since(self, position: Position) -> list[bytes] | None:
+        """Return the compressed changes after a position.
 
-        The result is None if some of them are no longer kept.
+        The result is None if some of them are no longer kept, or if the position
+        belongs to another era.
         """
-        if self._complete_after is None or revision < self._complete_after:
+        era, revision = position
+        if era != self._position.era or self._complete_after is None:
+            return None
+        if revision < self._complete_after:
             return None
         return [batch.data for batch in self._batches if batch.revision > revision]
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -288,7 +288,7 @@
         return SimpleNamespace(heartbeat=SimpleNamespace(host="large"))
 
     def poll(self, source, after):
-        self.polled_revisions.append(after)
+        self.polled_revisions.append(after.revision)
         if not self.answers:
             eventlet.sleep(60)
         return self.answers.pop(0)
@@ -324,7 +324,7 @@
 
     def test_fresh_changes_replace_the_watch(self):
         """Guards against watch calls of a host that gets changes from a larger one."""
-        answers = [RelayedChanges(8, 0.5, 0.0, [b"7", b"8"])]
+        answers = [RelayedChanges(0, 8, 0.5, 0.0, [b"7", b"8"])]
         calls = self.follow(answers, [])
         self.assertEqual(calls, [("read_all", True)])
         self.assertEqual([each.revision for each in self.updates], [5, 7, 8])
@@ -333,17 +333,24 @@
 
     def test_old_or_missing_changes_fall_back_to_the_platform(self):
         """Guards against following a host that has itself lost the platform."""
-        old = RelayedChanges(8, 2.6, 0.0, [b"8"])
-        unreadable = RelayedChanges(8, 0.1, 0.0, [b"x"])
+        old = RelayedChanges(0, 8, 2.6, 0.0, [b"8"])
+        unreadable = RelayedChanges(0, 8, 0.1, 0.0, [b"x"])
         for answer in (old, unreadable, FAILURE):
             calls = self.follow([answer], [update(6)])
             self.assertEqual(calls, [("read_all", True), ("watch", 5)])
             self.assertEqual(self.relay.rejected, 1)
             self.assertEqual([each.revision for each in self.updates], [5, 6])
 
+    def test_source_of_another_era_falls_back_to_the_platform(self):
+        """Guards against changes whose revisions belong to another history."""
+        other = RelayedChanges(1, 8, 0.1, 0.0, [b"8"])
+        calls = self.follow([other], [update(6)])
+        self.assertEqual(calls, [("read_all", True), ("watch", 5)])
+        self.assertEqual([each.revision for each in self.updates], [5, 6])
+
     def test_grace_period_of_the_larger_host_applies(self):
         """Guards against removing entries after an outage that only the source saw."""
-        self.follow([RelayedChanges(7, 0.1, 1.5, [b"7"])], [])
+        self.follow([RelayedChanges(0, 7, 0.1, 1.5, [b"7"])], [])
         self.assertEqual(self.returned, [1.5])
 
     def test_followed_host_calls_again_before_its_data_is_old(self):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
     ChangeLog,
     Heartbeat,
     PeerTable,
+    Position,
     RelayedChanges,
     decode_changes,
     decode_heartbeat,
@@ -341,10 +342,11 @@
 
     def setUp(self):
         self.log = ChangeLog()
-        self.log.reset(10)
+        self.log.reset(Position(1, 10))
 
     def since(self, revision):
-        return [zlib.decompress(batch) for batch in self.log.since(revision)]
+        batches = self.log.since(Position(1, revision))
+        return [zlib.decompress(batch) for batch in batches]
 
     def test_changes_after_a_revision(self):
         """Guards against a follower that misses a change."""
@@ -354,26 +356,35 @@
         self.assertEqual(self.since(10), [b"a", b"b"])
         self.assertEqual(self.since(11), [b"a", b"b"])
         self.assertEqual(self.since(12), [b"b"])
-        self.assertEqual(self.log.since(20), [])
-        self.assertEqual(self.log.revision, 15)
+        self.assertEqual(self.log.since(Position(1, 20)), [])
+        self.assertEqual(self.log.position, Position(1, 15))
+
+    def test_position_of_another_era_is_none(self):
+        """Guards against changes to a state of which the follower knows nothing."""
+        self.log.append(12, b"a")
+        self.assertIsNone(self.log.since(Position(0, 11)))
+        self.log.reset(Position(2, 8))
+        self.log.append(12, b"b")
+        self.assertIsNone(self.log.since(Position(1, 12)))
+        self.assertEqual(len(self.log.since(Position(2, 8))), 1)
 
     def test_incomplete_changes_are_none(self):
         """Guards against missed changes after a start, a complete read or a pause."""
-        self.assertIsNone(ChangeLog().since(0))
-        self.assertIsNone(self.log.since(9))
+        self.assertIsNone(ChangeLog().since(Position(0, 0)))
+        self.assertIsNone(self.log.since(Position(1, 9)))
         for revision in range(11, 100):
             self.log.append(revision, b"x")
-        self.assertIsNone(self.log.since(11))
-        self.assertEqual(len(self.log.since(98)), 1)
-        self.log.reset(200)
-        self.assertIsNone(self.log.since(99))
+        self.assertIsNone(self.log.since(Position(1, 11)))
+        self.assertEqual(len(self.log.since(Position(1, 98))), 1)
+        self.log.reset(Position(1, 200))
+        self.assertIsNone(self.log.since(Position(1, 99)))
 
     def test_round_trip(self):
         """Guards against changes that are altered between hosts."""
         batches = [b"\x00\xff", b"{}"]
         compressed = [zlib.compress(batch) for batch in batches]
-        sent = RelayedChanges(7, 0.5, 0.0, compressed)
-        received = RelayedChanges(7, 0.5, 0.0, batches)
+        sent = RelayedChanges(1, 7, 0.5, 0.0, compressed)
+        received = RelayedChanges(1, 7, 0.5, 0.0, batches)
         self.assertEqual(decode_changes(encode_changes(sent)), received)
         self.assertIsInstance(decode_changes(b"\xc1"), Failure)
 
@@ -382,7 +393,7 @@
         whole = zlib.compress(b"{}" * 1000)
         bomb = zlib.compress(b"\x00" * (MAX_BATCH_BYTES + 1))
         for batch in (whole[:-5], b"{}", bomb):
-            changes = RelayedChanges(7, 0.5, 0.0, [batch])
+            changes = RelayedChanges(1, 7, 0.5, 0.0, [batch])
             self.assertIsInstance(decode_changes(encode_changes(changes)), Failure)
 
 
--- a/tests/test_restored_platform.py
+++ b/tests/test_restored_platform.py
@@ -1,9 +1,15 @@
 """Tests of a platform that comes back from an older copy of its data."""
 
+import json
 import signal
+import unittest
+import zlib
 
 import eventlet
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from cicadalever.peers import ChangeLog, Position
 from tests.platform_standins import ReplicaStandIn, wait_for
 from tests.test_gateway_process import GatewayTestCase, configuration
 from tests.test_peers import TwoGatewaysTestCase
@@ -180,3 +186,92 @@
         self.put_versions(15)
         for gateway in (self.small, self.large):
             wait_for(lambda g=gateway: 15 in versions(g), "version 15")
+
+
+class _Store:
+    """Keys with values, whose changes are numbered within an era."""
+
+    def __init__(self):
+        self.era = 1
+        self.log = [("k0", 0)]
+
+    @property
+    def position(self):
+        return Position(self.era, len(self.log))
+
+    def state(self):
+        return dict(self.log)
+
+
+class _Host:
+    """State up to a position, which is relayed to hosts that follow this one."""
+
+    def __init__(self, store):
+        self.changes = ChangeLog()
+        self.read(store)
+
+    def read(self, store):
+        self.position, self.state = store.position, store.state()
+        self.changes.reset(self.position)
+
+    def watch(self, store):
+        """Take changes from the store, if it continues what this host knows."""
+        if store.era != self.position.era or len(store.log) < self.position.revision:
+            self.read(store)
+            return
+        events = store.log[self.position.revision :]
+        self.apply(events, store.position)
+
+    def poll(self, source, store):
+        """Take changes from another host, or from the store if that has none."""
+        batches = source.changes.since(self.position)
+        reached = source.changes.position
+        if batches is None or reached.revision < self.position.revision:
+            self.watch(store)
+            return
+        for batch in batches:
+            events = json.loads(zlib.decompress(batch))
+            self.apply(events, reached)
+        self.position = reached
+
+    def apply(self, events, position):
+        self.position = position
+        self.state.update(dict(events))
+        data = json.dumps(events).encode() if events else None
+        self.changes.append(position.revision, data)
+
+
+class TestPositions(unittest.TestCase):
+    """Chains of hosts that follow each other through any number of restores."""
+
+    steps = st.lists(
+        st.one_of(
+            st.tuples(st.just("put"), st.integers(0, 5), st.integers(0, 1000)),
+            st.tuples(st.just("restore"), st.integers(1, 8), st.just(0)),
+            st.tuples(st.just("watch"), st.integers(0, 3), st.just(0)),
+            st.tuples(st.just("poll"), st.integers(0, 3), st.integers(0, 3)),
+        ),
+        max_size=60,
+    )
+
+    @given(steps)
+    @settings(max_examples=300)
+    def test_state_is_that_of_the_position(self, steps):
+        """Guards against changes of one history that are applied to another."""
+        store = _Store()
+        hosts = [_Host(store) for _ in range(4)]
+        states = {store.position: store.state()}
+        for kind, first, second in steps:
+            if kind == "put":
+                store.log.append((f"k{first}", second))
+                states[store.position] = store.state()
+            elif kind == "restore":
+                store.era += 1
+                del store.log[max(1, len(store.log) - first) :]
+                states[store.position] = store.state()
+            elif kind == "watch":
+                hosts[first].watch(store)
+            elif first != second:
+                hosts[first].poll(hosts[second], store)
+            for host in hosts:
+                self.assertEqual(host.state, states[host.position])
