Do not use a replica again that only an older copy of the platform lists

A replica that had left was read again after a restore, until its removal was written again. Cause: the directory orders the entries of a known replica, but forgot a removed one at once. It remembers the last entry of 4,096 removed replicas; a complete list does not bring one back with that entry or an older one, while a newer one, a restart or a single change does.

--- a/cicadalever/discovery/_directory.py
+++ b/cicadalever/discovery/_directory.py
@@ -8,6 +8,8 @@
 # platform guarantees that entries whose lease expired meanwhile are published again
 # within about two seconds of its return; the rest covers the delay of reading them.
 MISSING_ENTRY_GRACE_S = 2.5
+# Most removed replicas that are remembered; the oldest are forgotten first.
+MAX_REMOVED = 4096
 
 
 class ReplicaState(StrEnum):
@@ -55,7 +57,9 @@
     Entries arrive as single changes, or as a complete list when changes may have been
     missed. An entry that is missing after the platform was unavailable is kept for a
     grace period, since its lease may have expired while the replica could not renew it.
-    Times are on one monotonic clock in seconds.
+    A list may also come from a copy that is older than the changes before it: what it
+    says of a replica does not replace newer entries, nor the removal of one. Times are
+    on one monotonic clock in seconds.
     """
 
     def __init__(self):
@@ -63,6 +67,8 @@
         self._ready_by_service: dict[str, dict[str, ReplicaEntry]] = {}
         # Times at which missing replicas are removed, by id.
         self._removal_times: dict[str, float] = {}
+        # Order keys of the last entries of removed replicas, by id.
+        self._removed: dict[str, tuple[int, int]] = {}
         self._grace_until = float("-inf")
 
     def __contains__(self, replica_id: str) -> bool:
@@ -130,6 +136,9 @@
         changes = []
         listed = set()
         for entry in entries:
+            removed_key = self._removed.get(entry.id)
+            if removed_key is not None and _order_key(entry) <= removed_key:
+                continue
             listed.add(entry.id)
             change = self.apply(entry)
             if change is not None:
@@ -157,6 +166,7 @@
         return [change for change in changes if change is not None]
 
     def _put(self, entry: ReplicaEntry) -> None:
+        self._removed.pop(entry.id, None)
         known = self._entries.get(entry.id)
         if known is not None:
             self._ready_by_service.get(known.service, {}).pop(entry.id, None)
@@ -169,6 +179,9 @@
         if entry is None:
             return None
         self._removal_times.pop(replica_id, None)
+        self._removed[replica_id] = _order_key(entry)
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
         self._ready_by_service.get(entry.service, {}).pop(replica_id, None)
         return DirectoryChange(replica_id, entry, None, reason)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 import unittest
 
 from cicadalever.discovery import ReplicaEntry, ReplicaState, UpstreamDirectory
+from cicadalever.discovery._directory import MAX_REMOVED
 
 
 def entry(replica_id="i-1", **changes):
@@ -54,6 +55,37 @@
         self.assertEqual(self.ids(), [])
         self.assertEqual(len(self.directory.ready_replicas("t")), 1)
 
+    def test_older_list_does_not_bring_a_removed_replica_back(self):
+        """Guards against reads at a replica that had left before a restore."""
+        self.directory.apply(entry(sequence=9))
+        self.directory.remove("i-1", now=1.0)
+        for sequence in (7, 9):
+            older = [entry(sequence=sequence)]
+            self.assertEqual(self.directory.replace_all(older, set(), 2.0), [])
+        self.assertEqual(self.ids(), [])
+
+    def test_removed_replica_that_publishes_again_is_used(self):
+        """Guards against ignoring a replica whose lease had expired."""
+        for publish in (
+            lambda: self.directory.replace_all([entry(sequence=10)], set(), 2.0),
+            lambda: self.directory.replace_all(
+                [entry(started_at_ms=200, sequence=1)], set(), 2.0
+            ),
+            lambda: self.directory.apply(entry(sequence=9)),
+        ):
+            self.directory = UpstreamDirectory()
+            self.directory.apply(entry(sequence=9))
+            self.directory.remove("i-1", now=1.0)
+            publish()
+            self.assertEqual(self.ids(), ["i-1"])
+
+    def test_number_of_remembered_removals_is_bounded(self):
+        """Guards against memory that grows with each replica that ever left."""
+        for number in range(MAX_REMOVED + 10):
+            self.directory.apply(entry(f"i-{number}"))
+            self.directory.remove(f"i-{number}", now=1.0)
+        self.assertEqual(len(self.directory._removed), MAX_REMOVED)
+
     def test_removal_takes_effect_at_once(self):
         """Guards against reads at a replica that was removed without draining."""
         self.directory.apply(entry())
