Let the platform return to older copies in the soak

The store stand-in returns to an older revision at random moments, with or without stale reads from before, and the newest version is written again shortly after. A run passes only if each gateway serves a route of the newest version in the end. The faults come from a random source of their own.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -79,6 +79,7 @@
         self.rng = Random(seed)
         # Faults of their own, so that earlier seeds still draw the same sequence.
         self.limit_rng = Random(f"limits {seed}")
+        self.restore_rng = Random(f"restores {seed}")
         self.answers = []
         self.history = []
         self.version = 7
@@ -102,6 +103,7 @@
                 entry = replica.entry(Address=proxy.address)
                 self.store.put(f"servers/{replica.id}", entry)
         self._publish()
+        self.first_revision = self.store.revision
         port = free_port()
         self.gateways = [
             GatewayProcess(
@@ -152,7 +154,10 @@
 
     def _inject_faults(self):
         deadline = time.monotonic() + FAULT_PHASE_S
-        limits = eventlet.spawn(self._inject_limits, deadline)
+        others = [
+            eventlet.spawn(self._inject_limits, deadline),
+            eventlet.spawn(self._inject_restores, deadline),
+        ]
         while time.monotonic() < deadline:
             fault = self.rng.choice(
                 (
@@ -165,13 +170,29 @@
             )
             fault()
             eventlet.sleep(self.rng.uniform(0.05, 0.5))
-        limits.wait()
+        for other in others:
+            other.wait()
 
     def _inject_limits(self, deadline):
         while time.monotonic() < deadline:
             self._limit_replica()
             eventlet.sleep(self.limit_rng.uniform(0.3, 1.5))
 
+    def _inject_restores(self, deadline):
+        while time.monotonic() < deadline:
+            eventlet.sleep(self.restore_rng.uniform(0.5, 4.0))
+            self._restore_store()
+
+    def _restore_store(self):
+        """Return to an older copy, and soon write again what was written since then."""
+        lost = self.restore_rng.randint(0, 6)
+        self._log_fault(f"store returns to {lost} revisions before")
+        if self.restore_rng.random() < 0.5:
+            self.store.keep_stale_copy()
+        self.store.restore(max(self.first_revision, self.store.revision - lost))
+        eventlet.sleep(self.restore_rng.uniform(0.0, 0.5))
+        self._publish()
+
     def _break_replica(self):
         replica = self.rng.choice(list(self.replicas.values()))
         behaviour = self.rng.choice(REPLICA_FAULTS)
@@ -246,11 +267,16 @@
     def _publish(self):
         document = configuration(self.version)
         document["Routes"][0]["Gather"] = self.shards
+        # Tells from outside whether this version is in force.
+        name = f"v{self.version}"
+        latest = document["Routes"][1] | {"Name": name, "Prefix": f"/{name}/"}
+        document["Routes"].append(latest)
         self.store.put("op/config", document)
 
     def _end_faults(self):
         self._log_fault("heal")
         self.store.is_down = False
+        self.store.stale_copy = None
         self.store_proxy.mode = "pass"
         for replica_id, replica in self.replicas.items():
             replica.behaviour = "answer"
@@ -262,7 +288,10 @@
         self.history.append(text)
 
     def _wait_for_complete_answers(self):
-        """Wait until each gateway answers with all shards; return whether all did."""
+        """Wait until each gateway answers with all shards and by the newest version.
+
+        Return whether all did.
+        """
         deadline = time.monotonic() + RECOVERY_TIMEOUT_S
         incomplete = list(self.gateways)
         while incomplete and time.monotonic() < deadline:
@@ -270,7 +299,11 @@
                 if gateway.process.poll() is not None:
                     self._start(gateway)
                 answer = self._ask(gateway, "search", f"whole{time.monotonic_ns()}")
-                if answer.status == 200 and answer.headers["x-missing-parts"] == "0":
+                if answer.status != 200 or answer.headers["x-missing-parts"] != "0":
+                    continue
+                route = f"v{self.version}"
+                newest = self._ask(gateway, route, f"newest{time.monotonic_ns()}")
+                if newest.status == 200:
                     incomplete.remove(gateway)
             eventlet.sleep(0.1)
         return not incomplete
@@ -405,7 +438,8 @@
         served = sum(answer.status == 200 for answer in soak.answers)
         print(
             f"seed {seed}: {len(violations)} broken, "
-            f"{served}/{len(soak.answers)} served"
+            f"{served}/{len(soak.answers)} served, "
+            f"{len(soak.ended_limits)} limits, {soak.store.era - 1} restores"
         )
         for line in [*violations[:5], *(soak.history if violations else [])]:
             print(f"    {line}")
