End a rate limit only with an answer that the replica has computed

A refusal says nothing about the need of a replica unless it names the limit itself, so that an answer that was shed does not end the limit any more. The value is a field of the answer now: searching the headers of each answer for it took time although hardly any answer has it.

--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -63,10 +63,8 @@
 # Least remaining time that is sent to a replica.
 MIN_DEADLINE_MS = 1
 # Kinds of answers that end the limit of a replica if they do not name it: those that
-# the replica itself has sent, as far as this host can tell.
-_UNLIMITED_KINDS = frozenset(
-    (AnswerKind.SUCCESS, AnswerKind.FAILURE, AnswerKind.NOT_RUN)
-)
+# it has computed.
+_UNLIMITED_KINDS = frozenset((AnswerKind.SUCCESS, AnswerKind.FAILURE))
 
 
 class ReadResult(NamedTuple):
@@ -247,7 +245,7 @@
             route=route.name,
             exclude=exclude,
             is_connected=self._is_connected,
-            limited=self.limits,
+            limited=self.limits if self.limits else (),
         )
 
     def may_read(self, replica: ReplicaEntry) -> bool:
@@ -474,7 +472,7 @@
         self, replica: ReplicaEntry, kind: AnswerKind, answer, sent_at: float
     ) -> None:
         """Record whether a replica names a rate limit in an answer."""
-        value = answer.header(self.names.rate_limit)
+        value = answer.rate_limit
         is_unlimited = value is None and kind in _UNLIMITED_KINDS and self.limits
         if kind is AnswerKind.WRONG_REPLICA or not (value or is_unlimited):
             return
--- a/cicadalever/placement/_selector.py
+++ b/cicadalever/placement/_selector.py
@@ -30,6 +30,8 @@
 INITIAL_LATENCY_S = 0.02
 # Weight of the newest answer in the moving average of the usual latency.
 LATENCY_WEIGHT = 0.05
+# Standing of a replica that is ejected and limited.
+_WORST_STANDING = 3
 # Least age at which a read can count as overdue, whatever the usual latency.
 MIN_OVERDUE_S = 0.02
 
@@ -97,13 +99,13 @@
         idle connection to the replica of an id. Replicas whose ids are in ``limited``
         are chosen only when all others are ejected or excluded.
         """
-        best, best_cost, best_standing = None, float("inf"), (True, True)
+        best, best_cost, best_standing = None, float("inf"), _WORST_STANDING
         usual_latency_s = self.usual_latency_s(route)
         for replica in replicas:
             if replica.id in exclude:
                 continue
             health = self.health(replica.id)
-            standing = (health.is_ejected(now), replica.id in limited)
+            standing = 2 * health.is_ejected(now) + (replica.id in limited)
             if standing > best_standing:
                 continue
             cost = self._cost(replica, health, now, usual_latency_s)
--- a/cicadalever/wire/_answer_parser.py
+++ b/cicadalever/wire/_answer_parser.py
@@ -171,7 +171,12 @@
         if self.answer is not None:
             self.must_close = True
             return
-        answer = ReplicaAnswer(self._status, self._headers, b"".join(self._body))
+        answer = ReplicaAnswer(
+            self._status,
+            self._headers,
+            b"".join(self._body),
+            rate_limit=self.rate_limit,
+        )
         answer_id = answer.header(self.names.request_id)
         if answer_id is not None and answer_id != self._request_id:
             # The answer to an earlier request; the expected one may still follow.
--- a/cicadalever/wire/_message.py
+++ b/cicadalever/wire/_message.py
@@ -78,7 +78,8 @@
 class ReplicaAnswer(NamedTuple):
     """A complete answer to a request, or the ``fault`` that explains its absence.
 
-    The headers of an absent answer are only the rate limit, if its head arrived.
+    ``rate_limit`` is the value of that header, also of an answer of which only the head
+    arrived.
     """
 
     status: int
@@ -86,6 +87,7 @@
     body: bytes
     fault: AnswerFault | None = None
     detail: str = ""
+    rate_limit: bytes | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None; ``name`` is in lower case."""
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -214,9 +214,8 @@
         self.on_closed(self, detail)
         if fault is AnswerFault.LOST and not self._sent:
             fault = AnswerFault.UNREACHABLE
-        limit = self._parser.rate_limit
-        headers = [] if limit is None else [(self.names.rate_limit, limit)]
-        self._finish(ReplicaAnswer(0, headers, b"", fault, detail))
+        rate_limit = self._parser.rate_limit
+        self._finish(ReplicaAnswer(0, [], b"", fault, detail, rate_limit))
 
     def _stop_writing(self) -> None:
         if self._writer is not None:
