Ask the seeds for the number of hosts as soon as they can count

In a new fleet the heartbeats to the seeds went out 15.5 s and 23.5 s after the start, and a seed counts after 16 s: until then hosts hardly read replicas that name a rate limit, and refuse what no other replica can serve. One heartbeat goes out at 16.5 s.

tests.test_peers.TestPeerTable.test_seeds_are_asked_as_soon_as_they_can_count fails without the change (23.5 s).

--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -208,6 +208,10 @@
                 addresses.append(peer.address)
         if now >= self._seeds_due_at:
             self._seeds_due_at = now + self._seed_period_s
+            # Most seeds of a new fleet have started together with this host.
+            count_at = self.started_at + COUNT_AFTER_S + MIN_SEED_PERIOD_S
+            if now < count_at < self._seeds_due_at:
+                self._seeds_due_at = count_at
             self._seed_period_s = min(MAX_SEED_PERIOD_S, 2.0 * self._seed_period_s)
             addresses.extend(seed for seed in self._seeds if seed not in addresses)
         return addresses
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
+    COUNT_AFTER_S,
     OBSERVATION_PREFIX,
     Capacity,
     ChangeLog,
@@ -181,6 +182,15 @@
         heartbeats = sum(len(self.table.take_due_addresses(now)) for now in times)
         self.assertLess(heartbeats, 13)
 
+    def test_seeds_are_asked_as_soon_as_they_can_count(self):
+        """Guards against a new fleet that divides limits later than it could."""
+        self.table.set_seeds([SEED])
+        due = [
+            step / 10 for step in range(300) if self.table.take_due_addresses(step / 10)
+        ]
+        first = min(at for at in due if at >= COUNT_AFTER_S)
+        self.assertLess(first, COUNT_AFTER_S + 1.0)
+
     def test_seed_counts_hosts_once_all_have_sent_heartbeats(self):
         """Guards against too large shares of the slack after a seed restarted."""
         seed = PeerTable(SEED, "dc-a", SMALL_HOST, 0.0)
