Decline queries of other hosts that waited during a suspension

No clock of the process tells how long a request waited in the kernel while the process did not run.

A query that is read when ticks are missing by the time since boot, or in the 0.1 s after that, is declined. The sender, if it still waits, reads the shards itself.

tests.test_shard_groups.test_resumed_host_reads_nothing_for_queries_that_waited failed before (each shard of the group read twice) and passes.

--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -26,11 +26,10 @@
 from ._readiness import Readiness
 from ._reads import ReadRunner
 from ._service import GatewayService
+from ._suspension import SUSPENSION_THRESHOLD_S, SuspensionMonitor
 
 # Period of the tasks in ``GatewayDaemon._tick``.
 TICK_S = 0.2
-# A tick that is later than this was delayed by a suspension of the host, not by load.
-SUSPENSION_THRESHOLD_S = 1.0
 # Number of ticks between two checks of the settings file for changes.
 TICKS_PER_SETTINGS_CHECK = 10
 # Number of ticks between two passes that close expired idle connections and update the
@@ -82,6 +81,8 @@
         self._ticks = 0
         self._tick_due_at = 0.0
         self._suspended_s = _total_suspended_s()
+        self._suspension = SuspensionMonitor(_boot_time, TICK_S)
+        components.service.has_just_resumed = self._suspension.has_just_resumed
         self._lag_s = 0.0
         self._stop_requested = False
         self._reload_requested = False
@@ -234,6 +235,7 @@
         self._tick_due_at = now + TICK_S
         components.loop.call_later(TICK_S, self._tick)
         self._ticks += 1
+        self._suspension.record_tick()
         self._check_suspension()
         self._handle_directory_changes(components.directory.expire(now))
         self._update_readiness(now)
@@ -428,4 +430,8 @@
 
 def _total_suspended_s() -> float:
     """Return for how many seconds the host has been suspended since it booted."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+    return _boot_time() - time.monotonic()
+
+
+def _boot_time() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -152,6 +152,8 @@
         self.table: RoutingTable | None = None
         # Whether too few shards are reachable for any query; see ``Readiness``.
         self.is_cut_off: Callable[[], bool] = lambda: False
+        # Whether requests may have waited during a suspension of this process.
+        self.has_just_resumed: Callable[[], bool] = lambda: False
         self.lateness = AnswerLateness()
         self._round_robin = WeightedRoundRobin()
         self._gathered_for_peers = 0
@@ -203,7 +205,8 @@
         """Gather a query for a peer, or decline it.
 
         It is declined if it is invalid, if another version of the configuration is in
-        force here, or if this host already gathers too many queries for peers.
+        force here, if this host already gathers too many queries for peers, or if it
+        may have waited during a suspension: the peer does not wait that long.
         """
         names = self.runner.names
         request_id = request.header(names.request_id)
@@ -211,6 +214,9 @@
         caller_deadline_s = parse_deadline(request.header(names.deadline))
         answer_us = parse_number(request.header(PEER_ANSWER_US))
         is_acceptable = None not in (route, request_id, caller_deadline_s, answer_us)
+        if self.has_just_resumed():
+            self.events.emit_detail("query_declined", id=request_id, reason="suspended")
+            is_acceptable = False
         shards = None
         if is_acceptable and (value := request.header(PEER_SHARDS)) is not None:
             shards = decode_shards(value, len(route.shards))
--- a/tests/test_shard_groups.py
+++ b/tests/test_shard_groups.py
@@ -3,6 +3,8 @@
 import signal
 import unittest
 
+import eventlet
+
 from cicadalever.gather import GatherState, decode_shards, encode_shards
 from tests.platform_standins import (
     GatewayProcess,
@@ -178,6 +180,18 @@
         self.check_answer(*self.own.ask("/search/q", request_id="s2"))
         self.assertEqual(self.ended(self.own, "s2")[0]["groups"], 0)
 
+    def test_resumed_host_reads_nothing_for_queries_that_waited(self):
+        """Guards against reads for a query that other hosts have answered long ago."""
+        self.other.process.send_signal(signal.SIGSTOP)
+        self.addCleanup(self.other.process.send_signal, signal.SIGCONT)
+        self.check_answer(*self.own.ask("/search/q", request_id="w1"))
+        before = self.runs("w1")
+        eventlet.sleep(1.6)
+        self.other.process.send_signal(signal.SIGCONT)
+        wait_for(lambda: self.other.events("suspended"), "the end of the suspension")
+        eventlet.sleep(0.3)
+        self.assertEqual(self.runs("w1"), before)
+
     def test_killed_host_is_replaced_by_direct_reads(self):
         """Guards against queries that are lost with the host of a group."""
         self.other.process.kill()
