--- a/cicadalever/ratelimits/_share.py
+++ b/cicadalever/ratelimits/_share.py
@@ -47,8 +47,8 @@
 
     >>> compute_share(2.0, HostCounts(8, 8), is_gathered=False, is_gatherer=True)
     0.2
-    >>> compute_share(2.0, HostCounts(100, 10), is_gathered=True, is_gatherer=True)
-    0.08
+    >>> compute_share(10.0, HostCounts(100, 10), is_gathered=True, is_gatherer=True)
+    0.32
     """
     share_per_s = _divide(
         max(MIN_LIMIT_PER_S, limit_per_s),
