Ignore the rate limit in a late answer of a replica that has left

Seen while reading the change: a replica names its limit, its entry is removed, and an answer that was under way names the limit again. Nothing would have ended that limit. tests.test_rate_limits has a test that fails without the change (limit_named for a replica that is gone).

--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -476,6 +476,9 @@
         is_unlimited = value is None and kind in _UNLIMITED_KINDS and self.limits
         if kind is AnswerKind.WRONG_REPLICA or not (value or is_unlimited):
             return
+        if replica.id not in self.directory:
+            # Its limit would never end.
+            return
         limit_per_s = None if value is None else parse_rate_limit(value)
         if isinstance(limit_per_s, Failure):
             self.events.emit_detail(
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -71,6 +71,28 @@
         arrivals = self.arrivals_after_naming(limited)
         self.assertLessEqual(count_in_worst_window(arrivals), count_allowed(0.5))
 
+    def test_late_answer_of_a_replica_that_left(self):
+        """Guards against limits that are kept for replicas which are gone."""
+        (limited,) = self.limit("one", 0.5, "a")
+        limited.delay_s = 0.8
+        answers = [
+            eventlet.spawn(
+                self.gateway.ask, "/order/x", request_id=f"g{n}", method="POST"
+            )
+            for n in range(6)
+        ]
+        wait_for(lambda: limited.executed_ids, "a run")
+        self.store.delete(f"servers/{limited.id}")
+
+        def has_left():
+            events = self.gateway.events("replica_changed")
+            return any(e["reason"] == "entry removed" for e in events)
+
+        wait_for(has_left, "the removal")
+        for answer in answers:
+            self.assertEqual(answer.wait()[0], 200)
+        self.assertEqual(self.gateway.events("limit_named"), [])
+
     def test_orders_beyond_the_limit_are_refused_at_once(self):
         """Guards against orders that wait for, or run at, replicas beyond the limit."""
         limited = self.limit("one", 0.5)
