Wait for the open reads of a failed query before it counts as crashing replicas

When most shards may not be read and one resets its connections, a query fails at once, while the reads of other shards are still open; it counted as one that no replica had survived, and after three losses it was refused for 20 s. The same can happen without limits, if too few shards answer.

If a call has lost replicas, has no answer and still has open reads, it is recorded when these have ended, at most 0.3 s later: any answer clears it.

Open: a request to a service whose only replica without a limit resets its connections is still accused, because nothing may answer it.

--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -51,6 +51,8 @@
         self.has_answer = False
         # Shards of the reads in progress; 0 for a route without shards.
         self._reads: dict[Read, int] = {}
+        # Number of reads that are still open after the end of the call.
+        self._abandoned_reads = 0
         self._timer = None
 
     @property
@@ -88,9 +90,8 @@
     def _log_end(self, end: str, fields: dict, status: int | None = None) -> None:
         elapsed_s = self.loop.now() - self.request.received_at
         self.runner.metrics.request_ended(self.route.rank, end, elapsed_s)
-        self.runner.record_request_end(
-            self.outbound, self.lost_reads, has_answer=self.has_answer
-        )
+        if not self._may_be_cleared():
+            self._record_survival()
         self.runner.events.emit(
             "request_ended",
             id=self.outbound.request_id,
@@ -113,13 +114,31 @@
         elif result.kind in (AnswerKind.SUCCESS, AnswerKind.FAILURE):
             self.has_answer = True
 
+    def _may_be_cleared(self) -> bool:
+        """Return whether an open read may show that a replica survives the request."""
+        is_suspect = self.lost_reads > 0 and not self.has_answer
+        return is_suspect and self._abandoned_reads > 0
+
+    def _record_survival(self) -> None:
+        self.runner.record_request_end(
+            self.outbound, self.lost_reads, has_answer=self.has_answer
+        )
+
+    def _on_abandoned_end(self, read: Read, result: ReadResult) -> None:
+        was_undecided = self._may_be_cleared()
+        self._abandoned_reads -= 1
+        self._observe(result)
+        if was_undecided and not self._may_be_cleared():
+            self._record_survival()
+
     def _close(self, detail: str) -> None:
         self.is_ended = True
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         for read in self._reads:
-            self.runner.abandon(read, detail)
+            self.runner.abandon(read, detail, self._on_abandoned_end)
+        self._abandoned_reads = len(self._reads)
         self._reads.clear()
 
     def _set_timer(self, when: float) -> None:
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -76,7 +76,7 @@
 
 
 class Read:
-    """One request to one replica; ``on_end`` is None once it has ended or is abandoned.
+    """One request to one replica; ``on_end`` is None once it has ended.
 
     ``started_at`` is the monotonic time in seconds.
     """
@@ -351,9 +351,14 @@
         for pool in list(self._pools.values()):
             pool.close_expired()
 
-    def abandon(self, read: Read, detail: str) -> None:
-        """Ignore the result of a read, and cancel it after ``ABANDON_GRACE_S``."""
-        read.on_end = None
+    def abandon(
+        self, read: Read, detail: str, on_end: Callable[[Read, ReadResult], None]
+    ) -> None:
+        """Cancel a read after ``ABANDON_GRACE_S``, unless it ends before.
+
+        ``on_end`` replaces what was to be called at its end.
+        """
+        read.on_end = on_end
         self.loop.call_later(ABANDON_GRACE_S, read.exchange.cancel, detail)
 
     def is_reachable(self, service: str) -> bool:
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -26,6 +26,28 @@
     )
 
 
+class TestLimitedShards(GatewayTestCase):
+    """Queries some of whose shards may not be read."""
+
+    def test_shard_that_answers_after_the_query_has_failed(self):
+        """Guards against a query that is refused as one that crashes replicas."""
+        for service in ("s0", "s1"):
+            for replica in self.replicas_of(service):
+                replica.rate_limit = 0.01
+        for number in range(12):
+            self.gateway.ask("/search/saves-repeats", request_id=f"r{number}")
+        self.set_behaviour("s2", "reset")
+        for replica in self.replicas_of("s3"):
+            replica.delay_s = 0.1
+        for number in range(3):
+            self.gateway.ask("/search/x", request_id=f"f{number}")
+        eventlet.sleep(0.4)
+        refused = self.gateway.events("request_refused")
+        self.set_behaviour("s2", "answer")
+        self.assertEqual(self.gateway.ask("/search/x", request_id="whole")[0], 200)
+        self.assertEqual([e["reason"] for e in refused], [])
+
+
 class TestLimitedReplicas(GatewayTestCase):
     """Reads of a gateway process from replicas that name a limit."""
 
