Check the era of polls in the test of relayed changes again in full

The stand-in of the relay kept only the revision of a position, so that a poll with a wrong era would have passed. tests.test_gateway: passed.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -279,7 +279,7 @@
 
     def __init__(self, answers):
         self.answers = answers
-        self.polled_revisions = []
+        self.polled_positions = []
         self.rejected = 0
         self.published = []
         self.has_followers = False
@@ -288,7 +288,7 @@
         return SimpleNamespace(heartbeat=SimpleNamespace(host="large"))
 
     def poll(self, source, after):
-        self.polled_revisions.append(after.revision)
+        self.polled_positions.append(after)
         if not self.answers:
             eventlet.sleep(60)
         return self.answers.pop(0)
@@ -328,7 +328,7 @@
         calls = self.follow(answers, [])
         self.assertEqual(calls, [("read_all", True)])
         self.assertEqual([each.revision for each in self.updates], [5, 7, 8])
-        self.assertEqual(self.relay.polled_revisions, [5, 8])
+        self.assertEqual(self.relay.polled_positions, [(0, 5), (0, 8)])
         self.assertEqual(self.relay.published, [5, 7, 8])
 
     def test_old_or_missing_changes_fall_back_to_the_platform(self):
