--- a/tests/test_limit_division.py
+++ b/tests/test_limit_division.py
@@ -183,7 +183,7 @@
         return sum(
             any(
                 host.is_heard(at - (at - host.phase_s) % HEARTBEAT_PERIOD_S)
-                for at in (now, now - 8.0, now - 16.0)
+                for at in (now, now - HEARTBEAT_PERIOD_S, now - 2 * HEARTBEAT_PERIOD_S)
             )
             for host in hosts
         )
