Show how long ago a host last reached any replica

ReadRunner notes the last answer or handshake of any replica. The metric upstream_age_seconds and the field upstream_age_s of cut_off and reconnected show it. Connections report completed and failed handshakes for that.

--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -140,6 +140,7 @@
         components.metrics.set_gauges(
             calls=self.follower.client.calls,
             age_s=self.follower.contact_age_s,
+            upstream_age_s=components.runner.contact_age_s,
             version=table.version if table else 0,
             replicas=len(components.directory),
             limited=len(components.runner.limits),
@@ -283,7 +284,8 @@
         )
         if readiness.is_cut_off != was_cut_off:
             event = "cut_off" if readiness.is_cut_off else "reconnected"
-            self.components.events.emit(event)
+            age_s = round(runner.contact_age_s, 2)
+            self.components.events.emit(event, upstream_age_s=age_s)
             self._update_connection_closing()
         table = self.components.service.table
         if readiness.is_cut_off and table is not None:
--- a/cicadalever/gateway/_metrics.py
+++ b/cicadalever/gateway/_metrics.py
@@ -49,6 +49,10 @@
         self._platform_age = self._gauge(
             "platform_age_seconds", "Time since the last contact"
         )
+        self._upstream_age = self._gauge(
+            "upstream_age_seconds",
+            "Time since a replica completed an answer or a handshake",
+        )
         self._version = self._gauge("configuration_version", "Version in force")
         self._replicas = self._gauge("replicas", "Known replicas")
         self._limited_replicas = self._gauge(
@@ -96,6 +100,7 @@
         *,
         calls: int,
         age_s: float,
+        upstream_age_s: float,
         version: int,
         replicas: int,
         limited: int,
@@ -103,11 +108,14 @@
     ) -> None:
         """Set the gauges; ``age_s`` is the time since the platform last answered.
 
-        ``limited`` is the number of replicas that name a rate limit, and ``lag_s`` the
+        ``upstream_age_s`` is the time since a replica last completed an answer or a
+        handshake, ``limited`` the number of replicas that name a rate limit, and
+        ``lag_s`` the
         delay of the last periodic tick of the event loop.
         """
         self._platform_calls.set(calls)
         self._platform_age.set(age_s)
+        self._upstream_age.set(upstream_age_s)
         self._version.set(version)
         self._replicas.set(replicas)
         self._limited_replicas.set(limited)
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable, Collection, Container, Iterable
+from functools import partial
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -217,6 +218,13 @@
         # Hosts that share the connections of replicas, or None while unknown.
         self._host_counts: HostCounts | None = None
         self._is_gatherer = True
+        # Called with the id of a replica and a connection to it whose handshake was
+        # completed or has failed.
+        self.on_handshake: Callable[[str, ReplicaConnection], None] = (
+            lambda replica_id, connection: None
+        )
+        # When a replica last completed an answer or a handshake.
+        self._contact_at = loop.now()
         self._pools: dict[str, ReplicaPool] = {}
         # Replicas of the own data centre that were found since the last ``warm_up``.
         self._new_replicas: deque[str] = deque(maxlen=MAX_NEW_REPLICAS)
@@ -361,6 +369,11 @@
         read.on_end = on_end
         self.loop.call_later(ABANDON_GRACE_S, read.exchange.cancel, detail)
 
+    @property
+    def contact_age_s(self) -> float:
+        """Seconds since a replica last completed an answer or a handshake."""
+        return self.loop.now() - self._contact_at
+
     def is_reachable(self, service: str) -> bool:
         """Return whether some replica of a service is not known to be unreachable."""
         return any(
@@ -446,6 +459,8 @@
     ) -> None:
         now = self.loop.now()
         kind = classify_answer(answer, self.names)
+        if answer.fault is None:
+            self._contact_at = now
         outcome = classify_read_outcome(answer, kind)
         replica = read.replica
         if self.selector.record_end(replica.id, read, outcome, route.name, now):
@@ -576,9 +591,17 @@
                 max_connections,
                 self.metrics.connection_opened,
                 self.memory,
+                partial(self._observe_handshake, replica.id),
             )
         return pool
 
+    def _observe_handshake(
+        self, replica_id: str, connection: ReplicaConnection
+    ) -> None:
+        if connection.is_connected:
+            self._contact_at = self.loop.now()
+        self.on_handshake(replica_id, connection)
+
 
 def _connection_options(request: CallerRequest) -> set[bytes]:
     value = request.header(b"connection")
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -30,8 +30,10 @@
     """A connection that carries one request at a time.
 
     ``on_idle`` is called when the connection can take another request and
-    ``on_closed`` with the cause when it was closed. ``AnswerParser`` decides which
-    bytes are the answer to the current request.
+    ``on_closed`` with the cause when it was closed; ``on_connected`` is called at the
+    end of the handshake. ``AnswerParser`` decides which bytes are the answer to the
+    current request. ``started_at`` is the monotonic time in
+    seconds at which the handshake began.
     """
 
     def __init__(
@@ -42,12 +44,15 @@
         on_idle: Callable[["ReplicaConnection"], None],
         on_closed: Callable[["ReplicaConnection", str], None],
         memory: ReceiveMemory,
+        on_connected: Callable[["ReplicaConnection"], None] = lambda connection: None,
     ):
         self.loop = loop
         self.names = names
         self.address = address
         self.on_idle = on_idle
         self.on_closed = on_closed
+        self.on_connected = on_connected
+        self.started_at = loop.now()
         # Number of complete answers.
         self.answers_received = 0
         # Monotonic time in seconds at which this host should close the idle connection.
@@ -57,6 +62,7 @@
         self._writer = None
         self._connected = False
         self._closed = False
+        self._is_unreachable = False
         self._unsent = b""
         self._sent = False
         self._on_answer: OnAnswer | None = None
@@ -68,8 +74,19 @@
         """Whether a byte of the current request was sent."""
         return self._sent
 
-    def connect(self) -> None:
-        """Start to connect."""
+    @property
+    def is_connected(self) -> bool:
+        """Whether the handshake was completed at some time."""
+        return self._connected
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the handshake has failed, rather than been given up."""
+        return self._is_unreachable
+
+    def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+        """Start to connect; the handshake fails after ``timeout_s`` seconds."""
+        self.started_at = self.loop.now()
         sock = self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -85,7 +102,7 @@
             return
         self._writer = self.loop.watch_write(sock.fileno(), self._writable)
         self._timer = self.loop.call_later(
-            CONNECT_TIMEOUT_S, self._fail, AnswerFault.UNREACHABLE, "connect timed out"
+            timeout_s, self._fail, AnswerFault.UNREACHABLE, "connect timed out"
         )
 
     def send(
@@ -123,6 +140,7 @@
                 self._fail(AnswerFault.UNREACHABLE, f"connect: errno {code}")
                 return
             self._connected = True
+            self.on_connected(self)
             self._cancel_timer()
             self._reader = self.loop.watch_read(self._socket.fileno(), self._readable)
         if self._unsent:
@@ -197,6 +215,7 @@
         if self._closed:
             return
         self._closed = True
+        self._is_unreachable = fault is AnswerFault.UNREACHABLE and not self._connected
         self._cancel_timer()
         self._stop_writing()
         if self._reader is not None:
--- a/cicadalever/wire/_replica_pool.py
+++ b/cicadalever/wire/_replica_pool.py
@@ -74,7 +74,8 @@
     """Sends requests on at most ``max_connections`` connections.
 
     Further requests wait in the order of their ranks. ``memory`` is shared by all
-    pools of a host; the default is one for this pool alone.
+    pools of a host; the default is one for this pool alone. ``on_handshake`` is called
+    with each connection whose handshake was completed or has failed.
     """
 
     def __init__(
@@ -85,12 +86,14 @@
         max_connections: int,
         on_connect: Callable[[], None] = lambda: None,
         memory: ReceiveMemory | None = None,
+        on_handshake: Callable[[ReplicaConnection], None] = lambda connection: None,
     ):
         self.loop = loop
         self.names = names
         self.address = address
         self.max_connections = max_connections
         self.on_connect = on_connect
+        self.on_handshake = on_handshake
         self.memory = memory or ReceiveMemory()
         self._idle: list[ReplicaConnection] = []
         self._connections: set[ReplicaConnection] = set()
@@ -156,6 +159,7 @@
             self._became_idle,
             self._closed,
             self.memory,
+            self.on_handshake,
         )
         self._connections.add(connection)
         self.on_connect()
@@ -181,6 +185,8 @@
             self._idle.append(connection)
 
     def _closed(self, connection: ReplicaConnection, detail: str) -> None:
+        if connection.is_unreachable:
+            self.on_handshake(connection)
         self._connections.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
--- a/tests/test_gateway_status.py
+++ b/tests/test_gateway_status.py
@@ -17,7 +17,13 @@
         """Guards against metrics that are renamed on one side only."""
         metrics = GatewayMetrics()
         metrics.set_gauges(
-            calls=3, age_s=0.5, version=7, replicas=12, limited=0, lag_s=0.0
+            calls=3,
+            age_s=0.5,
+            upstream_age_s=0.1,
+            version=7,
+            replicas=12,
+            limited=0,
+            lag_s=0.0,
         )
         metrics.request_ended(0, "complete", 0.1)
         metrics.request_ended(1, "too_few", 0.1)
