--- /dev/null
+++ b/cicadalever/contact/__init__.py
@@ -0,0 +1,21 @@
+"""Whether this host can reach its upstreams, decided from evidence.
+
+The decisions have no clock and no network: a caller reports what its connections and
+other hosts have shown, and asks what to do next.
+"""
+
+from ._monitor import (
+    MAX_PROBE_AGE_S,
+    NEEDED_FAILURES,
+    ContactEvidence,
+    ContactMonitor,
+    ContactState,
+)
+
+__all__ = [
+    "MAX_PROBE_AGE_S",
+    "NEEDED_FAILURES",
+    "ContactEvidence",
+    "ContactMonitor",
+    "ContactState",
+]
--- a/cicadalever/discovery/_directory.py
+++ b/cicadalever/discovery/_directory.py
@@ -86,6 +86,14 @@
         """Return the replicas of a service that accept reads."""
         return list(self._ready_by_service.get(service, {}).values())
 
+    def all_ready_replicas(self) -> list[ReplicaEntry]:
+        """Return the replicas of all services that accept reads."""
+        return [
+            replica
+            for replicas in self._ready_by_service.values()
+            for replica in replicas.values()
+        ]
+
     def start_grace_period(
         self, now: float, grace_s: float = MISSING_ENTRY_GRACE_S
     ) -> None:
--- a/cicadalever/gateway/_answers.py
+++ b/cicadalever/gateway/_answers.py
@@ -39,6 +39,10 @@
     AnswerFault.GARBLED: ReadOutcome.FAILED,
     AnswerFault.ABANDONED: ReadOutcome.OVERDUE,
 }
+# These statuses tell a caller that the request has not run. A replica that responds
+# with one of them, but without the header that states it, may have run the request. The
+# caller gets 502 instead.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Misdirected Request (RFC 9110, section 15.5.20).
 STATUS_MISDIRECTED = 421
 
--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -54,12 +54,30 @@
         # Number of reads that are still open after the end of the call.
         self._abandoned_reads = 0
         self._timer = None
+        # Called with the number of replicas that may have got the request, to let
+        # another host process it; returns whether one does. None: it stays here.
+        self.hand_over: Callable[[int], bool] | None = None
 
     @property
     def give_up_at(self) -> float:
         """Monotonic time in seconds at which a final response is sent at the latest."""
         return self.outbound.deadline - DEADLINE_MARGIN_S
 
+    def hand_over_unanswered(self, lost_since: float, *, is_cut_off: bool) -> None:
+        """Let another host process the request if no replica has answered it.
+
+        ``is_cut_off`` tells whether this host has certainly lost its upstreams, and
+        ``lost_since`` since when connections fail: what was sent later has reached no
+        replica. A request that may have run and may not run twice stays.
+        """
+
+    def _try_hand_over(self, attempts: int) -> bool:
+        """Close the reads and let another host process the request, if one can."""
+        if self.is_ended or self.hand_over is None or not self.hand_over(attempts):
+            return False
+        self._close("handed over")
+        return True
+
     def cancel(self) -> None:
         """Stop the call because the caller has disconnected."""
         if not self.is_ended:
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -19,6 +19,7 @@
 from ._reads import ReadRunner
 from ._relay import RELAY_PATH, ChangeRelay
 from ._service import GatewayService
+from ._upstream_contact import UpstreamContact
 
 METRICS_PORT = 9464
 # Share of a host's memory for answers that it is still receiving.
@@ -72,7 +73,8 @@
         rng,
         memory,
     )
-    service = GatewayService(runner, events, link)
+    contact = UpstreamContact(runner, link, events)
+    service = GatewayService(runner, events, link, contact)
     relay = ChangeRelay(
         loop,
         link,
@@ -99,6 +101,7 @@
         service,
         link,
         Readiness(),
+        contact,
         CallerServer(loop, settings.caller_address, service.handle, limits),
         CallerServer(
             loop, settings.readiness_address, handle_readiness_request, limits
@@ -106,6 +109,7 @@
         CallerServer(loop, metrics_address, handle_metrics_request, limits),
     )
     service.is_cut_off = lambda: components.readiness.is_cut_off
+    service.lacks_upstreams = lambda: components.readiness.lacks_upstreams
     daemon = GatewayDaemon(components, adapter.settings_path)
     daemon.follower = PlatformFollower(
         adapter.connect(settings.platform_address),
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -27,6 +27,7 @@
 from ._reads import ReadRunner
 from ._service import GatewayService
 from ._suspension import SUSPENSION_THRESHOLD_S, SuspensionMonitor
+from ._upstream_contact import UpstreamContact
 
 # Period of the tasks in ``GatewayDaemon._tick``.
 TICK_S = 0.2
@@ -61,6 +62,7 @@
     service: GatewayService
     link: PeerLink
     readiness: Readiness
+    contact: UpstreamContact
     caller_server: CallerServer
     readiness_server: CallerServer
     metrics_server: CallerServer
@@ -100,6 +102,9 @@
             # The gateway also works without metrics.
             components.events.emit("metrics_unavailable", reason=str(error))
         components.link.start()
+        components.contact.on_change = self._handle_contact_change
+        components.contact.on_doubt = components.service.hand_over_overdue
+        components.contact.start()
         self.follower.start()
         self._tick_due_at = components.loop.now() + TICK_S
         components.loop.call_later(TICK_S, self._tick)
@@ -273,23 +278,35 @@
     def _update_readiness(self, now: float) -> None:
         readiness = self.components.readiness
         was_cut_off = readiness.is_cut_off
-        runner = self.components.runner
+        runner, contact = self.components.runner, self.components.contact
+        table = self.components.service.table
         readiness.update(
-            self.components.service.table,
+            table,
             runner.is_reachable,
             now,
-            are_gatherers_cut_off=self.components.link.peer_table.are_gatherers_cut_off(
-                now
-            ),
+            has_lost_links=contact.is_cut_off,
+            is_shared_outage=contact.is_outage_shared(),
         )
+        if readiness.lacks_upstreams and table is not None:
+            runner.probe_unreachable(table)
+            contact.ask_about({each.id for each in runner.find_unreachable(table)})
+        elif not readiness.is_cut_off:
+            contact.forget_outage()
         if readiness.is_cut_off != was_cut_off:
             event = "cut_off" if readiness.is_cut_off else "reconnected"
             age_s = round(runner.contact_age_s, 2)
             self.components.events.emit(event, upstream_age_s=age_s)
             self._update_connection_closing()
-        table = self.components.service.table
-        if readiness.is_cut_off and table is not None:
-            runner.probe_unreachable(table)
+
+    def _handle_contact_change(self) -> None:
+        """React at once when the links to the upstreams are lost or back."""
+        components = self.components
+        if not components.contact.is_cut_off:
+            components.runner.forget_unreachable()
+        self._update_readiness(components.loop.now())
+        self._send_heartbeats()
+        if components.contact.is_cut_off:
+            components.service.hand_over_unanswered()
 
     def _send_heartbeats(self) -> None:
         table = self.components.service.table
--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -1,12 +1,19 @@
-"""Call whose query is gathered by another host of the data centre."""
+"""Call whose request is processed by another host."""
 
 from collections.abc import Callable
 
 from cicadalever.peers import Peer
 from cicadalever.wire import CallerResponse, Exchange, ReplicaAnswer, is_hop_by_hop
 
+from ._answers import NOT_RUN_STATUSES
 from ._call import LAST_READ_S, Call
-from ._peers import PROGRESS_PERIOD_S, STATUS_DECLINED, PeerLink
+from ._peers import (
+    PROGRESS_PERIOD_S,
+    STATUS_DECLINED,
+    STATUS_LOST_UPSTREAMS,
+    PeerLink,
+)
+from ._reads import PEER_REFUSAL
 
 # Without an acknowledgement within this time, this host gathers the query itself: at
 # least ``MIN_ACKNOWLEDGE_S``, or a share of the time until the answer is due. A round
@@ -23,16 +30,29 @@
 
 
 class DelegatedCall(Call):
-    """Forwards a query to a host with more capacity, and its response to the caller.
+    """Forwards a request to another host, and its response to the caller.
 
-    If the peer declines or fails, ``gather_here`` is called instead of ``on_end``, with
-    whether the peer may already have sent reads.
+    If the peer declines or fails, ``fall_back`` is called instead of ``on_end``, with
+    whether the peer may already have sent reads. ``service`` is that of a request
+    without shards, and ``attempts`` the number of replicas that may have got the
+    request from this host. ``is_handed_over`` tells that this host cannot read itself.
     """
 
-    def __init__(self, *arguments, link: PeerLink, gather_here: Callable[[bool], None]):
+    def __init__(
+        self,
+        *arguments,
+        link: PeerLink,
+        fall_back: Callable[[bool], None],
+        service: str | None = None,
+        attempts: int = 0,
+        is_handed_over: bool = False,
+    ):
         super().__init__(*arguments)
+        self._is_handed_over = is_handed_over
         self._link = link
-        self._gather_here = gather_here
+        self._call_fall_back = fall_back
+        self._service = service
+        self._attempts = attempts
         self._is_acknowledged = False
         # Whether the time for the acknowledgement has passed.
         self._is_overdue = False
@@ -43,7 +63,13 @@
 
         def encode() -> bytes:
             version = self.table.version
-            return self.outbound.encode_for_peer(version, answer_by, self.loop.now())
+            return self.outbound.encode_for_peer(
+                version,
+                answer_by,
+                self.loop.now(),
+                service=self._service,
+                attempts=self._attempts,
+            )
 
         self._exchange = Exchange(
             encode,
@@ -74,12 +100,29 @@
             self._handle_peer_failure(
                 answer.detail, may_have_begun=self._exchange.was_sent
             )
-        elif answer.status == STATUS_DECLINED:
+        elif self._is_refusal(answer, STATUS_DECLINED):
             self._fall_back("declined", may_have_begun=False)
+        elif self._is_refusal(answer, STATUS_LOST_UPSTREAMS):
+            self._handle_peer_failure("lost its upstreams", may_have_begun=True)
         else:
-            headers = [each for each in answer.headers if not is_hop_by_hop(each[0])]
-            response = CallerResponse(answer.status, headers, answer.body)
-            self._end(response, "delegated", gatherer=self._peer.heartbeat.host)
+            self._respond(answer)
+
+    def _is_refusal(self, answer: ReplicaAnswer, status: int) -> bool:
+        """Return whether the peer itself has answered with a status."""
+        return answer.status == status and answer.header(PEER_REFUSAL) is not None
+
+    def _respond(self, answer: ReplicaAnswer) -> None:
+        status = answer.status
+        if self._attempts and status in NOT_RUN_STATUSES:
+            # The peer does not know whether the reads of this host have run.
+            status = 502
+        headers = [each for each in answer.headers if not is_hop_by_hop(each[0])]
+        self._end(
+            CallerResponse(status, headers, answer.body),
+            "delegated",
+            gatherer=self._peer.heartbeat.host,
+            is_handed_over=self._is_handed_over,
+        )
 
     def _on_timer(self) -> None:
         now = self.loop.now()
@@ -108,7 +151,7 @@
             reason=reason,
             ms=round((self.loop.now() - self.request.received_at) * 1000, 1),
         )
-        self._gather_here(may_have_begun)
+        self._call_fall_back(may_have_begun)
 
     def _close(self, detail: str) -> None:
         super()._close(detail)
--- a/cicadalever/gateway/_forward_call.py
+++ b/cicadalever/gateway/_forward_call.py
@@ -2,7 +2,7 @@
 
 from cicadalever.wire import CallerResponse, is_hop_by_hop
 
-from ._answers import NOT_RUN_KINDS, AnswerKind
+from ._answers import NOT_RUN_KINDS, NOT_RUN_STATUSES, AnswerKind
 from ._call import Call, error_response
 from ._reads import Read, ReadResult
 
@@ -10,10 +10,6 @@
 # is also sent to a second replica. Almost all answers arrive earlier, and the second
 # replica can still answer within the target.
 HEDGE_TARGET_SHARE = 0.35
-# These statuses tell a caller that the request has not run. A replica that responds
-# with one of them, but without the header that states it, may have run the request. The
-# caller gets 502 instead.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 class ForwardCall(Call):
@@ -60,6 +56,13 @@
             self._handle_result(self._synchronous_result)
         return True
 
+    def hand_over_unanswered(self, lost_since: float, *, is_cut_off: bool) -> None:
+        """Let another host process an idempotent request without an answer."""
+        lost = sum(read.started_at >= lost_since for read in self._reads)
+        attempts = self._attempts - lost
+        if is_cut_off and self.route.idempotent and attempts < self.route.max_attempts:
+            self._try_hand_over(attempts)
+
     def _on_read_end(self, read: Read, result: ReadResult) -> None:
         if self._reads.pop(read, None) is None:
             self._synchronous_result = result
@@ -157,6 +160,8 @@
         fields = {"service": self._service, "attempts": len(self._tried)}
         if last.kind is AnswerKind.FAILURE:
             self._respond(last)
+        elif last.kind is AnswerKind.NOT_SENT and self._try_hand_over(self._attempts):
+            return
         elif last.kind in NOT_RUN_KINDS:
             self._end(self._refusal(), "not_run", **fields)
         else:
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -22,6 +22,9 @@
 # Longer lists of signatures are split over several header lines, because receivers
 # limit the length of a line.
 SIGNATURES_PER_LINE = 60
+# Reads that must be overdue, without an answer to any other, before their silence is a
+# sign of lost links rather than of slow replicas.
+MIN_SILENT_READS = 4
 # Time between attempts to read a shard again while the retry budget is used up.
 BUDGET_RETRY_S = 0.02
 
@@ -75,6 +78,7 @@
         self._synchronous_result: ReadResult | None = None
         if not is_repeat and self._refuse_if_limited():
             return
+        self._overdue_at, self._was_overdue = float("inf"), False
         self._is_starting = True
         grouped = set() if is_repeat else self._start_groups()
         for shard, service in enumerate(route.shards):
@@ -223,6 +227,15 @@
         self._state.record_read_failure(shard)
         self._state.mark_exhausted(shard)
 
+    def hand_over_unanswered(self, lost_since: float, *, is_cut_off: bool) -> None:
+        """Let another host gather the query if no replica has answered this host.
+
+        While that is only suspected, the answers must be overdue.
+        """
+        is_overdue = self.loop.now() >= self._overdue_at or self._was_overdue
+        if not self._shard_answers and (is_cut_off or is_overdue):
+            self._try_hand_over(1)
+
     def _read(self, shard: int) -> bool:
         replica = self._chosen_replicas.pop(shard, None)
         if replica is None or not self.runner.may_read(replica):
@@ -340,7 +353,10 @@
         wake_at = decision.wake_at
         if now >= self._overdue_at:
             self._overdue_at = float("inf")
+            self._was_overdue = True
             self.runner.report_overdue(self._reads, self._overdue_s)
+            if not self._shard_answers and len(self._reads) >= MIN_SILENT_READS:
+                self.runner.on_silence(self._sent_at)
         wake_at = min(wake_at, self._overdue_at)
         if self._awaiting_budget:
             wake_at = min(wake_at, now + BUDGET_RETRY_S)
@@ -364,6 +380,8 @@
             "sent_ms": _milliseconds(self._sent_at - self.request.received_at),
             "early_ms": _milliseconds(self._state.quantile_latency_s),
         }
+        if end_reason is GatherEndReason.TOO_FEW and self._try_hand_over(1):
+            return
         if end_reason in (GatherEndReason.TOO_FEW, GatherEndReason.TIMED_OUT):
             self._end(self._failure(end_reason), end_reason, **fields)
             return
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -2,26 +2,35 @@
 
 import contextlib
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from random import Random
 
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
+    CONTACT_QUERY_PREFIX,
+    CONTACT_REPORT_PREFIX,
     CRASH_REPORT_PREFIX,
     LIMIT_REPORT_PREFIX,
+    MAX_QUERIED_REPLICAS,
     MAX_REPLICAS,
     OBSERVATION_PREFIX,
     Address,
+    ContactQuery,
+    ContactReport,
     CrashReport,
     Heartbeat,
     HostCount,
     LimitReport,
     Peer,
     PeerTable,
+    decode_contact_query,
+    decode_contact_report,
     decode_crash_report,
     decode_heartbeat,
     decode_limit_report,
     decode_observation,
+    encode_contact_query,
+    encode_contact_report,
     encode_crash_report,
     encode_heartbeat,
     encode_limit_report,
@@ -39,8 +48,12 @@
 
 from ._events import EventLog
 
-# Status with which a host declines to gather a query; it has sent no read for it.
+# Status with which a host declines a request of a peer; it has sent no read for it.
 STATUS_DECLINED = 409
+# Status with which a host gives a request back that it can no longer read; reads of it
+# may have been sent. Replicas may answer with these statuses too, without the header of
+# a refusal.
+STATUS_LOST_UPSTREAMS = 410
 # Informational response with which a host acknowledges that it gathers a query, and
 # reports that it still does.
 STATUS_PROCESSING = 102
@@ -96,6 +109,10 @@
         self.on_limit_report: Callable[[str, list[LimitNews]], None] = (
             lambda host, reports: None
         )
+        # Called with the query of a host that cannot reach replicas.
+        self.on_contact_query: Callable[[ContactQuery], None] = lambda query: None
+        # Called with the answer of another host to such a query.
+        self.on_contact_report: Callable[[ContactReport], None] = lambda report: None
         self._crash_report_due_at = float("-inf")
         # When each replica may be reported again.
         self._report_due_at: dict[str, float] = {}
@@ -128,10 +145,15 @@
         """
         if version != self._version:
             self.peer_table.announce()
+        has_changed = is_cut_off != self._is_cut_off
         self._version = version
         self._is_serving = is_serving
         self._is_cut_off = is_cut_off
         now = self.loop.now()
+        if has_changed:
+            # Other hosts should not hand queries to a host that cannot read.
+            for address in self.peer_table.advisers():
+                self._send_heartbeat(address, wants_reply=False)
         for peer in self.peer_table.expire(self._ticked_at, now):
             self.events.emit("gatherer_lost", gatherer=peer.heartbeat.host)
         self._ticked_at = now
@@ -150,6 +172,33 @@
             return {}
         return self.peer_table.choose_fellows(version, self.loop.now(), self.rng)
 
+    def choose_refuge(self, version: int, exclude: Iterable[Address]) -> Peer | None:
+        """Return a peer that can take over a request of this host, or None."""
+        now = self.loop.now()
+        return self.peer_table.refuges.choose(version, now, self.rng, exclude)
+
+    def ask_contact(self, replica_ids: Collection[str], number: int) -> None:
+        """Ask other hosts for their state and to connect to some replicas."""
+        if self._socket is None:
+            return
+        count = min(MAX_QUERIED_REPLICAS, len(replica_ids))
+        some = self.rng.sample(list(replica_ids), count)
+        query = ContactQuery(self.peer_table.address, number, some)
+        data = encode_contact_query(query)
+        for address in self.peer_table.choose_witnesses(self.rng):
+            # A lost query is repeated by the caller.
+            with contextlib.suppress(OSError):
+                self._socket.sendto(data, address)
+
+    def report_contact(self, query: ContactQuery, reached: list[str]) -> None:
+        """Tell a host the state of this one and the replicas that this one reaches."""
+        if self._socket is None:
+            return
+        heartbeat = self._own_heartbeat(wants_reply=False)
+        report = ContactReport(heartbeat, query.number, reached)
+        with contextlib.suppress(OSError):
+            self._socket.sendto(encode_contact_report(report), query.address)
+
     def choose_source(self, current: Peer | None) -> Peer | None:
         """Return the peer to take changes from, or None for the platform."""
         if self._socket is None:
@@ -247,11 +296,32 @@
         peers: list[Address] | None = None,
         fellows: list[Address] | None = None,
         count: HostCount = UNKNOWN_COUNT,
+        refuges: list[Address] | None = None,
     ) -> None:
         if self._socket is None:
             return
+        heartbeat = self._own_heartbeat(
+            wants_reply=wants_reply,
+            peers=peers,
+            fellows=fellows,
+            count=count,
+            refuges=refuges,
+        )
+        # An error has the effect of a lost datagram; the next heartbeat follows soon.
+        with contextlib.suppress(OSError):
+            self._socket.sendto(encode_heartbeat(heartbeat), address)
+
+    def _own_heartbeat(
+        self,
+        *,
+        wants_reply: bool,
+        peers: list[Address] | None = None,
+        fellows: list[Address] | None = None,
+        count: HostCount = UNKNOWN_COUNT,
+        refuges: list[Address] | None = None,
+    ) -> Heartbeat:
         peer_table = self.peer_table
-        heartbeat = Heartbeat(
+        return Heartbeat(
             self.host_id,
             peer_table.data_centre,
             peer_table.address,
@@ -265,10 +335,8 @@
             count.hosts,
             count.similar,
             fellows or [],
+            refuges or [],
         )
-        # An error has the effect of a lost datagram; the next heartbeat follows soon.
-        with contextlib.suppress(OSError):
-            self._socket.sendto(encode_heartbeat(heartbeat), address)
 
     def _read_heartbeats(self) -> None:
         for _ in range(MAX_HEARTBEATS_PER_READ):
@@ -285,6 +353,12 @@
             if data.startswith(LIMIT_REPORT_PREFIX):
                 self._handle_limit_report(data)
                 continue
+            if data.startswith(CONTACT_QUERY_PREFIX):
+                self._handle_contact_query(data)
+                continue
+            if data.startswith(CONTACT_REPORT_PREFIX):
+                self._handle_contact_report(data)
+                continue
             heartbeat = decode_heartbeat(data)
             if isinstance(heartbeat, Failure):
                 self.events.emit_detail("heartbeat_unreadable", reason=heartbeat.reason)
@@ -298,6 +372,24 @@
         else:
             self.on_late_replicas(replica_ids)
 
+    def _handle_contact_query(self, data: bytes) -> None:
+        query = decode_contact_query(data)
+        if isinstance(query, Failure):
+            self.events.emit_detail("heartbeat_unreadable", reason=query.reason)
+            return
+        self.report_contact(query, [])
+        self.on_contact_query(query)
+
+    def _handle_contact_report(self, data: bytes) -> None:
+        report = decode_contact_report(data)
+        if isinstance(report, Failure):
+            self.events.emit_detail("heartbeat_unreadable", reason=report.reason)
+            return
+        if report.heartbeat.address == self.peer_table.address:
+            return
+        self.peer_table.refuges.record_report(report.heartbeat, self.loop.now())
+        self.on_contact_report(report)
+
     def _handle_crash_report(self, data: bytes) -> None:
         report = decode_crash_report(data)
         if isinstance(report, Failure):
@@ -343,4 +435,9 @@
                 peers=peers,
                 fellows=self.peer_table.fellows_for(heartbeat, now, self.rng),
                 count=self.peer_table.count_hosts_for(heartbeat, now),
+                refuges=(
+                    self.peer_table.refuges_for(heartbeat, now, self.rng)
+                    if self.peer_table.is_seed
+                    else None
+                ),
             )
--- a/cicadalever/gateway/_readiness.py
+++ b/cicadalever/gateway/_readiness.py
@@ -4,7 +4,7 @@
 
 from cicadalever.routing import RoutingTable
 
-# A host is cut off when too few shards have been reachable for this long. The load
+# A host lacks upstreams when too few shards have been reachable for this long. The load
 # balancer removes a host after two failed checks, one second apart, so a short outage
 # has no effect.
 CUT_OFF_DELAY_S = 0.6
@@ -14,22 +14,28 @@
     """State from which the readiness check of the load balancer is answered.
 
     A host is ready when it has a configuration, is not draining and is not cut off. It
-    is cut off when it can serve none of its routes because their upstreams are
-    unreachable; the load balancer then sends its callers to other hosts. A host that
-    cannot reach some individual services stays ready, since other hosts could not reach
-    them either.
+    is cut off when it has lost its links to the upstreams (see ``ContactMonitor``), or
+    can serve none of its routes although other hosts may: the load balancer then sends
+    its callers to these. A host that lacks upstreams which other hosts cannot reach
+    either stays ready.
     """
 
     def __init__(self):
         self.is_draining = False
         self._unreachable_since: float | None = None
+        self._lacks_upstreams = False
         self._is_cut_off = False
 
     @property
     def is_cut_off(self) -> bool:
-        """Whether the host cannot reach its upstreams, or its gatherers cannot."""
+        """Whether this host cannot reach upstreams that others may reach."""
         return self._is_cut_off
 
+    @property
+    def lacks_upstreams(self) -> bool:
+        """Whether too few shards are reachable for all routes over shards."""
+        return self._lacks_upstreams
+
     def is_ready(self, table: RoutingTable | None) -> bool:
         """Return whether the load balancer should send requests to this host."""
         return table is not None and not self.is_draining and not self._is_cut_off
@@ -40,25 +46,25 @@
         is_reachable: Callable[[str], bool],
         now: float,
         *,
-        are_gatherers_cut_off: bool = False,
+        has_lost_links: bool = False,
+        is_shared_outage: bool = False,
     ) -> None:
         """Update the state from the services that are reachable at ``now``.
 
-        If all hosts that gather the queries of this one are cut off, it counts as cut
-        off at once: it would notice a loss of its own upstreams only after sending
-        reads itself.
+        ``has_lost_links`` is the verdict of ``ContactMonitor``. With
+        ``is_shared_outage``, other hosts have been asked and do not reach the missing
+        upstreams either.
         """
-        if are_gatherers_cut_off:
-            self._is_cut_off = True
-            return
         if table is None or _can_serve_any(table.routes, is_reachable):
             self._unreachable_since = None
-            self._is_cut_off = False
-            return
-        if self._unreachable_since is None:
-            self._unreachable_since = now
-        if now - self._unreachable_since >= CUT_OFF_DELAY_S:
-            self._is_cut_off = True
+            self._lacks_upstreams = False
+        else:
+            if self._unreachable_since is None:
+                self._unreachable_since = now
+            if now - self._unreachable_since >= CUT_OFF_DELAY_S:
+                self._lacks_upstreams = True
+        lacks_alone = self._lacks_upstreams and not is_shared_outage
+        self._is_cut_off = has_lost_links or lacks_alone
 
 
 def _can_serve_any(routes: Iterable, is_reachable: Callable[[str], bool]) -> bool:
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -40,14 +40,28 @@
 from ._events import EventLog
 from ._metrics import GatewayMetrics
 
-# Headers of queries between hosts: the configuration version of the sending host, the
+# Headers of requests between hosts: the configuration version of the sending host, the
 # microseconds until it needs the answer, and the shards to read (without it: all). The
-# answer to a query for some shards names those that are missing.
+# answer to a query for some shards names those that are missing. A request that is
+# handed over names its service, unless it is a query over shards, and how many replicas
+# may have got it.
 PEER_VERSION = b"x-cicadalever-version"
 PEER_ANSWER_US = b"x-cicadalever-answer-us"
 PEER_SHARDS = b"x-cicadalever-shards"
 PEER_MISSING = b"x-cicadalever-missing"
-PEER_HEADERS = (PEER_VERSION, PEER_ANSWER_US, PEER_SHARDS, PEER_MISSING)
+PEER_SERVICE = b"x-cicadalever-service"
+PEER_ATTEMPTS = b"x-cicadalever-attempts"
+# Why a host has not processed a request of another one.
+PEER_REFUSAL = b"x-cicadalever-refusal"
+PEER_HEADERS = (
+    PEER_VERSION,
+    PEER_ANSWER_US,
+    PEER_SHARDS,
+    PEER_MISSING,
+    PEER_SERVICE,
+    PEER_ATTEMPTS,
+    PEER_REFUSAL,
+)
 
 # Connection limit of replicas whose service is not in the configuration.
 DEFAULT_MAX_CONNECTIONS = 8
@@ -55,8 +69,10 @@
 # keeps its connection open. After that, the connection is closed, which stops the
 # replica. Replicas must not work for callers that disconnected half a second ago.
 ABANDON_GRACE_S = 0.3
-# Most connections that a cut-off host tries to open per tick.
+# Most connections that a host without upstreams tries to open at a time, and the time
+# in seconds that they have.
 MAX_PROBES = 8
+CONNECT_TIMEOUT_S = 0.4
 # Most connections that are opened in advance per tick, so that they do not delay reads.
 MAX_WARM_UPS = 20
 # Most replicas that wait for a connection in advance; the oldest are dropped.
@@ -158,16 +174,24 @@
         answer_by: float,
         now: float,
         shards: Collection[int] | None = None,
+        *,
+        service: str | None = None,
+        attempts: int = 0,
     ) -> bytes:
-        """Return the bytes of the request to a peer that gathers the answer.
+        """Return the bytes of the request to a peer that reads the answer.
 
         ``version`` is the version of the configuration in force, ``answer_by`` the
         monotonic time in seconds at which this host needs the answer, and ``shards``
-        the shards to read (None for all).
+        the shards to read (None for all). ``service`` is that of a request without
+        shards, and ``attempts`` the number of replicas that may have got the request.
         """
-        shards_line = b""
+        options = b""
         if shards is not None:
-            shards_line = b"%s: %s\r\n" % (PEER_SHARDS, encode_shards(shards))
+            options += b"%s: %s\r\n" % (PEER_SHARDS, encode_shards(shards))
+        if service is not None:
+            options += b"%s: %s\r\n" % (PEER_SERVICE, service.encode())
+        if attempts:
+            options += b"%s: %d\r\n" % (PEER_ATTEMPTS, attempts)
         return b"%s\r\n%s: %d\r\n%s: %d\r\n%s: %d\r\n%s\r\n%s" % (
             self._head,
             self._deadline_name,
@@ -176,7 +200,7 @@
             version,
             PEER_ANSWER_US,
             max(0, int((answer_by - now) * 1_000_000)),
-            shards_line,
+            options,
             self._body,
         )
 
@@ -218,18 +242,21 @@
         # Hosts that share the connections of replicas, or None while unknown.
         self._host_counts: HostCounts | None = None
         self._is_gatherer = True
+        # Called when no replica has answered a query in the usual time, with the time
+        # at which it was sent.
+        self.on_silence: Callable[[float], None] = lambda sent_at: None
         # Called with the id of a replica and a connection to it whose handshake was
         # completed or has failed.
         self.on_handshake: Callable[[str, ReplicaConnection], None] = (
             lambda replica_id, connection: None
         )
         # When a replica last completed an answer or a handshake.
+        self._service_probes = 0
         self._contact_at = loop.now()
+        self._answered_at = float("-inf")
         self._pools: dict[str, ReplicaPool] = {}
         # Replicas of the own data centre that were found since the last ``warm_up``.
         self._new_replicas: deque[str] = deque(maxlen=MAX_NEW_REPLICAS)
-        # Services with a probe in progress.
-        self._probed_services: set[str] = set()
 
     def choose_replica(
         self, service: str, route: Route, exclude: Container[str]
@@ -369,6 +396,11 @@
         read.on_end = on_end
         self.loop.call_later(ABANDON_GRACE_S, read.exchange.cancel, detail)
 
+    @property
+    def answered_at(self) -> float:
+        """Monotonic time in seconds at which a replica last completed an answer."""
+        return self._answered_at
+
     @property
     def contact_age_s(self) -> float:
         """Seconds since a replica last completed an answer or a handshake."""
@@ -381,21 +413,35 @@
             for replica in self.directory.ready_replicas(service)
         )
 
+    def find_unreachable(self, table: RoutingTable) -> list[ReplicaEntry]:
+        """Return a replica, at random, of each service that is not reachable."""
+        return [
+            self.selector.rng.choice(replicas)
+            for service in sorted(table.service_names)
+            if (replicas := self.directory.ready_replicas(service))
+            and not self.is_reachable(service)
+        ]
+
     def probe_unreachable(self, table: RoutingTable) -> None:
-        """Try to connect to a replica of each unreachable service.
+        """Try to connect to a replica of some services that are not reachable.
 
-        At most ``MAX_PROBES`` connections are started per call.
+        At most ``MAX_PROBES`` connections are in progress at a time.
         """
-        probes = 0
-        for service in sorted(table.service_names):
-            if probes >= MAX_PROBES:
-                return
-            if service in self._probed_services or self.is_reachable(service):
-                continue
-            replicas = self.directory.ready_replicas(service)
-            if replicas:
-                probes += 1
-                self._probe(replicas[self.selector.rng.randrange(len(replicas))])
+        replicas = self.find_unreachable(table)
+        self.selector.rng.shuffle(replicas)
+        for replica in replicas[: MAX_PROBES - self._service_probes]:
+            self._service_probes += 1
+            self.probe(replica, CONNECT_TIMEOUT_S, self._end_service_probe)
+
+    def _end_service_probe(self, is_reached: bool) -> None:
+        self._service_probes -= 1
+
+    def forget_unreachable(self) -> None:
+        """Try replicas again that were out of reach because of this host's links."""
+        for replica in self.directory.all_ready_replicas():
+            health = self.selector.health(replica.id)
+            if health.is_unreachable:
+                health.record_connected()
 
     def warm_up(self, table: RoutingTable) -> None:
         """Connect to new replicas near this host before queries need them.
@@ -416,20 +462,27 @@
     def _may_be_gathered(self, service: str, table: RoutingTable) -> bool:
         return service in table.shard_names or service not in table.service_names
 
-    def _probe(self, replica: ReplicaEntry) -> None:
-        self._probed_services.add(replica.service)
+    def probe(
+        self, replica: ReplicaEntry, timeout_s: float, on_end: Callable[[bool], None]
+    ) -> None:
+        """Open a connection to a replica and close it again.
+
+        ``on_end`` is called once with whether the replica accepted the connection
+        within ``timeout_s`` seconds.
+        """
 
         def connected(connection: ReplicaConnection) -> None:
+            self._contact_at = self.loop.now()
             self.selector.health(replica.id).record_connected()
             connection.close("probe completed")
 
         def closed(connection: ReplicaConnection, detail: str) -> None:
-            self._probed_services.discard(replica.service)
+            on_end(connection.is_connected)
 
         self.metrics.connection_opened()
         ReplicaConnection(
             self.loop, self.names, replica.address, connected, closed, self.memory
-        ).connect()
+        ).connect(timeout_s)
 
     def directory_changed(self, change: DirectoryChange) -> None:
         """Drop the connections and health data of a replica that restarted or left."""
@@ -460,7 +513,7 @@
         now = self.loop.now()
         kind = classify_answer(answer, self.names)
         if answer.fault is None:
-            self._contact_at = now
+            self._contact_at = self._answered_at = now
         outcome = classify_read_outcome(answer, kind)
         replica = read.replica
         if self.selector.record_end(replica.id, read, outcome, route.name, now):
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -4,11 +4,12 @@
 from typing import NamedTuple
 
 from cicadalever.gather import decode_shards, encode_shards, required_shards
+from cicadalever.peers import Address
 from cicadalever.refusal import plan_retry_after
 from cicadalever.routing import Route, RoutingTable, WeightedRoundRobin
 from cicadalever.wire import CallerConnection, CallerRequest, CallerResponse
 
-from ._call import RECOVERY_S, error_response
+from ._call import RECOVERY_S, Call, error_response
 from ._delegated_call import DelegatedCall
 from ._events import EventLog
 from ._forward_call import ForwardCall
@@ -16,17 +17,23 @@
 from ._peers import (
     PROGRESS_PERIOD_S,
     STATUS_DECLINED,
+    STATUS_LOST_UPSTREAMS,
     STATUS_PROCESSING,
     PeerLink,
 )
 from ._reads import (
     PEER_ANSWER_US,
+    PEER_ATTEMPTS,
+    PEER_HEADERS,
     PEER_MISSING,
+    PEER_REFUSAL,
+    PEER_SERVICE,
     PEER_SHARDS,
     PEER_VERSION,
     OutboundRequest,
     ReadRunner,
 )
+from ._upstream_contact import UpstreamContact
 
 # Round trip between callers and hosts if the kernel has not measured it, and the
 # longest one that is planned for.
@@ -44,6 +51,8 @@
 MIN_SHARDS_TO_DELEGATE = 32
 # Most queries that a host gathers for its peers at a time.
 MAX_GATHERED_FOR_PEERS = 64
+# Hosts that are asked in turn to take over a request.
+MAX_HANDOVERS = 2
 # Time in which the answer of a gatherer reaches this host inside a data centre.
 PEER_HOP_S = 0.002
 INITIAL_LATENESS_S = 0.001
@@ -58,6 +67,34 @@
     deadline: float
 
 
+class Handover(NamedTuple):
+    """A request of a caller with all that another host needs to process it.
+
+    ``arguments`` are those of ``Call``, ``answer_by`` is the monotonic time in seconds
+    at which the answer is due, and ``service`` that of a request without shards.
+    """
+
+    connection: CallerConnection
+    arguments: tuple
+    answer_by: float
+    service: str | None
+
+
+class PeerOrder(NamedTuple):
+    """What another host asks this one to process.
+
+    ``shards`` are those of a part of a query, ``service`` is that of a request without
+    shards, and ``attempts`` the number of replicas that may have got the request.
+    """
+
+    route: Route
+    outbound: OutboundRequest
+    answer_by: float
+    shards: list[int] | None
+    service: str | None
+    attempts: int
+
+
 class AnswerLateness:
     """Moving average of the delay of answers that were due at a given time.
 
@@ -145,18 +182,29 @@
     ``table`` is the configuration in force, or None before the first one.
     """
 
-    def __init__(self, runner: ReadRunner, events: EventLog, link: PeerLink):
+    def __init__(
+        self,
+        runner: ReadRunner,
+        events: EventLog,
+        link: PeerLink,
+        contact: UpstreamContact,
+    ):
         self.runner = runner
         self.link = link
+        self.contact = contact
         self.events = events
         self.table: RoutingTable | None = None
-        # Whether too few shards are reachable for any query; see ``Readiness``.
+        # Whether other hosts may reach upstreams that this one does not, and whether
+        # too few shards are reachable for any query; see ``Readiness``.
         self.is_cut_off: Callable[[], bool] = lambda: False
+        self.lacks_upstreams: Callable[[], bool] = lambda: False
         # Whether requests may have waited during a suspension of this process.
         self.has_just_resumed: Callable[[], bool] = lambda: False
         self.lateness = AnswerLateness()
         self._round_robin = WeightedRoundRobin()
         self._gathered_for_peers = 0
+        # Calls that read from replicas.
+        self._reading_calls: set[Call] = set()
 
     def handle(self, connection: CallerConnection, request: CallerRequest) -> None:
         """Start the call for a request of a caller, or refuse the request."""
@@ -167,10 +215,6 @@
         if route is None:
             self._refuse(connection, request, 404, "no_route")
             return
-        if route.shards and self.is_cut_off():
-            # The load balancer needs some seconds to stop sending requests here.
-            self._refuse(connection, request, 503, "cut_off", route.rank)
-            return
         names = self.runner.names
         request_id = request.header(names.request_id)
         if request_id is None:
@@ -193,78 +237,149 @@
         def respond(response: CallerResponse, fields: dict) -> None:
             connection.respond(response)
 
+        service = None
+        if not route.shards:
+            service = self._round_robin.next(route.name, route.services)
         arguments = (request, route, self.table, self.runner, outbound, respond)
-        if route.shards:
-            self._gather(connection, arguments, times.answer_by)
-            return
-        call = ForwardCall(*arguments)
-        connection.on_disconnect = call.cancel
-        call.start(self._round_robin.next(route.name, route.services))
+        handover = Handover(connection, arguments, times.answer_by, service)
+        # The load balancer needs some seconds to stop sending requests here.
+        if self.is_cut_off():
+            if not self._hand_over(handover, 0):
+                self._refuse(connection, request, 503, "cut_off", route.rank)
+        elif route.shards and self.lacks_upstreams():
+            self._refuse(connection, request, 503, "no_upstreams", route.rank)
+        elif route.shards:
+            self._gather(handover)
+        else:
+            self._forward(handover)
+
+    def hand_over_unanswered(self) -> None:
+        """Hand over the requests that wait for replicas out of reach."""
+        lost_since = self.contact.suspected_since
+        if lost_since is not None and not self.contact.has_live_connections():
+            for call in list(self._reading_calls):
+                call.hand_over_unanswered(lost_since, is_cut_off=True)
+
+    def hand_over_overdue(self) -> None:
+        """Hand over queries without any answer while the links are in doubt."""
+        lost_since = self.contact.suspected_since
+        if lost_since is not None and not self.contact.has_live_connections():
+            for call in list(self._reading_calls):
+                call.hand_over_unanswered(lost_since, is_cut_off=False)
 
     def handle_peer(self, connection: CallerConnection, request: CallerRequest) -> None:
-        """Gather a query for a peer, or decline it.
+        """Process a request for a peer, or decline it.
 
         It is declined if it is invalid, if another version of the configuration is in
-        force here, if this host already gathers too many queries for peers, or if it
-        may have waited during a suspension: the peer does not wait that long.
+        force here, if this host already works on too many requests for peers or has
+        lost its upstreams, or if it may have waited during a suspension: the peer does
+        not wait that long.
         """
-        names = self.runner.names
-        request_id = request.header(names.request_id)
-        route = self._route_for_peer(request)
-        caller_deadline_s = parse_deadline(request.header(names.deadline))
-        answer_us = parse_number(request.header(PEER_ANSWER_US))
-        is_acceptable = None not in (route, request_id, caller_deadline_s, answer_us)
-        if self.has_just_resumed():
-            self.events.emit_detail("query_declined", id=request_id, reason="suspended")
-            is_acceptable = False
-        shards = None
-        if is_acceptable and (value := request.header(PEER_SHARDS)) is not None:
-            shards = decode_shards(value, len(route.shards))
-            is_acceptable = bool(shards)
-        if not is_acceptable or self._gathered_for_peers >= MAX_GATHERED_FOR_PEERS:
-            headers = [] if request_id is None else [(names.request_id, request_id)]
-            connection.respond(CallerResponse(STATUS_DECLINED, headers))
+        order = self._parse_peer_request(request)
+        is_full = self._gathered_for_peers >= MAX_GATHERED_FOR_PEERS
+        if order is None or is_full or self.is_cut_off():
+            self._return_to_peer(connection, request, STATUS_DECLINED)
             return
         self._report_progress(connection, request)
-        deadline = request.received_at + caller_deadline_s
-        # The peer has already reserved its own margin, which includes the least one.
-        margin_s = PEER_HOP_S + self.lateness.margin_s - MIN_ANSWER_MARGIN_S
-        answer_by = request.received_at + answer_us / 1e6 - margin_s
-        outbound = OutboundRequest(request, names, deadline, request_id)
-        if shards is not None:
-            route = select_shards(route, shards)
+        names, shards = self.runner.names, order.shards
 
         def respond(response: CallerResponse, fields: dict) -> None:
-            self._gathered_for_peers -= 1
+            end()
+            headers = [each for each in response.headers if each[0] not in PEER_HEADERS]
             if shards is not None:
                 missing = [shards[index] for index in call.missing_shards]
-                header = (PEER_MISSING, encode_shards(missing))
-                response = response._replace(headers=[*response.headers, header])
+                headers.append((PEER_MISSING, encode_shards(missing)))
             if response.header(names.request_id) is None:
                 # The peer drops answers without the id of its request.
-                id_header = (names.request_id, request_id)
-                response = response._replace(headers=[*response.headers, id_header])
-            connection.respond(response)
+                headers.append((names.request_id, order.outbound.request_id))
+            connection.respond(response._replace(headers=headers))
+
+        def give_back(attempts: int) -> bool:
+            if not self.contact.is_doubtful:
+                return False
+            end()
+            status = STATUS_LOST_UPSTREAMS if attempts else STATUS_DECLINED
+            self._return_to_peer(connection, request, status)
+            return True
+
+        def end() -> None:
+            self._gathered_for_peers -= 1
+            self._reading_calls.discard(call)
 
         def cancel() -> None:
-            self._gathered_for_peers -= 1
+            end()
             call.cancel()
 
-        call = GatherCall(
-            request,
-            route,
-            self.table,
-            self.runner,
-            outbound,
-            respond,
-            on_late=self.lateness.observe,
-            # The shards of a group are not handed on again.
-            link=self.link if shards is None else None,
-            is_group=shards is not None,
-        )
+        arguments = (request, order.route, self.table, self.runner, order.outbound)
+        if order.service is not None:
+            call = ForwardCall(*arguments, respond)
+        else:
+            call = GatherCall(
+                *arguments,
+                respond,
+                on_late=self.lateness.observe,
+                # The shards of a group are not handed on again.
+                link=self.link if shards is None else None,
+                is_group=shards is not None,
+            )
+        call.hand_over = give_back
         self._gathered_for_peers += 1
+        self._reading_calls.add(call)
         connection.on_disconnect = cancel
-        call.start(answer_by)
+        if order.service is not None:
+            call.start(order.service)
+        else:
+            call.start(order.answer_by, is_repeat=order.attempts > 0)
+
+    def _parse_peer_request(self, request: CallerRequest) -> PeerOrder | None:
+        """Return what a peer asks for, or None if it must be declined."""
+        names = self.runner.names
+        request_id = request.header(names.request_id)
+        route = self._route_for_peer(request)
+        caller_deadline_s = parse_deadline(request.header(names.deadline))
+        answer_us = parse_number(request.header(PEER_ANSWER_US))
+        if None in (route, request_id, caller_deadline_s, answer_us):
+            return None
+        if self.has_just_resumed():
+            self.events.emit_detail("query_declined", id=request_id, reason="suspended")
+            return None
+        attempts = parse_number(request.header(PEER_ATTEMPTS)) or 0
+        shards = service = None
+        if (value := request.header(PEER_SHARDS)) is not None:
+            shards = decode_shards(value, len(route.shards))
+            if not shards:
+                return None
+            route = select_shards(route, shards)
+        elif not route.shards:
+            service = (request.header(PEER_SERVICE) or b"").decode("latin-1")
+            if service not in {part.service for part in route.services}:
+                return None
+            if attempts and not self._may_repeat(route, service, attempts):
+                return None
+            route = route._replace(max_attempts=route.max_attempts - attempts)
+        # The peer has already reserved its own margin, which includes the least one.
+        margin_s = PEER_HOP_S + self.lateness.margin_s - MIN_ANSWER_MARGIN_S
+        answer_by = request.received_at + answer_us / 1e6 - margin_s
+        deadline = request.received_at + caller_deadline_s
+        outbound = OutboundRequest(request, names, deadline, request_id)
+        return PeerOrder(route, outbound, answer_by, shards, service, attempts)
+
+    def _may_repeat(self, route: Route, service: str, attempts: int) -> bool:
+        """Return whether a request that replicas may have got may be sent again."""
+        return (
+            route.idempotent
+            and attempts < route.max_attempts
+            and self.runner.try_spend(service)
+        )
+
+    def _return_to_peer(
+        self, connection: CallerConnection, request: CallerRequest, status: int
+    ) -> None:
+        request_id = request.header(self.runner.names.request_id)
+        headers = [(PEER_REFUSAL, b"1")]
+        if request_id is not None:
+            headers.append((self.runner.names.request_id, request_id))
+        connection.respond(CallerResponse(status, headers))
 
     def _is_quarantined(self, request: CallerRequest, request_id: bytes) -> bool:
         """Return whether replicas did not survive this request before."""
@@ -281,34 +396,111 @@
                 PROGRESS_PERIOD_S, self._report_progress, connection, request
             )
 
-    def _gather(
-        self, connection: CallerConnection, arguments: tuple, answer_by: float
-    ) -> None:
+    def _forward(self, handover: Handover) -> None:
+        """Send a request to a replica of its service."""
+        call = ForwardCall(*handover.arguments)
+        self._begin(call, handover)
+        call.start(handover.service)
+
+    def _gather(self, handover: Handover) -> None:
         """Gather a query on this host, or on a larger one if that is faster."""
+        arguments = handover.arguments
+        _, route, table, *_ = arguments
 
         def gather_here(is_repeat: bool) -> None:
-            is_wide = len(arguments[1].shards) >= MIN_SHARDS_TO_DELEGATE
+            is_wide = len(route.shards) >= MIN_SHARDS_TO_DELEGATE
             call = GatherCall(
                 *arguments,
                 on_late=self.lateness.observe,
                 link=self.link if is_wide else None,
             )
-            connection.on_disconnect = call.cancel
-            call.start(answer_by, is_repeat=is_repeat)
+            self._begin(call, handover)
+            call.start(handover.answer_by, is_repeat=is_repeat)
 
-        _, route, table, *_ = arguments
         peer = None
         if len(route.shards) >= MIN_SHARDS_TO_DELEGATE:
             peer = self.link.choose_gatherer(table.version)
         if peer is None:
             gather_here(False)
             return
-        call = DelegatedCall(*arguments, link=self.link, gather_here=gather_here)
-        connection.on_disconnect = call.cancel
-        call.start(peer, answer_by)
+
+        def fall_back(may_have_begun: bool) -> None:
+            if not self.is_cut_off():
+                gather_here(may_have_begun)
+            elif not self._hand_over(handover, int(may_have_begun)):
+                self._end_unserved(handover, int(may_have_begun))
+
+        call = DelegatedCall(*arguments, link=self.link, fall_back=fall_back)
+        handover.connection.on_disconnect = call.cancel
+        call.start(peer, handover.answer_by)
+
+    def _begin(self, call: Call, handover: Handover) -> None:
+        """Let a call be cancelled by its caller and handed over to another host."""
+
+        def on_end(response: CallerResponse, fields: dict) -> None:
+            self._reading_calls.discard(call)
+            end_request(response, fields)
+
+        def cancel() -> None:
+            self._reading_calls.discard(call)
+            call.cancel()
+
+        def hand_over(attempts: int) -> bool:
+            if not self.contact.is_doubtful and not self.is_cut_off():
+                return False
+            if not self._hand_over(handover, attempts):
+                return False
+            self._reading_calls.discard(call)
+            return True
+
+        end_request = call.on_end
+        call.on_end = on_end
+        call.hand_over = hand_over
+        self._reading_calls.add(call)
+        handover.connection.on_disconnect = cancel
+
+    def _hand_over(
+        self, handover: Handover, attempts: int, tried: tuple[Address, ...] = ()
+    ) -> bool:
+        """Let another host process a request; return whether one is known that can.
+
+        ``attempts`` is the number of replicas that may have got the request, and
+        ``tried`` are hosts that have not processed it.
+        """
+        request, route, table, *_ = handover.arguments
+        peer = self.link.choose_refuge(table.version, tried)
+        if peer is None or len(tried) >= MAX_HANDOVERS:
+            return False
+
+        def fall_back(may_have_begun: bool) -> None:
+            count = attempts + int(may_have_begun)
+            may_repeat = not may_have_begun or (
+                route.idempotent and (route.shards or count < route.max_attempts)
+            )
+            others = (*tried, peer.address)
+            if not (may_repeat and self._hand_over(handover, count, others)):
+                self._end_unserved(handover, count)
+
+        call = DelegatedCall(
+            *handover.arguments,
+            link=self.link,
+            fall_back=fall_back,
+            service=handover.service,
+            attempts=attempts,
+            is_handed_over=True,
+        )
+        handover.connection.on_disconnect = call.cancel
+        call.start(peer, handover.answer_by)
+        return True
+
+    def _end_unserved(self, handover: Handover, attempts: int) -> None:
+        """Answer a request that no host could process."""
+        status = 502 if attempts else 503
+        request, route, *_ = handover.arguments
+        self._refuse(handover.connection, request, status, "cut_off", route.rank)
 
     def _route_for_peer(self, request: CallerRequest) -> Route | None:
-        """Return the route of a query of a peer, or None if it must be declined."""
+        """Return the route of a request of a peer, or None if it must be declined."""
         if self.table is None:
             return None
         version = parse_number(request.header(PEER_VERSION))
@@ -316,8 +508,7 @@
             if version is not None and version > self.table.version:
                 self.link.on_newer_version()
             return None
-        route = self._find_route(request)
-        return route if route is not None and route.shards else None
+        return self._find_route(request)
 
     def _find_route(self, request: CallerRequest) -> Route | None:
         host = (request.header(b"host") or b"").decode("latin-1")
--- a/cicadalever/peers/__init__.py
+++ b/cicadalever/peers/__init__.py
@@ -12,6 +12,17 @@
     decode_changes,
     encode_changes,
 )
+from ._contact import (
+    CONTACT_QUERY_PREFIX,
+    CONTACT_REPORT_PREFIX,
+    MAX_QUERIED_REPLICAS,
+    ContactQuery,
+    ContactReport,
+    decode_contact_query,
+    decode_contact_report,
+    encode_contact_query,
+    encode_contact_report,
+)
 from ._heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
 from ._observation import (
     CRASH_REPORT_PREFIX,
@@ -27,9 +38,20 @@
     encode_limit_report,
     encode_observation,
 )
-from ._table import COUNT_AFTER_S, Address, Capacity, HostCount, Peer, PeerTable
+from ._peer import Address, Capacity, Peer
+from ._refuges import Refuges
+from ._table import COUNT_AFTER_S, HostCount, PeerTable
 
 __all__ = [
+    "CONTACT_QUERY_PREFIX",
+    "CONTACT_REPORT_PREFIX",
+    "MAX_QUERIED_REPLICAS",
+    "ContactQuery",
+    "ContactReport",
+    "decode_contact_query",
+    "decode_contact_report",
+    "encode_contact_query",
+    "encode_contact_report",
     "COUNT_AFTER_S",
     "CRASH_REPORT_PREFIX",
     "CrashReport",
@@ -51,6 +73,7 @@
     "Peer",
     "PeerTable",
     "Position",
+    "Refuges",
     "RelayedChanges",
     "decode_changes",
     "decode_heartbeat",
--- a/cicadalever/peers/_heartbeat.py
+++ b/cicadalever/peers/_heartbeat.py
@@ -22,7 +22,8 @@
     ``peers`` lists the hosts that may gather queries for the asking host, ``hosts``
     counts the hosts of its data centre, and ``similar`` those with about its capacity,
     itself included (0: not known yet). ``fellows`` lists the hosts of all data centres
-    that gather queries, if the asking host is one of them.
+    that gather queries, if the asking host is one of them. ``refuges`` lists some that
+    can take over requests if the asking host loses its upstreams.
     """
 
     host: str
@@ -38,6 +39,7 @@
     hosts: int = 0
     similar: int = 0
     fellows: list[tuple[str, int]] = []
+    refuges: list[tuple[str, int]] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -4,20 +4,11 @@
 from typing import NamedTuple
 
 from ._heartbeat import Heartbeat
+from ._peer import Address, Capacity, Peer
+from ._refuges import Refuges
 
-# IPv4 address and port.
-Address = tuple[str, int]
-
-# A host gathers queries for another one if its link or its processor is larger by this
-# factor and neither is smaller. The extra hop takes about a millisecond, while the
-# requests and answers of a query over many shards take tens of milliseconds on the
-# smaller link.
-MIN_CAPACITY_RATIO = 2.0
 # Time between two heartbeats to a host that may gather for this one.
 HEARTBEAT_PERIOD_S = 0.4
-# Time for which a host counts as alive after a heartbeat, so that two lost datagrams in
-# a row do not exclude it.
-ALIVE_TIMEOUT_S = 1.3
 # Time between two heartbeats to the seeds: doubles from the minimum to the maximum.
 MIN_SEED_PERIOD_S = 0.5
 MAX_SEED_PERIOD_S = 8.0
@@ -30,6 +21,10 @@
 COUNT_AFTER_S = 2.0 * MAX_SEED_PERIOD_S
 # Most hosts of one data centre that are listed to those which gather queries elsewhere.
 MAX_FELLOWS_PER_DATA_CENTRE = 4
+# Most hosts of one data centre that are listed as refuges, and most hosts that are
+# asked at a time whether they reach the replicas that this host does not.
+MAX_REFUGES_PER_DATA_CENTRE = 2
+MAX_WITNESSES = 6
 # Most hosts to which a host passes on what it heard.
 MAX_KNOWN_HOSTS = 1024
 # Time between two heartbeats to a host that gathers queries in another data centre, and
@@ -41,10 +36,6 @@
 # each further failure.
 MIN_FELLOW_PAUSE_S = 1.0
 MAX_FELLOW_PAUSE_S = 8.0
-# Round trip that is assumed to a host before it has been measured, and the weight of
-# the newest measurement.
-INITIAL_ROUND_TRIP_S = 0.005
-ROUND_TRIP_WEIGHT = 0.2
 # Time for which a seed uses the list of hosts that gather queries before it lists them
 # again.
 GATHERER_LIST_S = 1.0
@@ -52,22 +43,6 @@
 FAILURE_PAUSE_S = 1.0
 
 
-class Capacity(NamedTuple):
-    """Capacity of a host; ``cores`` is the sum of its shares of processor cores."""
-
-    link_mbps: float
-    cores: float
-
-    def is_much_larger_than(self, other: "Capacity") -> bool:
-        """Return whether this host should gather for one with the other capacity."""
-        link_ratio = self.link_mbps / other.link_mbps
-        core_ratio = self.cores / other.cores
-        return (
-            min(link_ratio, core_ratio) >= 1.0
-            and max(link_ratio, core_ratio) >= MIN_CAPACITY_RATIO
-        )
-
-
 class HostCount(NamedTuple):
     """Number of ``hosts`` in a data centre.
 
@@ -78,45 +53,6 @@
     similar: int
 
 
-class Peer:
-    """Another host, with its latest heartbeat and what this host has sent to it."""
-
-    def __init__(self, address: Address):
-        self.address = address
-        self.heartbeat: Heartbeat | None = None
-        # Number of queries of this host that the peer is gathering.
-        self.in_flight = 0
-        # Seconds until the peer acknowledged a query, averaged.
-        self.round_trip_s = INITIAL_ROUND_TRIP_S
-        # When a seed last listed the peer as one that gathers queries elsewhere.
-        self.fellow_listed_at = float("-inf")
-        self.last_heartbeat_at = float("-inf")
-        self.known_since = float("-inf")
-        # When this host should send the next heartbeat to the peer.
-        self.heartbeat_due_at = float("-inf")
-        self.no_queries_until = float("-inf")
-        # Until then the peer is not chosen as the source of platform changes.
-        self.not_followed_until = float("-inf")
-
-    @property
-    def capacity(self) -> Capacity | None:
-        """Capacity of the peer, or None before its first heartbeat."""
-        heartbeat = self.heartbeat
-        return (
-            None
-            if heartbeat is None
-            else Capacity(heartbeat.link_mbps, heartbeat.cores)
-        )
-
-    def observe_round_trip(self, seconds: float) -> None:
-        """Add a measured time until the peer acknowledged a query."""
-        self.round_trip_s += ROUND_TRIP_WEIGHT * (seconds - self.round_trip_s)
-
-    def is_alive(self, now: float) -> bool:
-        """Return whether a heartbeat of the peer arrived within ``ALIVE_TIMEOUT_S``."""
-        return now - self.last_heartbeat_at <= ALIVE_TIMEOUT_S
-
-
 class PeerTable:
     """The hosts that this host knows from heartbeats.
 
@@ -137,6 +73,7 @@
         self.data_centre = data_centre
         self.capacity = capacity
         self.started_at = started_at
+        self.refuges = Refuges(data_centre)
         self._peers: dict[Address, Peer] = {}
         self._seeds: list[Address] = []
         self._is_seed = False
@@ -179,6 +116,10 @@
         for address in heartbeat.fellows:
             if address != self.address:
                 self._get_or_add(address, now).fellow_listed_at = now
+        if heartbeat.refuges:
+            self.refuges.listed = [
+                address for address in heartbeat.refuges if address != self.address
+            ]
         if peer.fellow_listed_at > float("-inf"):
             # The heartbeat that was answered or received tells both hosts enough.
             peer.heartbeat_due_at = max(
@@ -296,9 +237,7 @@
         The result has at most ``MAX_FELLOWS_PER_DATA_CENTRE`` hosts of each data
         centre, selected at random.
         """
-        if now - self._gatherers_listed_at > GATHERER_LIST_S:
-            self._gatherers_listed_at = now
-            self._gatherers = self._list_gatherers(now)
+        self._update_gatherers(now)
         if heartbeat.address not in self._gatherers.get(heartbeat.data_centre, ()):
             return []
         fellows = []
@@ -308,6 +247,31 @@
             fellows += rng.sample(others, count)
         return fellows
 
+    def refuges_for(
+        self, heartbeat: Heartbeat, now: float, rng: Random
+    ) -> list[Address]:
+        """Return hosts that can take over requests of the sender of a heartbeat.
+
+        The result has at most ``MAX_REFUGES_PER_DATA_CENTRE`` large hosts of each data
+        centre, selected at random from those that reach their upstreams.
+        """
+        self._update_gatherers(now)
+        refuges = []
+        for addresses in self._gatherers.values():
+            others = [
+                address
+                for address in addresses
+                if address != heartbeat.address and self._is_serving(address)
+            ]
+            count = min(MAX_REFUGES_PER_DATA_CENTRE, len(others))
+            refuges += rng.sample(others, count)
+        return refuges
+
+    def choose_witnesses(self, rng: Random) -> list[Address]:
+        """Return hosts to ask about replicas, at most ``MAX_WITNESSES`` at random."""
+        known = dict.fromkeys([*self.refuges.listed, *self.advisers()])
+        return rng.sample(list(known), min(MAX_WITNESSES, len(known)))
+
     def fellows(self) -> list[Address]:
         """Return the other hosts that gather queries, as the seeds listed them."""
         return [peer.address for peer in self._peers.values() if self._is_fellow(peer)]
@@ -366,6 +330,10 @@
         """Record that a peer of another data centre has answered a query."""
         self._fellow_pause_s.pop(peer.heartbeat.data_centre, None)
 
+    def _is_serving(self, address: Address) -> bool:
+        peer = self._peers.get(address)
+        return peer is not None and peer.heartbeat.is_serving
+
     def _is_fellow(self, peer: Peer) -> bool:
         """Return whether a seed listed a known peer that gathers queries like this."""
         return peer.heartbeat is not None and peer.fellow_listed_at > float("-inf")
@@ -374,6 +342,11 @@
         is_near = self._may_gather(peer) or peer.heartbeat is None
         return HEARTBEAT_PERIOD_S if is_near else FELLOW_PERIOD_S
 
+    def _update_gatherers(self, now: float) -> None:
+        if now - self._gatherers_listed_at > GATHERER_LIST_S:
+            self._gatherers_listed_at = now
+            self._gatherers = self._list_gatherers(now)
+
     def _list_gatherers(self, now: float) -> dict[str, list[Address]]:
         """Return the hosts without a much larger one in each data centre."""
         capacities: dict[str, list[tuple[Address, Capacity]]] = {
@@ -441,15 +414,6 @@
             counts += [own] if own.hosts else []
         return max(counts, default=None)
 
-    def are_gatherers_cut_off(self, now: float) -> bool:
-        """Return whether all live gatherers are cut off from their upstreams.
-
-        They gather most queries of the data centre, so they are the first to notice.
-        The result is False if there is no live gatherer.
-        """
-        alive = self._live_gatherers(now)
-        return bool(alive) and all(peer.heartbeat.is_cut_off for peer in alive)
-
     def knows_gatherer(self) -> bool:
         """Return whether a known host, alive or not, may gather for this one."""
         return any(self._may_gather(peer) for peer in self._peers.values())
