Take no answer with an incomplete head in any HTTP client

Cause: http.client takes the end of the stream for the end of the head. The gateway's own parser does not. The same library reads the platform, peers' configuration, the answers to the tool, metrics and the store.

--- a/cicadalever/cli/_client.py
+++ b/cicadalever/cli/_client.py
@@ -14,6 +14,8 @@
     ReadTimeoutError,
 )
 
+from cicadalever.http_client import CompleteHeadPoolManager
+
 CONNECT_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 10.0
 ADDRESS_PATTERN = re.compile(r"(?:\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9.-]+):([0-9]{1,5})")
@@ -71,7 +73,7 @@
 
     def __init__(self, *, read_timeout_s: float = READ_TIMEOUT_S):
         self.read_timeout_s = read_timeout_s
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = CompleteHeadPoolManager(retries=False)
 
     def get(self, address: str, path: str, **query: Any) -> Reply | NoReply:
         """Return the response to a GET; parameters that are None are omitted."""
--- a/cicadalever/cli/_gateway_status.py
+++ b/cicadalever/cli/_gateway_status.py
@@ -7,6 +7,8 @@
 import urllib3
 from prometheus_client.parser import text_string_to_metric_families
 
+from cicadalever.http_client import CompleteHeadPoolManager
+
 from ._client import CONNECT_TIMEOUT_S, READ_TIMEOUT_S, is_address
 from ._exit import ExitCode
 from ._output import fail, print_message, print_rows
@@ -103,7 +105,7 @@
 
 def _read(address: str) -> dict[str, Any]:
     timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
-    with urllib3.PoolManager(timeout=timeout, retries=False) as pool:
+    with CompleteHeadPoolManager(timeout=timeout, retries=False) as pool:
         try:
             response = pool.request("GET", f"http://{address}{METRICS_PATH}")
         except urllib3.exceptions.HTTPError as error:
--- a/cicadalever/configuration/_platform.py
+++ b/cicadalever/configuration/_platform.py
@@ -9,6 +9,7 @@
 from pydantic import ConfigDict, Field, with_config
 from typing_extensions import TypedDict
 
+from cicadalever.http_client import CompleteHeadPoolManager
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.topology import Host, HostList, HostState, ListedHost
 from cicadalever.validation import MAX_INTEGER, Address, Name, Validator
@@ -129,7 +130,7 @@
         self.base_url = base_url
         self.source_ip = source_ip
         self.timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(
+        self._pool = CompleteHeadPoolManager(
             maxsize=MAX_KEPT_CONNECTIONS,
             retries=False,
             source_address=(source_ip, 0) if source_ip else None,
--- /dev/null
+++ b/cicadalever/http_client/_complete_head.py
@@ -0,0 +1,81 @@
+"""Connections and pools of urllib3 that reject answers whose head is cut off.
+
+The standard library takes the end of the stream for the end of the head. An answer that
+breaks off there would have the status that was sent, headers with shortened values or
+none, and an empty body that looks complete (RFC 9112, section 8).
+"""
+
+import http.client
+from typing import Any
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+
+class _HeadReader:
+    """Reads the lines of a head and raises if the stream ends inside it."""
+
+    def __init__(self, stream: Any):
+        self._stream = stream
+        self._has_begun = False
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line; an empty one only at the end of an empty stream."""
+        line = self._stream.readline(limit)
+        # The library itself reports lines that exceed its limit, an empty stream, and
+        # answers in another protocol.
+        is_cut = not line.endswith(b"\n") and len(line) != limit
+        is_begun = self._has_begun or (line and line[:5] == b"HTTP/"[: len(line)])
+        if is_cut and is_begun:
+            raise http.client.IncompleteRead(line)
+        self._has_begun = True
+        return line
+
+    def close(self) -> None:
+        """Close the stream."""
+        self._stream.close()
+
+
+class _CompleteHeadResponse(http.client.HTTPResponse):
+    """A response whose head must end with an empty line."""
+
+    def begin(self) -> None:
+        """Read the head; raise ``http.client.IncompleteRead`` if it is cut off."""
+        stream = self.fp
+        if stream is None or self.headers is not None:
+            super().begin()
+            return
+        self.fp = _HeadReader(stream)
+        try:
+            super().begin()
+        finally:
+            # The response has closed itself if it has no body.
+            if self.fp is not None:
+                self.fp = stream
+
+
+class CompleteHeadConnection(HTTPConnection):
+    """Connection whose responses must have a complete head."""
+
+    response_class = _CompleteHeadResponse
+
+
+class CompleteHeadPool(urllib3.HTTPConnectionPool):
+    """Pool of such connections to one address.
+
+    >>> CompleteHeadPool("127.0.0.1", 8080).ConnectionCls.__name__
+    'CompleteHeadConnection'
+    """
+
+    ConnectionCls = CompleteHeadConnection
+
+
+class CompleteHeadPoolManager(urllib3.PoolManager):
+    """Pools of such connections to any address."""
+
+    def __init__(self, *arguments: Any, **options: Any):
+        super().__init__(*arguments, **options)
+        self.pool_classes_by_scheme = {
+            **self.pool_classes_by_scheme,
+            "http": CompleteHeadPool,
+        }
--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -8,8 +8,8 @@
 
 import msgspec
 import urllib3
-from urllib3.connection import HTTPConnection
 
+from cicadalever.http_client import CompleteHeadConnection
 from cicadalever.outcomes import Failure, FailureCode
 
 CONNECT_TIMEOUT_S = 1.0
@@ -71,7 +71,7 @@
     def __init__(self, address: str, *, source_ip: str | None = None):
         self.address = address
         self.source_ip = source_ip
-        self._connection: HTTPConnection | None = None
+        self._connection: CompleteHeadConnection | None = None
 
     @property
     def is_open(self) -> bool:
@@ -159,7 +159,7 @@
     def _connect(self, remaining_s: float) -> Failure | None:
         host, _, port = self.address.rpartition(":")
         source = (self.source_ip, 0) if self.source_ip else None
-        connection = HTTPConnection(
+        connection = CompleteHeadConnection(
             host,
             int(port),
             timeout=min(CONNECT_TIMEOUT_S, max(remaining_s, 0.001)),
