Begin no request in a planned stop that may outlast it

Here the callers got 502 at the end, not a cut connection, but an order that came after SIGTERM with a deadline beyond the stop was sent to a replica, so that its caller could not know whether it ran.

--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -85,6 +85,7 @@
         self._suspended_s = _total_suspended_s()
         self._suspension = SuspensionMonitor(_boot_time, TICK_S)
         components.service.has_just_resumed = self._suspension.has_just_resumed
+        components.service.stops_in_s = self._stops_in_s
         self._lag_s = 0.0
         self._stop_requested = False
         self._reload_requested = False
@@ -417,6 +418,12 @@
 
     # Shutdown
 
+    def _stops_in_s(self) -> float:
+        if self._draining_since is None:
+            return float("inf")
+        exit_at = self._draining_since + self.settings.grace_s - EXIT_MARGIN_S
+        return exit_at - self.components.loop.now()
+
     def _begin_drain(self, now: float) -> None:
         components = self.components
         self._draining_since = now
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -198,6 +198,8 @@
         # too few shards are reachable for any query; see ``Readiness``.
         self.is_cut_off: Callable[[], bool] = lambda: False
         self.lacks_upstreams: Callable[[], bool] = lambda: False
+        # Seconds until this process ends in a planned stop.
+        self.stops_in_s: Callable[[], float] = lambda: float("inf")
         # Whether requests may have waited during a suspension of this process.
         self.has_just_resumed: Callable[[], bool] = lambda: False
         self.lateness = AnswerLateness()
@@ -232,6 +234,9 @@
             self.lateness.margin_s,
             connection.round_trip_s,
         )
+        if not self._can_finish(route, times.deadline):
+            self._refuse(connection, request, 503, "stopping", route.rank)
+            return
         outbound = OutboundRequest(request, names, times.deadline, request_id)
 
         def respond(response: CallerResponse, fields: dict) -> None:
@@ -253,6 +258,16 @@
         else:
             self._forward(handover)
 
+    def _can_finish(self, route: Route, deadline: float) -> bool:
+        """Return whether a request will be answered before a planned stop.
+
+        One that may not run twice could be sent again nowhere if it were cut.
+        """
+        stops_in_s = self.stops_in_s()
+        if route.idempotent:
+            return route.target_latency_s <= stops_in_s
+        return deadline - self.runner.loop.now() <= stops_in_s
+
     def hand_over_unanswered(self) -> None:
         """Hand over the requests that wait for replicas out of reach."""
         lost_since = self.contact.suspected_since
@@ -361,6 +376,8 @@
         margin_s = PEER_HOP_S + self.lateness.margin_s - MIN_ANSWER_MARGIN_S
         answer_by = request.received_at + answer_us / 1e6 - margin_s
         deadline = request.received_at + caller_deadline_s
+        if not self._can_finish(route, deadline):
+            return None
         outbound = OutboundRequest(request, names, deadline, request_id)
         return PeerOrder(route, outbound, answer_by, shards, service, attempts)
 
