Play cut links on the simulated fleet

The fleet of bench.fleet knew slow and dark replicas only. The event "cut" takes the links of a share of the hosts to all replicas; the hosts find out with the product's UpstreamContact, ask each other, and hand their queries over. Sites without such an event play as before.

--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -1,5 +1,6 @@
 """The simulated fleet and its load."""
 
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
@@ -7,10 +8,16 @@
 from cicadalever.routing import Limits, Route, RoutingTable, ServiceOptions
 from cicadalever.wire import CallerRequest, CallerResponse
 
-from ._host import HEADER_NAMES, SimulatedConnection, SimulatedHost, SimulatedPeer
+from ._host import (
+    HEADER_NAMES,
+    LOCAL_ONE_WAY_S,
+    SimulatedConnection,
+    SimulatedHost,
+    SimulatedPeer,
+)
 from ._loop import VirtualLoop
 from ._replica import SimulatedReplica
-from ._site import FleetSite, Policy
+from ._site import FleetEvent, FleetSite, Policy
 
 TOP_RECORDS = 20
 MAX_ATTEMPTS = 2
@@ -20,13 +27,15 @@
     """What the caller of one query got.
 
     ``latency_s`` counts from the sending to the response, without the way between
-    caller and host. ``coverage`` is the share of the shards in a success.
+    caller and host. ``coverage`` is the share of the shards in a success. ``host`` is
+    the name of the host that was asked.
     """
 
     sent_at: float
     latency_s: float
     status: int
     coverage: float
+    host: str
 
 
 class Fleet:
@@ -40,6 +49,8 @@
         self.records: list[QueryRecord] = []
         self.replicas: dict[str, SimulatedReplica] = {}
         self.hosts: list[SimulatedHost] = []
+        # Hosts that lose their links at some time.
+        self.cut_hosts: list[SimulatedHost] = []
         self._directory = UpstreamDirectory()
         self._build_replicas()
         self._build_hosts()
@@ -70,7 +81,7 @@
                 coverage = 1.0 - int(missing) / self.site.shards
             latency_s = self.loop.now() - sent_at
             self.records.append(
-                QueryRecord(sent_at, latency_s, response.status, coverage)
+                QueryRecord(sent_at, latency_s, response.status, coverage, host.name)
             )
 
         headers = [
@@ -103,6 +114,8 @@
                     self.loop, entry, site, self.rng
                 )
         for event in site.events:
+            if event.kind == "cut":
+                continue
             count = round(event.share * len(self.replicas))
             for replica in self.rng.sample(list(self.replicas.values()), count):
                 replica.events.append(event)
@@ -146,9 +159,32 @@
                 if other.data_centre != host.data_centre:
                     peer = SimulatedPeer(self.loop, other, site.one_way_s)
                     host.link.peers.setdefault(other.data_centre, []).append(peer)
+                else:
+                    peer = SimulatedPeer(self.loop, other, LOCAL_ONE_WAY_S)
+                host.link.others.append(peer)
             if self.policy is not Policy.ALONE:
                 host.runner.on_late = self._reporter(others)
 
+        self._cut_hosts()
+
+    def _cut_hosts(self) -> None:
+        """Draw the hosts that lose their links; without such an event, none watches."""
+        cuts = [event for event in self.site.events if event.kind == "cut"]
+        if not cuts:
+            return
+        hit = {host: [] for host in self.hosts}
+        for event in cuts:
+            count = round(event.share * len(self.hosts))
+            for host in self.rng.sample(self.hosts, count):
+                hit[host].append(event)
+        for host, events in hit.items():
+            host.watch_links(partial(self._is_present, events))
+        self.cut_hosts = [host for host, events in hit.items() if events]
+
+    def _is_present(self, events: list[FleetEvent]) -> bool:
+        now = self.loop.now()
+        return any(each.at_s <= now < each.at_s + each.for_s for each in events)
+
     def _reporter(self, others: list[SimulatedHost]):
         def report(replica_ids: list[str]) -> None:
             for other in others:
--- a/bench/fleet/_host.py
+++ b/bench/fleet/_host.py
@@ -1,13 +1,16 @@
 """Simulated hosts, which run the product's service and calls."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 from types import SimpleNamespace
+from typing import NamedTuple
 
-from cicadalever.discovery import UpstreamDirectory
+from cicadalever.discovery import ReplicaEntry, UpstreamDirectory
 from cicadalever.gateway._metrics import GatewayMetrics
 from cicadalever.gateway._reads import ReadRunner
 from cicadalever.gateway._service import GatewayService
+from cicadalever.gateway._upstream_contact import UpstreamContact
+from cicadalever.peers import MAX_QUERIED_REPLICAS
 from cicadalever.placement import LeastCostSelector
 from cicadalever.retries import RetryBudget
 from cicadalever.wire import (
@@ -35,6 +38,9 @@
 )
 # Delay between two hosts or a host and a replica of one data centre.
 LOCAL_ONE_WAY_S = 0.0001
+# Hosts that are asked at a time, and the time for which a report counts.
+MAX_WITNESSES = 6
+REFUGE_ALIVE_S = 1.3
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10.0
 
@@ -55,13 +61,24 @@
         super().__init__(*arguments)
         self._replicas = replicas
         self._one_way = one_way
+        # Whether the links of the host to all replicas are cut.
+        self.is_cut: Callable[[], bool] = lambda: False
+
+    def probe(
+        self, replica: ReplicaEntry, timeout_s: float, on_end: Callable[[bool], None]
+    ) -> None:
+        """Connect to a simulated replica."""
+        is_reached = not (self.is_cut() or self._replicas[replica.id].is_dark)
+        round_trip_s = 2.0 * self._one_way(replica.data_centre)
+        seconds = round_trip_s if is_reached else timeout_s
+        self.loop.call_later(seconds, on_end, is_reached)
 
     def _pool_for(self, replica, table):
         pool = self._pools.get(replica.id)
         if pool is None:
             one_way_s = self._one_way(replica.data_centre)
             pool = self._pools[replica.id] = SimulatedPool(
-                self._replicas[replica.id], self.names, one_way_s
+                self._replicas[replica.id], self.names, one_way_s, self.is_cut
             )
         return pool
 
@@ -113,6 +130,10 @@
         self.round_trip_s = 2.0 * one_way_s
         self.heartbeat = SimpleNamespace(host=host.name)
 
+    def is_alive(self, now: float) -> bool:
+        """Return True; simulated hosts do not fail."""
+        return True
+
     def observe_round_trip(self, seconds: float) -> None:
         """Do nothing; the round trip never changes."""
 
@@ -157,6 +178,11 @@
         self.policy = policy
         self.peers: dict[str, list[SimulatedPeer]] = {}
         self.peer_table = self
+        # Hosts of all data centres, this one excluded.
+        self.others: list[SimulatedPeer] = []
+        self.host: SimulatedHost | None = None
+        # When another host has last reported that it is connected.
+        self._reported_at: dict[SimulatedPeer, float] = {}
 
     def choose_gatherer(self, version: int) -> None:
         """Return None: all simulated hosts gather themselves."""
@@ -170,6 +196,49 @@
             for data_centre, peers in self.peers.items()
         }
 
+    def ask_contact(self, replica_ids: Collection[str], number: int) -> None:
+        """Ask other hosts to connect to some replicas."""
+        count = min(MAX_QUERIED_REPLICAS, len(replica_ids))
+        replica_ids = self.rng.sample(sorted(replica_ids), count)
+        for peer in self.rng.sample(self.others, min(MAX_WITNESSES, len(self.others))):
+            query = _Query((self, peer), number, replica_ids)
+            peer.loop.call_later(peer.one_way_s, peer.host.link.answer_query, query)
+
+    def answer_query(self, query: "_Query") -> None:
+        """Report the state of this host, and later the replicas that it reaches."""
+        self.report_contact(query, [])
+        self.on_contact_query(query)
+
+    def report_contact(self, query: "_Query", reached: list[str]) -> None:
+        """Send a report to the host that has asked."""
+        link, peer = query.address
+        report = _Report(query.number, reached, self.host.contact.is_cut_off)
+        peer.loop.call_later(peer.one_way_s, link.receive_report, peer, report)
+
+    def receive_report(self, peer: SimulatedPeer, report: "_Report") -> None:
+        """Note the state of another host."""
+        if report.is_cut_off:
+            self._reported_at.pop(peer, None)
+        else:
+            self._reported_at[peer] = peer.loop.now()
+        self.on_contact_report(report)
+
+    def choose_refuge(
+        self, version: int, exclude: Collection[SimulatedPeer]
+    ) -> SimulatedPeer | None:
+        """Return a host that has recently reported that it is connected."""
+        candidates = [
+            peer
+            for peer, at in self._reported_at.items()
+            if peer.loop.now() - at <= REFUGE_ALIVE_S and peer not in exclude
+        ]
+        key = lambda peer: (peer.in_flight, self.rng.random())  # noqa: E731
+        return min(candidates, key=key, default=None)
+
+    def record_failure(self, peer: SimulatedPeer, now: float) -> None:
+        """Do not hand requests to a peer before its next report."""
+        self._reported_at.pop(peer, None)
+
     def send(self, address: SimulatedPeer, exchange: Exchange) -> None:
         """Send a request to a peer."""
         address.send(exchange)
@@ -184,6 +253,18 @@
         """Do nothing; the configuration never changes."""
 
 
+class _Query(NamedTuple):
+    address: tuple[SimulatedLink, SimulatedPeer]
+    number: int
+    replicas: list[str]
+
+
+class _Report(NamedTuple):
+    number: int
+    reached: list[str]
+    is_cut_off: bool
+
+
 class SimulatedHost:
     """A host that gathers queries with the product's service."""
 
@@ -217,10 +298,28 @@
             replicas=replicas,
             one_way=one_way,
         )
-        self.service = GatewayService(self.runner, NullEventLog(), self.link)
+        self.link.host = self
+        self.contact = UpstreamContact(self.runner, self.link, NullEventLog())
+        self.service = GatewayService(
+            self.runner, NullEventLog(), self.link, self.contact
+        )
         if policy is Policy.ALONE:
             self.runner.report_overdue = lambda reads, overdue_s: None
 
+    def watch_links(self, is_cut: Callable[[], bool]) -> None:
+        """Let the product find out whether the links to the replicas are cut."""
+        self.runner.is_cut = is_cut
+        self.service.is_cut_off = lambda: self.contact.is_cut_off
+        self.contact.on_change = self._handle_contact_change
+        self.contact.on_doubt = self.service.hand_over_overdue
+        self.contact.start()
+
+    def _handle_contact_change(self) -> None:
+        if self.contact.is_cut_off:
+            self.service.hand_over_unanswered()
+        else:
+            self.runner.forget_unreachable()
+
 
 def parse_request(data: bytes, now: float) -> CallerRequest:
     """Return the request in the bytes that a host sends to another one."""
--- a/bench/fleet/_replica.py
+++ b/bench/fleet/_replica.py
@@ -1,6 +1,7 @@
 """Simulated replicas and the connections to them."""
 
 from collections import deque
+from collections.abc import Callable
 from random import Random
 
 from cicadalever.discovery import ReplicaEntry
@@ -102,6 +103,8 @@
         self.names = names
         self.one_way_s = one_way_s
         self.is_cancelled = False
+        # Whether the link of the reading host is cut.
+        self.is_cut: Callable[[], bool] = lambda: False
 
     def answer(self, status: int, *, is_run: bool) -> None:
         """Send the answer back."""
@@ -111,6 +114,8 @@
         else:
             headers.append((self.names.not_run, b"1"))
         answer = ReplicaAnswer(status, headers, RECORD if is_run else b"")
+        if self.is_cut():
+            return
         self.replica.loop.call_later(self.one_way_s, self.exchange.end, answer)
 
     def close(self, detail: str) -> None:
@@ -124,7 +129,14 @@
 
     has_idle = True
 
-    def __init__(self, replica: SimulatedReplica, names: HeaderNames, one_way_s: float):
+    def __init__(
+        self,
+        replica: SimulatedReplica,
+        names: HeaderNames,
+        one_way_s: float,
+        is_cut: Callable[[], bool],
+    ):
+        self.is_cut = is_cut
         self.replica = replica
         self.names = names
         self.one_way_s = one_way_s
@@ -133,6 +145,9 @@
         """Send a request; it arrives after the delay between the data centres."""
         read = SimulatedRead(self.replica, exchange, self.names, self.one_way_s)
         exchange.connection = read
+        read.is_cut = self.is_cut
+        if self.is_cut():
+            return
         self.replica.loop.call_later(self.one_way_s, self.replica.receive, read)
 
     def close(self) -> None:
--- a/bench/fleet/_site.py
+++ b/bench/fleet/_site.py
@@ -23,10 +23,11 @@
     """Trouble at a ``share`` of the replicas from ``at_s`` for ``for_s`` seconds.
 
     ``slow`` multiplies the time of each read by ``factor``, and ``dark`` replicas
-    answer nothing. The replicas are drawn from all shards.
+    answer nothing. The replicas are drawn from all shards. With ``cut``, a share of the
+    hosts loses the links to all replicas instead.
     """
 
-    kind: Literal["slow", "dark"]
+    kind: Literal["slow", "dark", "cut"]
     at_s: float
     for_s: float
     share: float
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -21,6 +21,7 @@
 from cicadalever.gateway._metrics import GatewayMetrics
 from cicadalever.gateway._reads import ReadRunner
 from cicadalever.gateway._service import GatewayService
+from cicadalever.gateway._upstream_contact import UpstreamContact
 from cicadalever.placement import LeastCostSelector
 from cicadalever.retries import RetryBudget
 from cicadalever.routing import Limits, Route, RoutingTable, ServiceOptions
@@ -112,7 +113,9 @@
         _NullEventLog(),
         GatewayMetrics(),
     )
-    service = GatewayService(runner, _NullEventLog(), _StubPeerLink())
+    link = _StubPeerLink()
+    contact = UpstreamContact(runner, link, _NullEventLog())
+    service = GatewayService(runner, _NullEventLog(), link, contact)
     route = Route("r", "h", "/", True, 9.0, 9.0, 2, 0, (), names, 20, 1.0)
     options = {name: ServiceOptions("/health", 54) for name in names}
     service.table = RoutingTable(1, [route], options, Limits())
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -128,7 +128,7 @@
             is_alive=heartbeat_is_fresh,
         )
         call = DelegatedCall(
-            *self.call_arguments(), link=link, gather_here=self.fallbacks.append
+            *self.call_arguments(), link=link, fall_back=self.fallbacks.append
         )
         call.start(peer, 0.1)
         return self.sent[0]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -106,3 +106,58 @@
             path.write_text('{"shard": 9}')
             with self.assertRaisesRegex(ValueError, "shard"):
                 load_site(path)
+
+
+class TestCutHosts(unittest.TestCase):
+    """Hosts that lose the links to all replicas, in fleets of several sizes."""
+
+    CUT = FleetEvent("cut", at_s=2.0, for_s=6.0, share=0.6)
+    CONTACT_S = 4.0
+
+    def play(self, hosts, seed):
+        site = SITE._replace(
+            data_centres=2,
+            hosts=hosts,
+            shards=20,
+            length_s=9.0,
+            events=(self.CUT,),
+            min_shard_share=0.75,
+        )
+        fleet = Fleet(site, Policy.GROUPS, seed)
+        return site, fleet, fleet.play()
+
+    def served(self, records, names, since_s, until_s):
+        """Return the share of queries that were served at some hosts."""
+        statuses = [
+            record.status
+            for record in records
+            if record.host in names and since_s <= record.sent_at < until_s
+        ]
+        self.assertGreater(len(statuses), 10)
+        return statuses.count(200) / len(statuses)
+
+    def test_cut_hosts_serve_as_often_as_the_others(self):
+        """Guards against callers that lose their requests to hosts without links."""
+        for hosts, seed in ((1, 1), (3, 2), (3, 3), (40, 4)):
+            with self.subTest(hosts=hosts, seed=seed):
+                site, fleet, records = self.play(hosts, seed)
+                cut = {host.name for host in fleet.cut_hosts}
+                others = {host.name for host in fleet.hosts} - cut
+                begins, ends = self.CUT.at_s, self.CUT.at_s + self.CUT.for_s
+                # A fraction of the contact time, in which hosts find out.
+                since = begins + 0.25 * self.CONTACT_S
+                own = self.served(records, cut, since, ends)
+                rest = self.served(records, others, since, ends)
+                self.assertGreaterEqual(own, 2.0 / 3.0 * rest)
+                first = self.served(records, cut | others, begins, since)
+                self.assertGreaterEqual(first, 2.0 / 3.0)
+
+    def test_cut_queries_are_read_no_more_often_than_allowed(self):
+        """Guards against requests that run twice because they were handed over."""
+        _, fleet, _ = self.play(3, 5)
+        runs = Counter(
+            (replica.entry.service, request_id)
+            for replica in fleet.replicas.values()
+            for request_id in replica.executed_ids
+        )
+        self.assertLessEqual(max(runs.values()), 2)
