--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -1,6 +1,7 @@
 """Tests of the client of the platform's store against answers that never end."""
 
 import json
+import socket
 import sys
 import unittest
 from pathlib import Path
@@ -121,6 +122,18 @@
             result = self.client().watch(5, 0.1)
         self.assertIsInstance(result, Failure)
 
+    def test_probes_are_not_cut_short(self):
+        """Guards against a watch that is lost with a single keep-alive probe.
+
+        Linux gives up at ``TCP_USER_TIMEOUT``, whatever the number of probes.
+        """
+        options = {option: value for _, option, value in self.store.KEEPALIVE_OPTIONS}
+        planned_s = (
+            options[socket.TCP_KEEPIDLE]
+            + options[socket.TCP_KEEPCNT] * options[socket.TCP_KEEPINTVL]
+        )
+        self.assertGreaterEqual(options[socket.TCP_USER_TIMEOUT], 1000 * planned_s)
+
     def test_lost_history_is_told_apart(self):
         """Guards against treating lost history as an outage."""
         self.serve(
