Pause between complete reads while the platform's history stays lost

The store stand-in kept the start of its history across a return to an older copy, so that it answered every watch with 410.

Cause: a lost history is answered by a complete read and the next watch at once, without end. A platform that answers every watch with 410 would get calls as fast as it answers them, from every host.

From the second one in a row on, the host waits with the back-off of failed calls.

--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -164,7 +164,7 @@
     def _run(self) -> None:
         if self._revision is None:
             self._read_all(allow_stale=True)
-        backoff_s = MIN_BACKOFF_S
+        backoff_s, was_history_lost = MIN_BACKOFF_S, False
         while True:
             if self._follow_peer():
                 backoff_s = MIN_BACKOFF_S
@@ -174,6 +174,11 @@
             result = self.client.watch(self._revision, wait_s)
             if isinstance(result, HistoryLost) or not self._can_go_on(result):
                 self.events.emit("history_lost", revision=self._revision, era=self._era)
+                if was_history_lost:
+                    # A complete read does not help; more of them only load the platform.
+                    self._sleep_with_jitter(backoff_s)
+                    backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
+                was_history_lost = True
                 # A stale read may return a revision that is older than the history of
                 # changes that the platform still has.
                 self._read_all(allow_stale=False)
@@ -187,7 +192,7 @@
                 self._sleep_with_jitter(backoff_s)
                 backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
                 continue
-            backoff_s = MIN_BACKOFF_S
+            backoff_s, was_history_lost = MIN_BACKOFF_S, False
             self._record_contact()
             self._is_stale = self._is_resuming = False
             self._apply(result)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """Tests of the gateway's answer classification, timing, readiness and follower."""
 
+import time
 import unittest
 from random import Random
 from types import SimpleNamespace
@@ -13,7 +14,11 @@
     classify_answer,
     classify_read_outcome,
 )
-from cicadalever.gateway._follower import PlatformFollower, WatchTiming
+from cicadalever.gateway._follower import (
+    MIN_BACKOFF_S,
+    PlatformFollower,
+    WatchTiming,
+)
 from cicadalever.gateway._readiness import Readiness
 from cicadalever.gateway._reads import OutboundRequest
 from cicadalever.gateway._service import AnswerLateness, parse_deadline, plan_times
@@ -430,6 +435,16 @@
         self.assertEqual(calls, [*expected, ("watch", 90)])
         self.assertEqual(events, ["history_lost"])
 
+    def test_history_that_stays_lost_is_read_with_pauses(self):
+        """Guards against a loop of complete reads of a platform without history."""
+        lost = [each for n in range(200) for each in (HistoryLost(), update(5, True))]
+        begun_at = time.monotonic()
+        calls, _ = self.follow([update(5, True), *lost])
+        elapsed_s = time.monotonic() - begun_at
+        reads = calls.count(("read_all", False))
+        # Pauses begin at ``MIN_BACKOFF_S`` and double.
+        self.assertLessEqual(reads, 3 + elapsed_s / MIN_BACKOFF_S)
+
     def test_lost_contact_is_logged_once_and_starts_a_grace_period(self):
         """Guards against removing entries that expired during an outage."""
         failure = Failure(FailureCode.UNREACHABLE, "reset")
