Do not accuse requests whose connections ended with the links

Cause: each connection that ends counts as a replica lost to the request. A cut resets all of them at once.

Losses do not count while the links are in doubt, and those since shortly before are forgotten with the verdict. A lost idempotent read is also handed over.

--- a/cicadalever/contact/__init__.py
+++ b/cicadalever/contact/__init__.py
@@ -7,6 +7,7 @@
 from ._monitor import (
     MAX_PROBE_AGE_S,
     NEEDED_FAILURES,
+    PROBE_PERIOD_S,
     ContactEvidence,
     ContactMonitor,
     ContactState,
@@ -15,6 +16,7 @@
 __all__ = [
     "MAX_PROBE_AGE_S",
     "NEEDED_FAILURES",
+    "PROBE_PERIOD_S",
     "ContactEvidence",
     "ContactMonitor",
     "ContactState",
--- a/cicadalever/crashes/_counter.py
+++ b/cicadalever/crashes/_counter.py
@@ -15,10 +15,18 @@
 
 
 class _Crashes:
-    __slots__ = ("by_host", "own", "refusal_s", "refused_until", "updated_at")
+    __slots__ = (
+        "by_host",
+        "own",
+        "own_recorded_at",
+        "refusal_s",
+        "refused_until",
+        "updated_at",
+    )
 
     def __init__(self):
         self.own = 0
+        self.own_recorded_at = float("-inf")
         self.by_host: dict[str, int] = {}
         self.refusal_s = MIN_REFUSAL_S
         self.refused_until = float("-inf")
@@ -62,9 +70,23 @@
             return 0
         entry = self._entry(fingerprint, now)
         entry.own += losses
+        entry.own_recorded_at = now
         self._refuse_if_due(entry, now)
         return entry.own
 
+    def forget_own(self, since: float) -> None:
+        """Forget requests to which this host lost replicas at or after a time.
+
+        The host has lost its links since then, not the replicas.
+        """
+        lost = [
+            fingerprint
+            for fingerprint, entry in self._crashes.items()
+            if entry.own_recorded_at >= since
+        ]
+        for fingerprint in lost:
+            del self._crashes[fingerprint]
+
     def record_report(
         self, host: str, fingerprint: int, crashes: int, now: float
     ) -> None:
--- a/cicadalever/gateway/_forward_call.py
+++ b/cicadalever/gateway/_forward_call.py
@@ -63,6 +63,13 @@
         if is_cut_off and self.route.idempotent and attempts < self.route.max_attempts:
             self._try_hand_over(attempts)
 
+    def _may_hand_over(self, last: ReadResult) -> bool:
+        """Return whether another host may send the request after the last read."""
+        if last.kind is AnswerKind.NOT_SENT:
+            return True
+        is_lost = last.kind is AnswerKind.UNKNOWN and self.route.idempotent
+        return is_lost and self._attempts < self.route.max_attempts
+
     def _on_read_end(self, read: Read, result: ReadResult) -> None:
         if self._reads.pop(read, None) is None:
             self._synchronous_result = result
@@ -160,7 +167,7 @@
         fields = {"service": self._service, "attempts": len(self._tried)}
         if last.kind is AnswerKind.FAILURE:
             self._respond(last)
-        elif last.kind is AnswerKind.NOT_SENT and self._try_hand_over(self._attempts):
+        elif self._may_hand_over(last) and self._try_hand_over(self._attempts):
             return
         elif last.kind in NOT_RUN_KINDS:
             self._end(self._refusal(), "not_run", **fields)
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -234,6 +234,8 @@
         # Called with the ids of replicas whose reads are overdue.
         self.on_late: Callable[[list[str]], None] = lambda replica_ids: None
         self.crashes = CrashCounter()
+        # Whether this host may have lost its links to the replicas.
+        self.are_links_doubtful: Callable[[], bool] = lambda: False
         # Called with a fingerprint and the number of replicas lost to it.
         self.on_crash: Callable[[int, int], None] = lambda fingerprint, crashes: None
         self.limits = NamedLimits(selector.rng)
@@ -352,6 +354,9 @@
         self, outbound: OutboundRequest, losses: int, *, has_answer: bool
     ) -> None:
         """Record whether replicas were lost to a request, for other hosts as well."""
+        if self.are_links_doubtful():
+            # The connections may have ended with the links of this host.
+            losses = 0
         if losses == 0 and not self.crashes:
             return
         crashes = self.crashes.record_end(
--- a/cicadalever/gateway/_upstream_contact.py
+++ b/cicadalever/gateway/_upstream_contact.py
@@ -4,7 +4,12 @@
 from functools import partial
 from itertools import count
 
-from cicadalever.contact import MAX_PROBE_AGE_S, ContactMonitor, ContactState
+from cicadalever.contact import (
+    MAX_PROBE_AGE_S,
+    PROBE_PERIOD_S,
+    ContactMonitor,
+    ContactState,
+)
 from cicadalever.peers import ContactQuery, ContactReport
 from cicadalever.wire import ReplicaConnection
 
@@ -92,6 +97,7 @@
         """Begin to watch the links."""
         self.runner.on_handshake = self._observe_handshake
         self.runner.on_silence = self.suspect
+        self.runner.are_links_doubtful = lambda: self.is_doubtful
         self.link.on_contact_query = self._probe_for_host
         self.link.on_contact_report = self._record_report
         self.loop.call_later(CALM_CHECK_S, self._check)
@@ -223,5 +229,7 @@
             failed=evidence.failed,
             confirmed=evidence.confirmed,
         )
+        if state is ContactState.CUT_OFF:
+            self.runner.crashes.forget_own(self.suspected_since - PROBE_PERIOD_S)
         if was_cut_off or state is ContactState.CUT_OFF:
             self.on_change()
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -13,7 +13,7 @@
 import sys
 import tempfile
 import time
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from collections import Counter
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -152,6 +152,7 @@
         """
         self.era += 1
         self.revision = revision
+        self.history_from = min(self.history_from, revision)
         self.log = [event for event in self.log if event["Rev"] <= revision]
         self.items = {
             event["Key"]: event for event in self.log if "Deleted" not in event
@@ -170,6 +171,10 @@
 
     def answer(self, sock, start_line, headers, body):
         """Answer one call of a gateway."""
+        self.answer_with(sock, start_line, lambda item: item)
+
+    def answer_with(self, sock, start_line, change):
+        """Answer one call with items to which ``change`` was applied."""
         parts = urlsplit(start_line.split()[1])
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         name = parts.path.rpartition("/")[2]
@@ -180,6 +185,9 @@
             status, content = 200, self._range(query)
         else:
             status, content = self._watch(query)
+        for name in ("items", "events"):
+            if name in content:
+                content[name] = [change(item) for item in content[name]]
         data = json.dumps(content).encode()
         sock.sendall(
             b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\n"
@@ -220,6 +228,30 @@
         return 200, {"events": events, "AsOf": self.revision}
 
 
+class StoreView(_Server):
+    """Another address of a store, which names other addresses of the replicas.
+
+    ``addresses`` maps ids of replicas to these addresses. A gateway that uses the view
+    reaches the replicas by links of its own.
+    """
+
+    def __init__(self, store, addresses):
+        self.store = store
+        self.addresses = addresses
+        super().__init__()
+
+    def answer(self, sock, start_line, headers, body):
+        """Answer one call of a gateway."""
+        self.store.answer_with(sock, start_line, self._replace_address)
+
+    def _replace_address(self, item):
+        address = self.addresses.get(item["Key"].removeprefix("servers/"))
+        if address is None or "Value" not in item:
+            return item
+        entry = json.loads(b64decode(item["Value"])) | {"Address": address}
+        return item | {"Value": b64encode(json.dumps(entry).encode()).decode()}
+
+
 class ReplicaStandIn(_Server):
     """Replica whose ``behaviour`` selects how it answers the next requests.
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,8 +4,10 @@
 continuously and injects overlapping faults. Then it compares the answers with the runs
 of the replicas. With ``--wide``, queries have so many shards that the larger gateway
 gathers them for the smaller one, which also takes the changes of the platform from it.
+With ``--cuts``, one of two equal gateways also loses its links to all replicas, again
+and again.
 
-    python -m tests.soak --seeds 1..50 [--wide]
+    python -m tests.soak --seeds 1..50 [--wide] [--cuts]
 """
 
 import argparse
@@ -19,10 +21,12 @@
 import eventlet
 
 from tests.platform_standins import (
+    CUT_MODES,
     FaultProxy,
     GatewayProcess,
     ReplicaStandIn,
     StoreStandIn,
+    StoreView,
     free_port,
 )
 from tests.test_gateway_process import SHARDS, configuration
@@ -73,13 +77,16 @@
 class Soak:
     """One run, whose faults and requests are drawn from ``seed``."""
 
-    def __init__(self, seed, *, is_wide=False):
+    def __init__(self, seed, *, is_wide=False, has_cuts=False):
+        self.has_cuts = has_cuts
         self.shards = WIDE_SHARDS if is_wide else SHARDS
         self.callers = CALLERS // 3 if is_wide else CALLERS
         self.rng = Random(seed)
         # Faults of their own, so that earlier seeds still draw the same sequence.
         self.limit_rng = Random(f"limits {seed}")
         self.restore_rng = Random(f"restores {seed}")
+        self.cut_rng = Random(f"cuts {seed}")
+        self.cuts = 0
         self.answers = []
         self.history = []
         self.version = 7
@@ -89,10 +96,14 @@
         # Replicas whose answers were held back or lost on their link.
         self.unheard_replicas = set()
         self.gateway_starts = []
+        # Last incomplete answer of each gateway while complete ones are awaited.
+        self.incomplete = {}
         # Last lines of the log of each gateway, printed if a guarantee is violated.
         self.log_tails = []
         self.store = StoreStandIn()
-        self.store_proxy = FaultProxy(self.store.address)
+        self.store_proxies = [FaultProxy(self.store.address)]
+        # Links of the first gateway to the replicas, if these are cut.
+        self.links, self.views = {}, []
         self.replicas, self.proxies = {}, {}
         for service in [*self.shards, "one"]:
             for copy in "ab":
@@ -102,22 +113,32 @@
                 self.replicas[replica.id], self.proxies[replica.id] = replica, proxy
                 entry = replica.entry(Address=proxy.address)
                 self.store.put(f"servers/{replica.id}", entry)
+        if has_cuts:
+            self._give_own_links()
         self._publish()
         self.first_revision = self.store.revision
         port = free_port()
         self.gateways = [
             GatewayProcess(
-                self.store_proxy,
+                self.store_proxies[-1 if number == 2 else 0],
                 node=f"host-{number}",
                 host=f"127.0.0.{number}",
                 peer_port=port,
                 seeds=f"127.0.0.2:{port},127.0.0.3:{port}",
                 # The second gateway has the faster link, so it gathers for the first.
-                link_mbps=10.0 * number**3,
+                link_mbps=100.0 if has_cuts else 10.0 * number**3,
             )
             for number in (2, 3)
         ]
 
+    def _give_own_links(self):
+        """Let the first gateway reach store and replicas by links of its own."""
+        for replica_id, proxy in self.proxies.items():
+            self.links[replica_id] = FaultProxy(proxy.address)
+        addresses = {each: link.address for each, link in self.links.items()}
+        self.views = [StoreView(self.store, addresses)]
+        self.store_proxies.append(FaultProxy(self.views[0].address))
+
     def run(self):
         """Return the violated guarantees, as lines of text."""
         try:
@@ -133,7 +154,9 @@
             for caller in callers:
                 caller.wait()
             violations = (
-                [] if has_recovered else ["no complete answers after the faults ended"]
+                []
+                if has_recovered
+                else [f"no complete answers after the faults ended: {self.incomplete}"]
             )
             return violations + self._find_violations()
         finally:
@@ -145,7 +168,9 @@
                 *self.gateways,
                 *self.proxies.values(),
                 *self.replicas.values(),
-                self.store_proxy,
+                *self.links.values(),
+                *self.store_proxies,
+                *self.views,
                 self.store,
             ]:
                 part.stop()
@@ -157,6 +182,7 @@
         others = [
             eventlet.spawn(self._inject_limits, deadline),
             eventlet.spawn(self._inject_restores, deadline),
+            eventlet.spawn(self._inject_cuts, deadline),
         ]
         while time.monotonic() < deadline:
             fault = self.rng.choice(
@@ -183,6 +209,19 @@
             eventlet.sleep(self.restore_rng.uniform(0.5, 4.0))
             self._restore_store()
 
+    def _inject_cuts(self, deadline):
+        while self.has_cuts and time.monotonic() < deadline:
+            eventlet.sleep(self.cut_rng.uniform(0.0, 1.0))
+            self._cut_links(self.cut_rng.choice(CUT_MODES))
+            eventlet.sleep(self.cut_rng.uniform(0.1, 2.5))
+            self._cut_links("pass")
+
+    def _cut_links(self, mode):
+        self._log_fault(f"links of gateway 0 {mode}")
+        self.cuts += mode != "pass"
+        for link in self.links.values():
+            link.mode = mode
+
     def _restore_store(self):
         """Return to an older copy, and soon write again what was written since then."""
         lost = self.restore_rng.randint(0, 6)
@@ -240,7 +279,8 @@
         elif what in ("down", "up"):
             self.store.is_down = what == "down"
         else:
-            self.store_proxy.mode = what
+            for proxy in self.store_proxies:
+                proxy.mode = what
 
     def _signal_gateway(self):
         gateway = self.rng.choice(self.gateways)
@@ -277,7 +317,8 @@
         self._log_fault("heal")
         self.store.is_down = False
         self.store.stale_copy = None
-        self.store_proxy.mode = "pass"
+        for proxy in [*self.store_proxies, *self.links.values()]:
+            proxy.mode = "pass"
         for replica_id, replica in self.replicas.items():
             replica.behaviour = "answer"
             if replica.rate_limit is not None:
@@ -300,14 +341,21 @@
                     self._start(gateway)
                 answer = self._ask(gateway, "search", f"whole{time.monotonic_ns()}")
                 if answer.status != 200 or answer.headers["x-missing-parts"] != "0":
+                    self._note_incomplete(gateway, answer)
                     continue
                 route = f"v{self.version}"
                 newest = self._ask(gateway, route, f"newest{time.monotonic_ns()}")
+                self._note_incomplete(gateway, newest)
                 if newest.status == 200:
                     incomplete.remove(gateway)
             eventlet.sleep(0.1)
         return not incomplete
 
+    def _note_incomplete(self, gateway, answer):
+        number = self.gateways.index(gateway)
+        missing = answer.headers.get("x-missing-parts")
+        self.incomplete[number] = (answer.kind, answer.status, missing)
+
     # Callers
 
     def _send_requests(self, number):
@@ -424,6 +472,9 @@
         help="start no seed after this many minutes",
     )
     parser.add_argument("--wide", action="store_true", help="use 32 shards, not 4")
+    parser.add_argument(
+        "--cuts", action="store_true", help="cut the links of one gateway"
+    )
     options = parser.parse_args()
     first_seed, _, last_seed = options.seeds.partition("..")
     deadline = time.monotonic() + 60.0 * options.minutes
@@ -432,14 +483,15 @@
         if time.monotonic() >= deadline:
             print(f"stopped before seed {seed}: the time is up")
             break
-        soak = Soak(seed, is_wide=options.wide)
+        soak = Soak(seed, is_wide=options.wide, has_cuts=options.cuts)
         violations = soak.run()
         failed += bool(violations)
         served = sum(answer.status == 200 for answer in soak.answers)
         print(
             f"seed {seed}: {len(violations)} broken, "
             f"{served}/{len(soak.answers)} served, "
-            f"{len(soak.ended_limits)} limits, {soak.store.era - 1} restores"
+            f"{len(soak.ended_limits)} limits, {soak.store.era - 1} restores, "
+            f"{soak.cuts} cuts"
         )
         for line in [*violations[:5], *(soak.history if violations else [])]:
             print(f"    {line}")
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -121,6 +121,30 @@
             status, _, _ = answer.wait()
             self.assertEqual(status, 200)
 
+    def test_reset_links_do_not_accuse_a_request(self):
+        """Guards against refusing requests whose connections ended with the links."""
+        for replica in self.replicas:
+            replica.delay_s = 0.3
+        for round_number in range(2):
+            asked = [
+                eventlet.spawn(
+                    self.cut.ask, "/read/same", request_id=f"a{round_number}{number}"
+                )
+                for number in range(3)
+            ]
+            wait_for(
+                lambda n=round_number: all(self.count_runs(f"a{n}{k}") for k in (0, 2)),
+                "the reads",
+            )
+            self.cut_links("sever")
+            for each in asked:
+                each.wait()
+            self.set_links("pass")
+            wait_for(self.cut.is_ready, "the host to be back")
+        for gateway in (self.cut, self.sound):
+            status, _, _ = gateway.ask("/read/same", request_id="innocent")
+            self.assertEqual(status, 200)
+
     def test_order_that_may_have_run_is_not_handed_over(self):
         """Guards against orders that run twice because an answer did not arrive."""
         self.set_links("one_way")
