Give gateways of tests ports that outgoing connections cannot take

Cause: free_port asked the kernel for an ephemeral port at 127.0.0.1 and closed it. Another connection, or a gateway at another address, could take it before the gateway bound it.

Ports now lie below the ephemeral range, are free for TCP and UDP at all addresses, and are given out once.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -16,12 +16,15 @@
 from base64 import b64decode, b64encode
 from collections import Counter
 from pathlib import Path
+from random import SystemRandom
 from urllib.parse import parse_qs, urlsplit
 
 import eventlet
 
 ROOT = Path(__file__).parents[1]
 GATEWAY = ROOT / "platform" / "gateway.py"
+# Ports of gateways, the last one excluded.
+GATEWAY_PORTS = (12_000, 32_000)
 # Connections after which the queue of a listener without a backlog is full.
 FULL_QUEUE = 4
 # Modes of ``FaultProxy`` in which no new connection is accepted.
@@ -32,6 +35,10 @@
 WAIT_S = 20.0
 
 
+_port_rng = SystemRandom()
+_returned_ports = set()
+
+
 def wait_for(condition, what="the condition"):
     """Run the event loop until a condition is true."""
     with eventlet.Timeout(WAIT_S, AssertionError(f"timed out waiting for {what}")):
@@ -40,10 +47,26 @@
 
 
 def free_port():
-    """Return a TCP port that is currently free on the loopback interface."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that no socket uses, at any address, and that was not returned yet.
+
+    It lies below the ports that Linux gives to outgoing connections, one of which could
+    otherwise take it before a gateway does.
+    """
+    while True:
+        port = _port_rng.randrange(*GATEWAY_PORTS)
+        if port in _returned_ports:
+            continue
+        with (
+            socket.socket() as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagram,
+        ):
+            try:
+                stream.bind(("0.0.0.0", port))
+                datagram.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+        _returned_ports.add(port)
+        return port
 
 
 def read_message(sock, data=b""):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,12 @@
             with self.subTest(seed=seed):
                 self.assertEqual(Soak(seed).run(), [])
 
+    def test_cut_links(self):
+        """Guards against guarantees that are violated when a host loses its links."""
+        for seed in (3, 4):
+            with self.subTest(seed=seed):
+                self.assertEqual(Soak(seed, has_cuts=True).run(), [])
+
     def test_regression_seeds(self):
         """Guards against failures that the soak test has found before."""
         for seed, (is_wide, _) in REGRESSION_SEEDS.items():
