Ask other data centres before an outage counts as shared

An outage is shared only if a host of another data centre says so; with a single data centre, any host. Without such an answer the host is taken out as before. The test of dead replicas has its second host in another data centre, and a new one checks that hosts of a partitioned data centre leave.

--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -73,7 +73,9 @@
         rng,
         memory,
     )
-    contact = UpstreamContact(runner, link, events)
+    contact = UpstreamContact(
+        runner, link, events, has_other_data_centres=settings.data_centres > 1
+    )
     service = GatewayService(runner, events, link, contact)
     relay = ChangeRelay(
         loop,
--- a/cicadalever/gateway/_upstream_contact.py
+++ b/cicadalever/gateway/_upstream_contact.py
@@ -38,10 +38,19 @@
     A host that is asked connects to some of the replicas itself, whether or not it has
     traffic for them. ``on_change`` is called when the state becomes or ceases to be cut
     off, and ``on_doubt`` when another host has reached a replica that this one has not.
+    ``has_other_data_centres`` tells whether the hosts are spread over several ones.
     """
 
-    def __init__(self, runner: ReadRunner, link: PeerLink, events: EventLog):
+    def __init__(
+        self,
+        runner: ReadRunner,
+        link: PeerLink,
+        events: EventLog,
+        *,
+        has_other_data_centres: bool = False,
+    ):
         self.runner = runner
+        self.has_other_data_centres = has_other_data_centres
         self.link = link
         self.events = events
         self.loop = runner.loop
@@ -75,7 +84,11 @@
 
     @property
     def has_witness(self) -> bool:
-        """Whether another host has answered the last questions of this one."""
+        """Whether a host that can tell an outage has answered the last questions.
+
+        Hosts of the own data centre may be behind the same partition, so that they
+        cannot, unless there is no other data centre.
+        """
         return self.loop.now() - self._heard_at <= 2.0 * QUERY_PERIOD_S + CALM_CHECK_S
 
     def is_outage_shared(self) -> bool:
@@ -206,8 +219,9 @@
         asked_at = self._query_times.get(report.number)
         if asked_at is None:
             return
+        if not self.has_other_data_centres or self._is_remote(report):
+            self._heard_at = now
         reached = report.reached
-        self._heard_at = now
         if self._asked_about.intersection(reached):
             self._reached_elsewhere_at = now
         if reached and self.is_doubtful:
@@ -215,6 +229,9 @@
             self._act()
             self.on_doubt()
 
+    def _is_remote(self, report: ContactReport) -> bool:
+        return report.heartbeat.data_centre != self.runner.selector.data_centre
+
     def _log_state(self, now: float) -> None:
         state = self._monitor.state
         if state is self._logged_state:
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -24,6 +24,8 @@
     shards = SHARDS
     # Link of the gateway whose links are cut; the other one has 100 Mbit/s.
     link_mbps = 100
+    # Data centre of the gateway that keeps its links; the other one is in dc-a.
+    sound_data_centre = "dc-a"
 
     def setUp(self):
         stores = [StoreStandIn(), StoreStandIn()]
@@ -52,7 +54,7 @@
             )
             for number, store, own in (
                 (2, stores[0], {"link_mbps": self.link_mbps}),
-                (3, stores[1], {}),
+                (3, stores[1], {"data_centre": self.sound_data_centre}),
             )
         )
         for gateway in (self.cut, self.sound):
@@ -171,7 +173,9 @@
 
 
 class TestDeadReplicas(LostLinksTestCase):
-    """Replicas that no host reaches."""
+    """Replicas that no host of any data centre reaches."""
+
+    sound_data_centre = "dc-b"
 
     def test_hosts_stay_ready_and_refuse_at_once(self):
         """Guards against taking out sound hosts because their upstreams are dead."""
@@ -191,6 +195,28 @@
         return "no_upstreams" in {each["reason"] for each in refused}
 
 
+class TestPartitionedDataCentre(LostLinksTestCase):
+    """Replicas that no host of the own data centre reaches."""
+
+    def test_hosts_are_taken_out(self):
+        """Guards against callers that stay in a data centre which is cut off.
+
+        Its hosts cannot tell such a partition from replicas that are all dead.
+        """
+        for replica in self.replicas:
+            replica.stop()
+        for link in self.links:
+            link.mode = "refuse"
+        for gateway in (self.cut, self.sound):
+            wait_for(
+                lambda gateway=gateway: self.is_taken_out(gateway), "the host to leave"
+            )
+
+    def is_taken_out(self, gateway):
+        gateway.ask("/search/q", request_id="gone")
+        return not gateway.is_ready()
+
+
 class TestDelegatingHost(LostLinksTestCase):
     """A small host without links, whose queries a sound larger host gathers."""
 
