--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -90,8 +90,8 @@
 
 
 class _Server:
-    def __init__(self):
-        self._listener = eventlet.listen(("127.0.0.1", 0))
+    def __init__(self, port=0):
+        self._listener = eventlet.listen(("127.0.0.1", port))
         self.address = "{}:{}".format(*self._listener.getsockname())
         self._sockets = set()
         # Number of connections that were accepted.
@@ -412,7 +412,8 @@
         self._mode = "pass"
         # Connections that fill the queue of the listener.
         self._fillers = []
-        super().__init__()
+        # No outgoing connection can take the port while nobody listens.
+        super().__init__(free_port())
         self._own_address = self._listener.getsockname()
         (self._acceptor,) = self._threads
 
