--- a/review/standins.py
+++ b/review/standins.py
@@ -13,6 +13,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -288,19 +289,16 @@
         return True
 
 
-def free_port(host="127.0.0.1"):
-    """Return a port that is free for TCP and UDP, below the ephemeral ones."""
-    import socket
-
+def free_port(hosts):
+    """Return a port that is free for TCP and UDP at all hosts, below ephemeral ones."""
     while True:
         port = random.SystemRandom().randrange(12_000, 32_000)
-        with (
-            socket.socket() as stream,
-            socket.socket(type=socket.SOCK_DGRAM) as datagram,
-        ):
+        with contextlib.ExitStack() as stack:
             try:
-                stream.bind((host, port))
-                datagram.bind((host, port))
+                for host in hosts:
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        sock = stack.enter_context(socket.socket(type=kind))
+                        sock.bind((host, port))
             except OSError:
                 continue
         return port
@@ -547,7 +545,7 @@
     async def start_gateways(self, count, zones=("zone-a", "zone-b"), cpu_shares=()):
         """Start machines and wait until the platform would use them."""
         hosts = [f"127.0.0.{number + 2}" for number in range(count)]
-        ports = [free_port("0.0.0.0") for _ in range(4)]
+        ports = [free_port(hosts) for _ in range(4)]
         for number, host in enumerate(hosts):
             options = {}
             if cpu_shares:
