--- a/review/standins.py
+++ b/review/standins.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -587,6 +588,8 @@
     A case returns whether the rule was broken. The exit code is 1 if it was, 0 if it
     held, and 2 if the case could not run.
     """
+    # A case that is stopped from outside ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(folder, "record.txt"))
     record.write(f"trouble: {trouble}")
