Log what becomes of the losses of a request

The hypotheses of docs/incidents/2026-12-05-crashing-request.md could not be told apart without them. No logic is changed; tests.test_crashes and TestCrashingRequest pass.

--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -232,6 +232,9 @@
         """
         now = self.loop.now()
         if self._socket is None or now < self._crash_report_due_at:
+            self.events.emit_detail(
+                "crash_report_dropped", fingerprint=f"{fingerprint:016x}"
+            )
             return
         self._crash_report_due_at = now + 1.0 / CRASH_REPORTS_PER_S
         report = CrashReport(self.host_id, fingerprint, crashes)
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -491,6 +491,8 @@
         """
         if self.are_links_doubtful():
             # The connections may have ended with the links of this host.
+            if losses:
+                self._log_crashes("crashes_ignored", outbound.fingerprint, len(losses))
             losses = []
         wait_s = self._loss_watch.undecided_s(losses, self.loop.now())
         if has_answer or wait_s <= 0.0:
@@ -506,12 +508,21 @@
         crashes = sum(not loss.is_refuted for loss in losses)
         if crashes == 0 and not self.crashes:
             return
+        known = len(self.crashes)
         own = self.crashes.record_end(
             fingerprint, crashes, has_answer=has_answer, now=self.loop.now()
         )
+        if len(self.crashes) < known:
+            self._log_crashes("crashes_cleared", fingerprint, crashes)
         if own:
+            self._log_crashes("crashes_counted", fingerprint, own)
             self.on_crash(fingerprint, own)
 
+    def _log_crashes(self, event: str, fingerprint: int, crashes: int) -> None:
+        self.events.emit_detail(
+            event, fingerprint=f"{fingerprint:016x}", crashes=crashes
+        )
+
     def forget_crashes(self, since: float) -> None:
         """Forget losses since a time at which this host lost its links."""
         self._loss_watch.refute_since(since)
@@ -519,6 +530,12 @@
 
     def record_crash_report(self, report: CrashReport) -> None:
         """Add the crashes that another host counted."""
+        self.events.emit_detail(
+            "crashes_reported",
+            fingerprint=f"{report.fingerprint:016x}",
+            crashes=report.crashes,
+            by=report.host,
+        )
         self.crashes.record_report(
             report.host, report.fingerprint, report.crashes, self.loop.now()
         )
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -296,7 +296,15 @@
             return
         caller_deadline_s = parse_deadline(request.header(names.deadline))
         if self.runner.crashes and self._is_quarantined(request, request_id):
-            self._refuse(connection, request, 503, "crashes_replicas", route.rank)
+            fingerprint = OutboundRequest(request, names, 0.0, request_id).fingerprint
+            self._refuse(
+                connection,
+                request,
+                503,
+                "crashes_replicas",
+                route.rank,
+                fingerprint=f"{fingerprint:016x}",
+            )
             return
         times = plan_times(
             route,
@@ -660,6 +668,7 @@
         status: int,
         reason: str,
         rank: int = 0,
+        **fields,
     ) -> None:
         self.events.emit(
             "request_refused",
@@ -668,6 +677,7 @@
             version=self.table.version if self.table else None,
             status=status,
             reason=reason,
+            **fields,
         )
         retry_after_s = None
         if status == 503:
