--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -124,7 +124,8 @@
             while (message := read_message(sock, rest)) is not None:
                 start_line, headers, body, rest = message
                 self.answer(sock, start_line, headers, body)
-        except OSError:
+        except (OSError, EOFError):
+            # Also when a crash of the replica closes the socket.
             pass
         sock.close()
 
@@ -338,8 +339,12 @@
         self.most_in_progress = 0
         self._in_progress = 0
         # Path whose requests crash the replica: all its connections end, and it
-        # accepts none for ``DOWN_S``. Then it is another process.
+        # accepts none for ``down_s`` seconds. Then it is another process.
         self.poison_path = None
+        self.down_s = DOWN_S
+        # Times of its crashes, in seconds on the monotonic clock.
+        self.crash_times = []
+        self._is_down = False
         self.executed_ids = []
         self.requests = []
         super().__init__()
@@ -370,16 +375,21 @@
         return entry | changes
 
     def _crash(self):
+        if self._is_down:
+            return
+        self._is_down = True
+        self.crash_times.append(time.monotonic())
         address = self._listener.getsockname()
         (acceptor, *_) = self._threads
         acceptor.kill()
         for sock in [self._listener, *self._sockets]:
             _abort(sock)
             sock.close()
-        eventlet.sleep(DOWN_S)
+        eventlet.sleep(self.down_s)
         self.restart()
         self._listener = eventlet.listen(address)
         self._threads[0] = eventlet.spawn(self._accept)
+        self._is_down = False
 
     def restart(self):
         """Become another process, which is not leaving, under the same id."""
