--- a/cicadalever/crashes/__init__.py
+++ b/cicadalever/crashes/__init__.py
@@ -1,11 +1,33 @@
-"""Protection of replicas from requests that crash them, without trial reads.
+"""Protection of replicas from requests that crash them.
 
 The query interface quarantines such requests after exclusive trials
 (``cicadalever.quarantine``), which needs an owner for each replica. The gateway reads
-directly, so it only counts.
+directly: its hosts tell each other which replicas a request has lost or left alive.
 """
 
-from ._counter import CrashCounter
-from ._losses import CONFIRM_S, Loss, LossWatch
+from ._ledger import MAX_FINGERPRINTS, CrashLedger
+from ._suspicion import (
+    CONFIRM_S,
+    FREE,
+    REFUSAL_S,
+    Admission,
+    AdmissionKind,
+    CrashRecord,
+    LostReplica,
+    ReportedLoss,
+    Suspicion,
+)
 
-__all__ = ["CONFIRM_S", "CrashCounter", "Loss", "LossWatch"]
+__all__ = [
+    "CONFIRM_S",
+    "FREE",
+    "MAX_FINGERPRINTS",
+    "REFUSAL_S",
+    "Admission",
+    "AdmissionKind",
+    "CrashLedger",
+    "CrashRecord",
+    "LostReplica",
+    "ReportedLoss",
+    "Suspicion",
+]
--- a/cicadalever/gateway/_answers.py
+++ b/cicadalever/gateway/_answers.py
@@ -78,6 +78,17 @@
     return AnswerKind.SUCCESS
 
 
+def shows_survival(answer: ReplicaAnswer, kind: AnswerKind, names: HeaderNames) -> bool:
+    """Return whether an answer shows that its replica survived running the request.
+
+    A replica that fails part of its requests may not have run this one, so that a
+    server error shows nothing.
+    """
+    if kind is AnswerKind.FAILURE:
+        return answer.status < 500 and answer.header(names.signature) is not None
+    return kind is AnswerKind.SUCCESS
+
+
 def classify_read_outcome(answer: ReplicaAnswer, kind: AnswerKind) -> ReadOutcome:
     """Return the outcome of a read that counts for the health of its replica.
 
--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -3,13 +3,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from cicadalever.crashes import Loss
+from cicadalever.crashes import Admission
 from cicadalever.notices import Incarnation
 from cicadalever.refusal import plan_retry_after
 from cicadalever.routing import Route, RoutingTable
 from cicadalever.wire import CallerRequest, CallerResponse
 
-from ._answers import AnswerKind
 from ._reads import (
     RECOVERY_S,
     OutboundRequest,
@@ -21,6 +20,8 @@
 
 # The final response is sent this long before the deadline, so that it arrives in time.
 DEADLINE_MARGIN_S = 0.006
+# Time between two checks whether the lone reads of other calls have ended.
+LONE_READ_CHECK_S = 0.01
 # A time-out of a peer takes effect this long after it was due. A busy event loop runs
 # timers before it reads what has arrived meanwhile; in this time it reads it.
 LAST_READ_S = 0.001
@@ -53,15 +54,12 @@
         self.hedges = 0
         self.retries = 0
         self.is_ended = False
-        # Replicas that may have crashed, and whether any replica has answered.
-        self.losses: list[Loss] = []
-        self.has_answer = False
+        # Start time of the lone read in progress that other hosts were told of.
+        self._lone_read_at: float | None = None
         # Replicas that have answered the request and said that they are leaving.
         self.leaving: set[Incarnation] = set()
         # Shards of the reads in progress; 0 for a route without shards.
         self._reads: dict[Read, int] = {}
-        # Number of reads that are still open after the end of the call.
-        self._abandoned_reads = 0
         self._timer = None
         # Called with ``attempts``, to let another host process the request; returns
         # whether one does. None: it stays here.
@@ -137,8 +135,6 @@
     def _log_end(self, end: str, fields: dict, status: int | None = None) -> None:
         elapsed_s = self.loop.now() - self.request.received_at
         self.runner.metrics.request_ended(self.route.rank, end, elapsed_s)
-        if not self._may_be_cleared():
-            self._record_survival()
         self.runner.events.emit(
             "request_ended",
             id=self.outbound.request_id,
@@ -155,41 +151,50 @@
         )
 
     def _observe(self, result: ReadResult) -> None:
-        """Record whether a replica survived the request."""
-        answer = result.answer
-        if answer.is_leaving:
+        """Record what a replica has said of itself, and the end of a lone read."""
+        if result.answer.is_leaving:
             replica = result.replica
             self.leaving.add(Incarnation(replica.id, replica.started_at_ms))
-        if result.loss is not None:
-            self.losses.append(result.loss)
-        elif result.kind in (AnswerKind.SUCCESS, AnswerKind.FAILURE):
-            self.has_answer = True
-
-    def _may_be_cleared(self) -> bool:
-        """Return whether an open read may show that a replica survives the request."""
-        is_suspect = bool(self.losses) and not self.has_answer
-        return is_suspect and self._abandoned_reads > 0
-
-    def _record_survival(self) -> None:
-        self.runner.record_request_end(
-            self.outbound, self.losses, has_answer=self.has_answer
+        if result.is_lone:
+            self._end_lone_read()
+
+    def _admit(self) -> Admission:
+        """Return whether the request may be sent to replicas now."""
+        return self.runner.guard.admit(self.outbound.fingerprint)
+
+    def _begin_lone_read(self) -> None:
+        """Tell other hosts of a read of a request that may crash replicas."""
+        self._end_lone_read()
+        self._lone_read_at = self.runner.guard.begin_lone_read(
+            self.outbound.fingerprint
+        )
+
+    def _end_lone_read(self) -> None:
+        if self._lone_read_at is not None:
+            fingerprint = self.outbound.fingerprint
+            self.runner.guard.end_lone_read(fingerprint, self._lone_read_at)
+            self._lone_read_at = None
+
+    def _end_crashing(self, admission: Admission) -> None:
+        """Refuse a request that replicas do not survive."""
+        refusal = ReadRefusal("crashes_replicas", admission.wait_s)
+        self._end(
+            self._refusal(refusal),
+            refusal.reason,
+            fingerprint=f"{self.outbound.fingerprint:016x}",
         )
 
     def _on_abandoned_end(self, read: Read, result: ReadResult) -> None:
-        was_undecided = self._may_be_cleared()
-        self._abandoned_reads -= 1
-        self._observe(result)
-        if was_undecided and not self._may_be_cleared():
-            self._record_survival()
+        """Do nothing: the runner has recorded whether the replica survived."""
 
     def _close(self, detail: str) -> None:
         self.is_ended = True
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        self._end_lone_read()
         for read in self._reads:
             self.runner.abandon(read, detail, self._on_abandoned_end)
-        self._abandoned_reads = len(self._reads)
         self._reads.clear()
 
     def _set_timer(self, when: float) -> None:
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from cicadalever.crashes import CrashLedger
 from cicadalever.discovery import UpstreamDirectory
 from cicadalever.peers import PeerTable
 from cicadalever.placement import LeastCostSelector
@@ -10,6 +11,7 @@
 from cicadalever.wire import CallerServer, EventLoop, ReceiveMemory, ServerLimits
 
 from ._adapter import HostSettings, PlatformAdapter
+from ._crash_gossip import CrashGossip
 from ._daemon import GatewayComponents, GatewayDaemon
 from ._events import EventLog
 from ._follower import PlatformFollower, WatchTiming
@@ -52,6 +54,7 @@
         memory,
         settings.drain_s,
         int(ADVANCE_DESCRIPTOR_SHARE * settings.max_descriptors),
+        CrashLedger(settings.host_id),
     )
     limits = ServerLimits(*Limits())
     service: GatewayService
@@ -108,6 +111,7 @@
         link,
         Readiness(),
         contact,
+        CrashGossip(loop, link, runner.guard.ledger, events),
         CallerServer(loop, settings.caller_address, service.handle, limits),
         CallerServer(
             loop, settings.readiness_address, handle_readiness_request, limits
@@ -130,8 +134,9 @@
     )
     link.on_late_replicas = runner.avoid_late
     runner.on_late = link.report_late
-    runner.on_crash = link.report_crashes
+    runner.guard.gossip = components.gossip
+    components.gossip.on_news = runner.guard.record_news
     link.on_limit_report = runner.record_limit_reports
-    link.on_crash_report = runner.record_crash_report
+    link.on_crash_report = runner.guard.record_older_report
     link.on_newer_version = daemon.follower.hurry
     return daemon
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -19,6 +19,7 @@
 )
 
 from ._adapter import HostSettings, PlatformAdapter, PlatformUpdate
+from ._crash_gossip import CrashGossip
 from ._events import EventLog
 from ._follower import PlatformFollower
 from ._metrics import GatewayMetrics
@@ -63,6 +64,7 @@
     link: PeerLink
     readiness: Readiness
     contact: UpstreamContact
+    gossip: CrashGossip
     caller_server: CallerServer
     readiness_server: CallerServer
     metrics_server: CallerServer
@@ -109,6 +111,7 @@
         components.contact.on_change = self._handle_contact_change
         components.contact.on_doubt = components.service.hand_over_overdue
         components.contact.start()
+        components.gossip.start()
         self.follower.start()
         self._tick_due_at = components.loop.now() + TICK_S
         components.loop.call_later(TICK_S, self._tick)
--- a/cicadalever/gateway/_forward_call.py
+++ b/cicadalever/gateway/_forward_call.py
@@ -2,10 +2,11 @@
 
 from functools import partial
 
+from cicadalever.crashes import AdmissionKind
 from cicadalever.wire import CallerResponse, is_hop_by_hop
 
 from ._answers import NOT_RUN_KINDS, NOT_RUN_STATUSES, AnswerKind
-from ._call import Call, error_response
+from ._call import LONE_READ_CHECK_S, Call, error_response
 from ._reads import Read, ReadResult
 
 # An idempotent request without an answer after this share of the route's target latency
@@ -38,14 +39,31 @@
         self._tried: set[str] = set()
         self._attempts = attempts
         self._has_hedged = False
+        self._has_started = False
         self._last_result: ReadResult | None = None
         # Result of a read that ends before ``ReadRunner.start`` returns.
         self._synchronous_result: ReadResult | None = None
+        # Whether a lone read was lost, after which no other one is sent.
+        self._has_lost_lone_read = False
         hedge_s = HEDGE_TARGET_SHARE * self.route.target_latency_s
         self._hedge_at = self.request.received_at + hedge_s
         self.runner.retry_budget.earn(service)
+        self._start_admitted()
+
+    def _start_admitted(self) -> None:
+        """Send the first read as soon as the request may be sent to replicas."""
+        admission = self._admit()
+        if admission.kind is AdmissionKind.REFUSED:
+            self._end_crashing(admission)
+            return
+        if admission.kind is AdmissionKind.WAIT:
+            self._set_timer(self.loop.now() + LONE_READ_CHECK_S)
+            return
+        if admission.kind is AdmissionKind.LONE:
+            self._begin_lone_read()
+        self._has_started = True
         if not self._send():
-            self._refuse("no_replica", {"service": service})
+            self._refuse("no_replica", {"service": self._service})
             return
         self._schedule()
 
@@ -65,6 +83,7 @@
             self.route,
             self.table,
             partial(self.run_or_abort, self._on_read_end),
+            is_lone=self._admit().kind is not AdmissionKind.FREE,
         )
         if read.on_end is not None:
             self._reads[read] = 0
@@ -84,7 +103,8 @@
         if last.kind is AnswerKind.NOT_SENT:
             return True
         is_lost = last.kind is AnswerKind.UNKNOWN and self.route.idempotent
-        return is_lost and self._attempts < self.route.max_attempts
+        has_attempts = self._attempts < self.route.max_attempts
+        return is_lost and has_attempts and not self._has_lost_lone_read
 
     def _on_read_end(self, read: Read, result: ReadResult) -> None:
         if self._reads.pop(read, None) is None:
@@ -96,6 +116,7 @@
         if self.is_ended:
             return
         self._observe(result)
+        self._has_lost_lone_read |= result.is_lost and result.is_lone
         kind = result.kind
         if kind is AnswerKind.SUCCESS:
             self._respond(result)
@@ -124,6 +145,8 @@
         budget.
         """
         has_attempts = self._attempts < self.route.max_attempts
+        if not self._may_send_again(cause):
+            return False
         if not has_attempts or not self.runner.can_read(
             self._service, self.route, self._tried, is_hedge=cause == "hedge"
         ):
@@ -138,11 +161,26 @@
             self.retries += 1
         return self._send()
 
+    def _may_send_again(self, cause: str) -> bool:
+        """Return whether a request that may crash replicas gets another read.
+
+        It gets no second one while the first is in progress.
+        """
+        if self._has_lost_lone_read:
+            return False
+        kind = self._admit().kind
+        return kind is AdmissionKind.FREE or (
+            kind is AdmissionKind.LONE and cause != "hedge"
+        )
+
     def _on_timer(self) -> None:
         now = self.loop.now()
         if now >= self.give_up_at:
             self._end(error_response(504), "timed_out", service=self._service)
             return
+        if not self._has_started:
+            self._start_admitted()
+            return
         if not self._has_hedged and now >= self._hedge_at:
             self._has_hedged = True
             self._send_again(None, "hedge")
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
+from cicadalever.crashes import Admission, AdmissionKind
 from cicadalever.discovery import ReplicaEntry
 from cicadalever.gather import (
     GatherEndReason,
@@ -15,7 +16,7 @@
 from cicadalever.wire import CallerResponse
 
 from ._answers import NOT_RUN_KINDS, AnswerKind
-from ._call import Call, error_response
+from ._call import LONE_READ_CHECK_S, Call, error_response
 from ._peers import PeerLink
 from ._reads import Read, ReadResult
 from ._shard_group import ShardGroup
@@ -26,6 +27,10 @@
 # Reads that must be overdue, without an answer to any other, before their silence is a
 # sign of lost links rather than of slow replicas.
 MIN_SILENT_READS = 4
+# Replicas that a query may lose before its further reads wait for a lone one.
+MAX_UNHELD_LOSSES = 1
+# Lone reads that may be silent before the others are given up.
+MAX_LONE_READS = 3
 # Time between attempts to read a shard again while the retry budget is used up.
 BUDGET_RETRY_S = 0.02
 
@@ -79,43 +84,140 @@
         self._shard_answers: dict[int, ShardAnswer] = {}
         self._tried: list[set[str]] = [set() for _ in route.shards]
         self._attempts = list(attempts) or [0] * len(route.shards)
-        self._awaiting_budget: set[int] = set()
+        # Shards to be read again, with the cause, and shards without a read so far.
+        self._awaiting: dict[int, str] = {}
+        self._unread: set[int] = set()
+        # Whether only one read may be in progress, because the query may crash
+        # replicas, and whether replicas have survived it since.
+        self._is_alone = False
+        self._is_released = False
+        self._has_lost_lone_read = False
+        self._losses = 0
+        self._lone_reads = self._lone_reads_in_flight = 0
+        self._lone_read_due_at = float("inf")
         # Replicas that were chosen for the first reads when the groups were formed.
         self._chosen_replicas: dict[int, ReplicaEntry] = {}
         self._group_answers: list[tuple[list[bytes], bytes]] = []
         self._may_have_run = is_repeat
         # Result of a read that ends before ``ReadRunner.start`` returns.
         self._synchronous_result: ReadResult | None = None
+        self._is_repeat = is_repeat
+        self._is_starting = False
+        admission = self._admit()
+        if admission.kind is AdmissionKind.REFUSED:
+            self._end_crashing(admission)
+            return
         if is_repeat and self._end_if_exhausted():
             return
         if not is_repeat and self._refuse_if_held_off():
             return
         self._overdue_at, self._was_overdue = float("inf"), False
+        self._overdue_s = self.runner.selector.overdue_s(route.name)
+        self._sent_at = self.loop.now()
+        self._unread = set(range(len(route.shards)))
+        if is_repeat or admission.kind is not AdmissionKind.FREE:
+            self._is_alone = True
+        else:
+            self._start_unread()
+        if not self.is_ended:
+            self._advance(self.loop.now())
+
+    def _start_unread(self) -> None:
+        """Send the first read of each shard that has none."""
+        unread, self._unread = self._unread, set()
+        if not unread:
+            return
         self._is_starting = True
-        grouped = set() if is_repeat else self._start_groups()
-        for shard, service in enumerate(route.shards):
-            if shard in grouped:
-                continue
-            if is_repeat:
-                can_read = (
-                    self._read_again(shard, "repeat") or shard in self._awaiting_budget
-                )
-            else:
-                self.runner.retry_budget.earn(service)
-                can_read = self._read(shard)
-            if not can_read:
+        is_first = len(unread) == len(self.route.shards)
+        grouped = self._start_groups() if is_first and not self._is_repeat else set()
+        for shard in sorted(unread - grouped):
+            if not self._start_shard(shard) and shard not in self._awaiting:
                 self._state.mark_exhausted(shard)
         self._is_starting = False
         self._sent_at = self.loop.now()
-        unread = len(self._awaiting_budget)
-        if is_repeat and len(route.shards) - unread < self._state.required_answers:
+        waiting = len(self._awaiting)
+        if (
+            self._is_repeat
+            and len(self.route.shards) - waiting < self._state.required_answers
+        ):
             # The budget for repeated reads recovers too slowly for this request. The
             # caller can try another host.
-            self._end(error_response(502), "no_budget", unread=unread)
+            self._end(error_response(502), "no_budget", unread=waiting)
             return
-        self._overdue_s = self.runner.selector.overdue_s(route.name)
         self._overdue_at = self._sent_at + self._overdue_s
-        self._advance(self._sent_at)
+
+    def _start_shard(self, shard: int) -> bool:
+        """Send the first read of a shard by this host; return whether it was sent."""
+        if self._is_repeat:
+            return self._read_again(shard, "repeat")
+        self.runner.retry_budget.earn(self.route.shards[shard])
+        return self._read(shard)
+
+    def _continue_alone(self, now: float) -> None:
+        """Send the next lone read, or all reads if a replica has survived one."""
+        if self._has_lost_lone_read:
+            self._give_up_held()
+        elif self._is_released:
+            self._release()
+        elif not self._lone_reads_in_flight or now >= self._lone_read_due_at:
+            admission = self._admit()
+            is_refused = admission.kind is AdmissionKind.REFUSED
+            if is_refused and not (self._may_have_run or self._reads):
+                self._end_crashing(admission)
+            elif is_refused:
+                self._give_up_held()
+            elif admission.kind is AdmissionKind.WAIT:
+                self._lone_read_due_at = now + LONE_READ_CHECK_S
+            elif admission.kind is AdmissionKind.FREE and not self._is_repeat:
+                self._release()
+            elif self._lone_reads < MAX_LONE_READS:
+                if not self._send_lone_read(admission):
+                    self._give_up_held()
+            elif self._lone_reads_in_flight:
+                self._lone_read_due_at = float("inf")
+            else:
+                self._give_up_held()
+
+    def _release(self) -> None:
+        """Send all reads that waited for the end of a lone one."""
+        self._is_alone = self._is_released = False
+        self._losses = 0
+        self._lone_read_due_at = float("inf")
+        self._start_unread()
+
+    def _give_up_held(self) -> None:
+        """Send none of the reads that wait."""
+        self._is_alone = False
+        self._lone_read_due_at = float("inf")
+        for shard in self._unread.union(self._awaiting):
+            self._state.mark_exhausted(shard)
+        self._unread.clear()
+        self._awaiting.clear()
+
+    def _send_lone_read(self, admission: Admission) -> bool:
+        """Read one of the shards that wait, if one can be read.
+
+        The first choice is one whose replicas the query may have crashed: a replica
+        that survives it shows that it does not.
+        """
+        order = {service: number for number, service in enumerate(admission.services)}
+        shards = self.route.shards
+        held = sorted(
+            self._unread.union(self._awaiting),
+            key=lambda shard: (order.get(shards[shard], len(order)), shard),
+        )
+        for shard in held:
+            is_first = shard in self._unread and not self._is_repeat
+            if is_first:
+                self.runner.retry_budget.earn(shards[shard])
+                is_sent = self._read(shard)
+            else:
+                cause = self._awaiting.get(shard, "repeat")
+                is_sent = self._read_again(shard, cause, is_held=False)
+            if is_sent:
+                self._unread.discard(shard)
+                return True
+        return False
 
     def _refuse_if_held_off(self) -> bool:
         """Refuse the query if too many shards may not be read; return whether it was.
@@ -199,7 +301,7 @@
         """
         now = self.loop.now()
         self._groups.discard(group)
-        self._may_have_run = self.has_answer = True
+        self._may_have_run = True
         self._group_answers.append((signatures, records))
         lacking = set(missing)
         for shard in group.shards:
@@ -245,7 +347,7 @@
                 self._attempts[shard] -= 1
                 self.runner.retry_budget.earn(self.route.shards[shard])
                 has_read = self._read(shard)
-            if not has_read and shard not in self._awaiting_budget:
+            if not has_read and shard not in self._awaiting:
                 self._state.mark_exhausted(shard)
         self._is_starting = False
         self._advance(self.loop.now())
@@ -303,12 +405,16 @@
         self._attempts[shard] += 1
         self._has_extra_attempt = self._has_extra_attempt or self._attempts[shard] > 1
         self._state.record_read_start(shard)
+        is_lone = self._is_alone or self._admit().kind is not AdmissionKind.FREE
+        if is_lone:
+            self._count_lone_read()
         read = self.runner.start(
             replica,
             self.outbound,
             self.route,
             self.table,
             partial(self.run_or_abort, self._on_read_end),
+            is_lone=is_lone,
         )
         if read.on_end is not None:
             self._reads[read] = shard
@@ -316,21 +422,36 @@
             self._handle_result(shard, self._synchronous_result)
         return True
 
-    def _read_again(self, shard: int, cause: str, *, is_extra: bool = True) -> bool:
+    def _count_lone_read(self) -> None:
+        self._lone_reads += 1
+        self._lone_reads_in_flight += 1
+        self._lone_read_due_at = self.loop.now() + self._overdue_s
+        if self._is_alone:
+            self._begin_lone_read()
+
+    def _read_again(
+        self, shard: int, cause: str, *, is_extra: bool = True, is_held: bool = True
+    ) -> bool:
         """Read a shard from another replica, if attempts and retry budget remain.
 
         Return whether a read was started. A read that replaces one that was never sent
-        is not extra. Without budget, the shard is tried again later.
+        is not extra. Without budget, or while a lone read decides about the others,
+        the shard is tried again later, unless the read ``is_held`` no more.
         """
+        if self._has_lost_lone_read:
+            return False
+        if self._is_alone and is_held:
+            self._awaiting.setdefault(shard, cause)
+            return False
         service = self.route.shards[shard]
         has_attempts = self._attempts[shard] < self.route.max_attempts
         is_hedge = cause == "hedge"
         if not has_attempts or not self._has_untried_replica(shard, is_hedge=is_hedge):
             return False
         if is_extra and not self.runner.try_spend(service):
-            self._awaiting_budget.add(shard)
+            self._awaiting.setdefault(shard, cause)
             return False
-        self._awaiting_budget.discard(shard)
+        self._awaiting.pop(shard, None)
         self.runner.metrics.extra_read(cause)
         if cause == "hedge":
             self.hedges += 1
@@ -351,11 +472,16 @@
         if self._is_starting or self.is_ended:
             return
         now = self.loop.now()
-        if result.kind is not AnswerKind.SUCCESS or self._state.needs_decision(now):
+        if (
+            result.kind is not AnswerKind.SUCCESS
+            or result.is_lone
+            or self._state.needs_decision(now)
+        ):
             self._advance(now)
 
     def _handle_result(self, shard: int, result: ReadResult) -> None:
         self._observe(result)
+        self._observe_loss(result)
         if result.kind is AnswerKind.SUCCESS:
             self._add_shard_answer(shard, result)
             return
@@ -369,14 +495,25 @@
             return
         is_extra = result.kind is not AnswerKind.NOT_SENT
         has_read = self._read_again(shard, "retry", is_extra=is_extra)
-        if not has_read and shard not in self._awaiting_budget:
+        if not has_read and shard not in self._awaiting:
             self._state.mark_exhausted(shard)
 
+    def _observe_loss(self, result: ReadResult) -> None:
+        """Hold further reads if the query may crash replicas."""
+        if result.is_lone:
+            self._lone_reads_in_flight -= 1
+            self._lone_reads -= result.kind in NOT_RUN_KINDS
+            self._has_lost_lone_read |= result.is_lost
+            self._is_released |= self._is_alone and result.kind is AnswerKind.SUCCESS
+        if result.is_lost:
+            self._losses += 1
+            self._is_alone |= self._losses > MAX_UNHELD_LOSSES
+
     def _add_shard_answer(self, shard: int, result: ReadResult) -> None:
         self._may_have_run = True
         if not self._state.record_answer(shard, self.loop.now()):
             return
-        self._awaiting_budget.discard(shard)
+        self._awaiting.pop(shard, None)
         signature = result.answer.header(self.runner.names.signature).decode("latin-1")
         answer = ShardAnswer(self.route.shards[shard], signature, result.answer.body)
         self._shard_answers[shard] = shorten_answer(answer, self.route.top_records)
@@ -391,18 +528,18 @@
         self._groups.clear()
 
     def _advance(self, now: float) -> None:
+        if self._is_alone and not self.is_ended:
+            self._continue_alone(now)
         if self.is_ended:
             return
         decision = self._state.decide(now)
         # A hedge may fail immediately and change the decision.
-        while decision.end_reason is None and (
-            decision.hedges or self._awaiting_budget
-        ):
-            for shard in set(decision.hedges) | self._awaiting_budget:
+        while decision.end_reason is None and (decision.hedges or self._awaiting):
+            for shard in set(decision.hedges).union(self._awaiting):
                 self._state.mark_hedged(shard)
-                self._read_again(
-                    shard, "hedge" if shard in decision.hedges else "retry"
-                )
+                is_hedge = shard in decision.hedges
+                cause = "hedge" if is_hedge else self._awaiting.get(shard, "retry")
+                self._read_again(shard, cause)
                 if not self._can_read_again(shard):
                     self._state.mark_exhausted(shard)
             decision = self._state.decide(now)
@@ -420,11 +557,15 @@
             if not self._shard_answers and len(self._reads) >= MIN_SILENT_READS:
                 self.runner.on_silence(self._sent_at)
         wake_at = min(wake_at, self._overdue_at)
-        if self._awaiting_budget:
+        if self._is_alone:
+            wake_at = min(wake_at, self._lone_read_due_at)
+        elif self._awaiting:
             wake_at = min(wake_at, now + BUDGET_RETRY_S)
         self._set_timer(wake_at)
 
     def _can_read_again(self, shard: int) -> bool:
+        if self._has_lost_lone_read:
+            return False
         has_attempts = self._attempts[shard] < self.route.max_attempts
         return has_attempts and self._has_untried_replica(shard)
 
@@ -442,8 +583,10 @@
             "sent_ms": _milliseconds(self._sent_at - self.request.received_at),
             "early_ms": _milliseconds(self._state.quantile_latency_s),
         }
-        if end_reason is GatherEndReason.TOO_FEW and self._try_hand_over(
-            self._attempts_for_handover()
+        if (
+            end_reason is GatherEndReason.TOO_FEW
+            and not self._has_lost_lone_read
+            and self._try_hand_over(self._attempts_for_handover())
         ):
             return
         if end_reason in (GatherEndReason.TOO_FEW, GatherEndReason.TIMED_OUT):
--- a/cicadalever/gateway/_metrics.py
+++ b/cicadalever/gateway/_metrics.py
@@ -67,6 +67,9 @@
         self._held_off = self._counter(
             "replicas_held_off", "Replicas held off for what they have said", "cause"
         )
+        self._quarantined = self._counter(
+            "requests_quarantined", "Requests that were found to crash replicas"
+        )
         self._entries_rejected = self._counter(
             "entries_rejected", "Entries that were found to name no replica"
         )
@@ -117,6 +120,10 @@
         """Count an entry that was found to name no replica."""
         self._entries_rejected.inc()
 
+    def request_quarantined(self) -> None:
+        """Count a request that is refused from now on because it crashes replicas."""
+        self._quarantined.inc()
+
     def replica_held_off(self, cause: str) -> None:
         """Count a replica that said it is "leaving" or wants to be "paused"."""
         self._held_off.labels(cause).inc()
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Iterable
 from random import Random
 
+from cicadalever.crashes import CrashRecord
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
     CONTACT_QUERY_PREFIX,
@@ -31,6 +32,7 @@
     decode_observation,
     encode_contact_query,
     encode_contact_report,
+    encode_crash_news,
     encode_crash_report,
     encode_heartbeat,
     encode_limit_report,
@@ -70,7 +72,6 @@
 # Replicas whose reports are remembered; beyond that all are forgotten, which only costs
 # some repeated reports.
 MAX_REPORTED_REPLICAS = 10_000
-CRASH_REPORTS_PER_S = 20.0
 UNKNOWN_COUNT = HostCount(0, 0)
 
 
@@ -109,11 +110,18 @@
         self.on_limit_report: Callable[[str, list[LimitNews]], None] = (
             lambda host, reports: None
         )
+        # Called with the datagrams that begin with a prefix.
+        self.handlers: dict[bytes, Callable[[bytes], None]] = {
+            OBSERVATION_PREFIX: self._handle_observation,
+            CRASH_REPORT_PREFIX: self._handle_crash_report,
+            LIMIT_REPORT_PREFIX: self._handle_limit_report,
+            CONTACT_QUERY_PREFIX: self._handle_contact_query,
+            CONTACT_REPORT_PREFIX: self._handle_contact_report,
+        }
         # Called with the query of a host that cannot reach replicas.
         self.on_contact_query: Callable[[ContactQuery], None] = lambda query: None
         # Called with the answer of another host to such a query.
         self.on_contact_report: Callable[[ContactReport], None] = lambda report: None
-        self._crash_report_due_at = float("-inf")
         # When each replica may be reported again.
         self._report_due_at: dict[str, float] = {}
         self._socket: socket.socket | None = None
@@ -225,27 +233,39 @@
             with contextlib.suppress(OSError):
                 self._socket.sendto(data, address)
 
-    def report_crashes(self, fingerprint: int, crashes: int) -> None:
-        """Tell other hosts how many replicas this host lost to a request.
-
-        At most ``CRASH_REPORTS_PER_S`` are sent.
-        """
-        now = self.loop.now()
-        if self._socket is None or now < self._crash_report_due_at:
-            self.events.emit_detail(
-                "crash_report_dropped", fingerprint=f"{fingerprint:016x}"
-            )
+    def send_crash_news(
+        self,
+        records: Iterable[CrashRecord],
+        addresses: Iterable[Address],
+        *,
+        wants_reply: bool = False,
+    ) -> None:
+        """Tell other hosts about requests that may crash replicas."""
+        if self._socket is None:
             return
-        self._crash_report_due_at = now + 1.0 / CRASH_REPORTS_PER_S
-        report = CrashReport(self.host_id, fingerprint, crashes)
-        self._send_crash_report(report, self.peer_table.advisers())
+        datagrams = list(
+            encode_crash_news(
+                self.host_id, self.peer_table.address, records, wants_reply=wants_reply
+            )
+        )
+        for address in addresses:
+            for data in datagrams:
+                # What gets lost is sent again; see ``CrashGossip``.
+                with contextlib.suppress(OSError):
+                    self._socket.sendto(data, address)
+
+    def report_crashes(self, fingerprint: int, crashes: int) -> None:
+        """Tell hosts of older versions how many replicas a request has crashed."""
+        if self._socket is not None:
+            report = CrashReport(self.host_id, fingerprint, crashes)
+            self._send_crash_report(report, self.peer_table.advisers())
 
     def _send_crash_report(
         self, report: CrashReport, addresses: Iterable[Address]
     ) -> None:
         data = encode_crash_report(report)
         for address in addresses:
-            # The next crash is reported with its full count.
+            # Hosts of this version learn it from ``send_crash_news``.
             with contextlib.suppress(OSError):
                 self._socket.sendto(data, address)
 
@@ -347,20 +367,9 @@
                 data, _sender = self._socket.recvfrom(MAX_HEARTBEAT_BYTES)
             except OSError:
                 return
-            if data.startswith(OBSERVATION_PREFIX):
-                self._handle_observation(data)
-                continue
-            if data.startswith(CRASH_REPORT_PREFIX):
-                self._handle_crash_report(data)
-                continue
-            if data.startswith(LIMIT_REPORT_PREFIX):
-                self._handle_limit_report(data)
-                continue
-            if data.startswith(CONTACT_QUERY_PREFIX):
-                self._handle_contact_query(data)
-                continue
-            if data.startswith(CONTACT_REPORT_PREFIX):
-                self._handle_contact_report(data)
+            handle = self.handlers.get(data[:1])
+            if handle is not None:
+                handle(data)
                 continue
             heartbeat = decode_heartbeat(data)
             if isinstance(heartbeat, Failure):
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -3,11 +3,11 @@
 import time
 from collections import deque
 from collections.abc import Callable, Collection, Container, Iterable, Sequence
-from functools import partial
+from functools import cached_property, partial
 from hashlib import blake2b
 from typing import NamedTuple
 
-from cicadalever.crashes import CrashCounter, Loss, LossWatch
+from cicadalever.crashes import CrashLedger
 from cicadalever.discovery import DirectoryChange, ReplicaEntry, UpstreamDirectory
 from cicadalever.gather import encode_attempts, encode_shards
 from cicadalever.notices import (
@@ -18,7 +18,6 @@
     parse_pause,
 )
 from cicadalever.outcomes import Failure
-from cicadalever.peers import CrashReport
 from cicadalever.placement import (
     HostCounts,
     LeastCostSelector,
@@ -46,7 +45,13 @@
     is_hop_by_hop,
 )
 
-from ._answers import AnswerKind, classify_answer, classify_read_outcome
+from ._answers import (
+    AnswerKind,
+    classify_answer,
+    classify_read_outcome,
+    shows_survival,
+)
+from ._crash_guard import CrashGuard
 from ._events import EventLog
 from ._metrics import GatewayMetrics
 
@@ -122,23 +127,26 @@
 
 
 class ReadResult(NamedTuple):
-    """How a read ended; ``loss`` is set if the replica may have crashed."""
+    """How a read ended; ``is_lost`` tells that the replica may have crashed."""
 
     kind: AnswerKind
     answer: ReplicaAnswer
     replica: ReplicaEntry
-    loss: Loss | None = None
+    is_lost: bool = False
+    is_lone: bool = False
 
 
 class Read:
     """One request to one replica; ``on_end`` is None once it has ended.
 
-    ``started_at`` is the monotonic time in seconds.
+    ``started_at`` is the monotonic time in seconds. A read that ``is_lone`` was sent
+    although its request may crash replicas.
     """
 
-    def __init__(self, replica: ReplicaEntry, started_at: float):
+    def __init__(self, replica: ReplicaEntry, started_at: float, *, is_lone: bool):
         self.replica = replica
         self.started_at = started_at
+        self.is_lone = is_lone
         self.exchange: Exchange | None = None
         self.on_end: Callable[[Read, ReadResult], None] | None = None
 
@@ -183,7 +191,7 @@
             b"%s",
         )
 
-    @property
+    @cached_property
     def fingerprint(self) -> int:
         """Unsigned 64-bit hash of what the caller asks for, without the request id."""
         request = self._request
@@ -269,6 +277,7 @@
         memory: ReceiveMemory | None = None,
         drain_s: float = 0.0,
         max_pools_in_advance: int = DEFAULT_MAX_POOLS_IN_ADVANCE,
+        ledger: CrashLedger | None = None,
     ):
         self.loop = loop
         self.names = names
@@ -281,12 +290,9 @@
         self.metrics = metrics
         # Called with the ids of replicas whose reads are overdue.
         self.on_late: Callable[[list[str]], None] = lambda replica_ids: None
-        self.crashes = CrashCounter()
-        self._loss_watch = LossWatch()
-        # Whether this host may have lost its links to the replicas.
-        self.are_links_doubtful: Callable[[], bool] = lambda: False
-        # Called with a fingerprint and the number of replicas lost to it.
-        self.on_crash: Callable[[int, int], None] = lambda fingerprint, crashes: None
+        self.guard = CrashGuard(
+            loop, events, metrics, ledger or CrashLedger(""), self._probe_lost
+        )
         self.limits = NamedLimits(selector.rng)
         self.notices = ReplicaNotices(drain_s)
         # Services that the configuration in force names as shards.
@@ -453,13 +459,16 @@
         route: Route,
         table: RoutingTable,
         on_end: Callable[[Read, ReadResult], None],
+        *,
+        is_lone: bool = False,
     ) -> Read:
         """Send a request to a replica.
 
-        ``on_end`` is called once, possibly before this method returns.
+        ``on_end`` is called once, possibly before this method returns. ``is_lone``
+        tells that the request may crash replicas.
         """
         now = self.loop.now()
-        read = Read(replica, now)
+        read = Read(replica, now, is_lone=is_lone)
         read.on_end = on_end
         self.selector.record_start(replica.id, read, now)
         self.limits.record_read(replica.id)
@@ -482,64 +491,6 @@
         self.metrics.extra_read("no_allowance")
         return False
 
-    def record_request_end(
-        self, outbound: OutboundRequest, losses: list[Loss], *, has_answer: bool
-    ) -> None:
-        """Record whether replicas crashed while they ran a request.
-
-        Without an answer this is known only when the losses are decided.
-        """
-        if self.are_links_doubtful():
-            # The connections may have ended with the links of this host.
-            if losses:
-                self._log_crashes("crashes_ignored", outbound.fingerprint, len(losses))
-            losses = []
-        wait_s = self._loss_watch.undecided_s(losses, self.loop.now())
-        if has_answer or wait_s <= 0.0:
-            self._record_crashes(outbound.fingerprint, losses, has_answer)
-        else:
-            self.loop.call_later(
-                wait_s, self._record_crashes, outbound.fingerprint, losses, has_answer
-            )
-
-    def _record_crashes(
-        self, fingerprint: int, losses: list[Loss], has_answer: bool
-    ) -> None:
-        crashes = sum(not loss.is_refuted for loss in losses)
-        if crashes == 0 and not self.crashes:
-            return
-        known = len(self.crashes)
-        own = self.crashes.record_end(
-            fingerprint, crashes, has_answer=has_answer, now=self.loop.now()
-        )
-        if len(self.crashes) < known:
-            self._log_crashes("crashes_cleared", fingerprint, crashes)
-        if own:
-            self._log_crashes("crashes_counted", fingerprint, own)
-            self.on_crash(fingerprint, own)
-
-    def _log_crashes(self, event: str, fingerprint: int, crashes: int) -> None:
-        self.events.emit_detail(
-            event, fingerprint=f"{fingerprint:016x}", crashes=crashes
-        )
-
-    def forget_crashes(self, since: float) -> None:
-        """Forget losses since a time at which this host lost its links."""
-        self._loss_watch.refute_since(since)
-        self.crashes.forget_own(since)
-
-    def record_crash_report(self, report: CrashReport) -> None:
-        """Add the crashes that another host counted."""
-        self.events.emit_detail(
-            "crashes_reported",
-            fingerprint=f"{report.fingerprint:016x}",
-            crashes=report.crashes,
-            by=report.host,
-        )
-        self.crashes.record_report(
-            report.host, report.fingerprint, report.crashes, self.loop.now()
-        )
-
     def report_overdue(self, reads: Iterable[Read], overdue_s: float) -> None:
         """Avoid the replicas of reads older than ``overdue_s``; tell other hosts."""
         started_before = self.loop.now() - overdue_s
@@ -656,8 +607,8 @@
         """
 
         def connected(connection: ReplicaConnection) -> None:
-            now = self._contact_at = self.loop.now()
-            self._loss_watch.record_life(replica.id, connection.started_at, now)
+            self._contact_at = self.loop.now()
+            self.guard.record_life(replica.id, connection.started_at)
             self.selector.health(replica.id).record_connected()
             connection.close("probe completed")
 
@@ -669,6 +620,9 @@
             self.loop, self.names, replica.address, connected, closed, self.memory
         ).connect(timeout_s)
 
+    def _probe_lost(self, replica: ReplicaEntry) -> None:
+        self.probe(replica, CONNECT_TIMEOUT_S, lambda is_reached: None)
+
     def directory_changed(self, change: DirectoryChange) -> None:
         """Drop the connections and health data of a replica that restarted or left."""
         previous, current = change.previous, change.current
@@ -699,12 +653,22 @@
         kind = classify_answer(answer, self.names)
         self.loop.run_guarded(self._record_end, read, route, outbound, answer, kind)
         on_end, read.on_end = read.on_end, None
-        loss = None
         # A replica that asks for a pause has survived the request.
-        if answer.fault is AnswerFault.LOST and answer.retry_after is None:
-            loss = self._loss_watch.record_loss(read.replica.id, self.loop.now())
+        is_lost = answer.fault is AnswerFault.LOST and answer.retry_after is None
+        if is_lost:
+            self.guard.record_loss(
+                outbound.fingerprint, read.replica, is_lone=read.is_lone
+            )
+        elif self.guard.ledger and shows_survival(answer, kind, self.names):
+            self.guard.record_survival(
+                outbound.fingerprint,
+                read.replica.service,
+                read.started_at,
+                is_lone=read.is_lone,
+            )
         if on_end is not None:
-            on_end(read, ReadResult(kind, answer, read.replica, loss))
+            result = ReadResult(kind, answer, read.replica, is_lost, read.is_lone)
+            on_end(read, result)
 
     def _record_end(
         self,
@@ -718,7 +682,7 @@
         now = self.loop.now()
         if answer.fault is None:
             self._contact_at = self._answered_at = now
-            self._loss_watch.record_life(read.replica.id, read.started_at, now)
+            self.guard.record_life(read.replica.id, read.started_at)
         outcome = classify_read_outcome(answer, kind)
         replica = read.replica
         if self.selector.record_end(replica.id, read, outcome, route.name, now):
@@ -914,8 +878,8 @@
         self, replica_id: str, connection: ReplicaConnection
     ) -> None:
         if connection.is_connected:
-            now = self._contact_at = self.loop.now()
-            self._loss_watch.record_life(replica_id, connection.started_at, now)
+            self._contact_at = self.loop.now()
+            self.guard.record_life(replica_id, connection.started_at)
         self.on_handshake(replica_id, connection)
 
 
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -4,6 +4,7 @@
 from functools import partial
 from typing import NamedTuple
 
+from cicadalever.crashes import AdmissionKind
 from cicadalever.gather import (
     decode_attempts,
     decode_shards,
@@ -295,17 +296,6 @@
             self._refuse(connection, request, 400, "no_request_id")
             return
         caller_deadline_s = parse_deadline(request.header(names.deadline))
-        if self.runner.crashes and self._is_quarantined(request, request_id):
-            fingerprint = OutboundRequest(request, names, 0.0, request_id).fingerprint
-            self._refuse(
-                connection,
-                request,
-                503,
-                "crashes_replicas",
-                route.rank,
-                fingerprint=f"{fingerprint:016x}",
-            )
-            return
         times = plan_times(
             route,
             request.received_at,
@@ -318,6 +308,18 @@
             self._refuse(connection, request, 503, "stopping", route.rank)
             return
         outbound = OutboundRequest(request, names, times.deadline, request_id)
+        admission = self.runner.guard.admit(outbound.fingerprint)
+        if admission.kind is AdmissionKind.REFUSED:
+            self._refuse(
+                connection,
+                request,
+                503,
+                "crashes_replicas",
+                route.rank,
+                wait_s=admission.wait_s,
+                fingerprint=f"{outbound.fingerprint:016x}",
+            )
+            return
 
         def respond(response: CallerResponse, fields: dict) -> None:
             connection.respond(response)
@@ -334,7 +336,8 @@
         elif route.shards and self.lacks_upstreams():
             self._refuse(connection, request, 503, "no_upstreams", route.rank)
         elif route.shards:
-            self._gather(handover)
+            is_free = admission.kind is AdmissionKind.FREE
+            self._gather(handover, may_delegate=is_free)
         else:
             self._forward(handover)
 
@@ -507,12 +510,6 @@
             headers.append((self.runner.names.request_id, request_id))
         connection.respond(CallerResponse(status, headers))
 
-    def _is_quarantined(self, request: CallerRequest, request_id: bytes) -> bool:
-        """Return whether replicas did not survive this request before."""
-        outbound = OutboundRequest(request, self.runner.names, 0.0, request_id)
-        now = self.runner.loop.now()
-        return self.runner.crashes.refusal_left_s(outbound.fingerprint, now) > 0.0
-
     def _report_progress(
         self, connection: CallerConnection, request: CallerRequest, call: Call
     ) -> None:
@@ -539,8 +536,12 @@
         self._begin(call, handover)
         call.start(handover.service)
 
-    def _gather(self, handover: Handover) -> None:
-        """Gather a query on this host, or on a larger one if that is faster."""
+    def _gather(self, handover: Handover, *, may_delegate: bool) -> None:
+        """Gather a query on this host, or on a larger one if that is faster.
+
+        A query that may crash replicas is not delegated, so that one host counts its
+        reads.
+        """
         arguments = handover.arguments
         _, route, table, *_ = arguments
 
@@ -549,13 +550,13 @@
             call = GatherCall(
                 *arguments,
                 on_late=self.lateness.observe,
-                link=self.link if is_wide else None,
+                link=self.link if is_wide and may_delegate else None,
             )
             self._begin(call, handover)
             call.start(handover.answer_by, attempts)
 
         peer = None
-        if len(route.shards) >= MIN_SHARDS_TO_DELEGATE:
+        if len(route.shards) >= MIN_SHARDS_TO_DELEGATE and may_delegate:
             peer = self.link.choose_gatherer(table.version)
         if peer is None:
             gather_here(_no_attempts(route))
@@ -668,6 +669,7 @@
         status: int,
         reason: str,
         rank: int = 0,
+        wait_s: float = RECOVERY_S,
         **fields,
     ) -> None:
         self.events.emit(
@@ -683,7 +685,7 @@
         if status == 503:
             deadline_s = parse_deadline(request.header(self.runner.names.deadline))
             retry_after_s = plan_retry_after(
-                RECOVERY_S,
+                wait_s,
                 DEFAULT_TIME_LEFT_S if deadline_s is None else deadline_s,
                 rank,
                 self.runner.selector.rng,
--- a/cicadalever/gateway/_upstream_contact.py
+++ b/cicadalever/gateway/_upstream_contact.py
@@ -110,7 +110,6 @@
         """Begin to watch the links."""
         self.runner.on_handshake = self._observe_handshake
         self.runner.on_silence = self.suspect
-        self.runner.are_links_doubtful = lambda: self.is_doubtful
         self.link.on_contact_query = self._probe_for_host
         self.link.on_contact_report = self._record_report
         self.loop.call_later(CALM_CHECK_S, self._check)
@@ -249,6 +248,6 @@
             confirmed=evidence.confirmed,
         )
         if state is ContactState.CUT_OFF:
-            self.runner.forget_crashes(self.suspected_since - PROBE_PERIOD_S)
+            self.runner.guard.void_own(self.suspected_since - PROBE_PERIOD_S)
         if was_cut_off or state is ContactState.CUT_OFF:
             self.on_change()
--- a/cicadalever/peers/__init__.py
+++ b/cicadalever/peers/__init__.py
@@ -23,6 +23,13 @@
     encode_contact_query,
     encode_contact_report,
 )
+from ._crash_news import (
+    CRASH_NEWS_PREFIX,
+    MAX_DATAGRAM_BYTES,
+    CrashNews,
+    decode_crash_news,
+    encode_crash_news,
+)
 from ._heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
 from ._observation import (
     CRASH_REPORT_PREFIX,
@@ -52,6 +59,11 @@
     "decode_contact_report",
     "encode_contact_query",
     "encode_contact_report",
+    "CRASH_NEWS_PREFIX",
+    "MAX_DATAGRAM_BYTES",
+    "CrashNews",
+    "decode_crash_news",
+    "encode_crash_news",
     "COUNT_AFTER_S",
     "CRASH_REPORT_PREFIX",
     "CrashReport",
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,99 +1,332 @@
-"""Tests of the count of crashes by request."""
+"""Tests of the ledger of requests that replicas may not survive."""
 
 import unittest
+from random import Random
 
-from cicadalever.crashes import CONFIRM_S, CrashCounter, LossWatch
+from cicadalever.crashes import (
+    CONFIRM_S,
+    REFUSAL_S,
+    AdmissionKind,
+    CrashLedger,
+)
 
+FREE, LONE, WAIT, REFUSED = AdmissionKind
+# Bounds of the rule: arrivals later than this after the third crash, on all hosts.
+CONTACT_S = 4.0
+MAX_LATE_ARRIVALS = 3
+# Questions to other hosts in each period, as long as none is answered.
+SYNC_TRIES = 5
 
-class TestCrashCounter(unittest.TestCase):
-    """Requests that replicas do not survive, on all hosts together."""
+
+class LedgerTestCase(unittest.TestCase):
+    """Records what happens to the request with the fingerprint 7."""
 
     def setUp(self):
-        self.counter = CrashCounter()
+        self.ledger = CrashLedger("host-1")
+
+    def lose(self, now, *services, is_lone=False, fingerprint=7):
+        """Lose a replica of each service at a time."""
+        for service in services:
+            self.ledger.record_loss(
+                fingerprint, service, f"i-{service}-{now}", now, is_lone=is_lone
+            )
+
+    def survive(self, now, *services):
+        for service in services:
+            self.ledger.record_survival(7, service, now)
+
+    def condemn(self):
+        """Lose four shards, and lone reads 0.1 and 2 s later."""
+        self.lose(0.0, "a", "b", "c", "d")
+        self.lose(0.1, "a", is_lone=True)
+        self.lose(2.0, "a", is_lone=True)
+
+    def kind(self, now):
+        return self.ledger.admit(7, now).kind
 
-    def end(self, now, losses=1, has_answer=False, fingerprint=7):
-        return self.counter.record_end(
-            fingerprint, losses, has_answer=has_answer, now=now
-        )
 
-    def test_third_crash_refuses_the_request(self):
+class TestAdmission(LedgerTestCase):
+    """Whether a request may be sent, as its replicas are lost or survive."""
+
+    def test_third_crash_refuses_a_request_to_single_replicas(self):
         """Guards against a request that takes one replica after the other."""
-        for now in (0.0, 1.0):
-            self.end(now)
-            self.assertEqual(self.counter.refusal_left_s(7, now), 0.0)
-        self.assertEqual(self.end(2.0), 3)
-        self.assertGreater(self.counter.refusal_left_s(7, 2.0), 10.0)
-        self.assertEqual(self.counter.refusal_left_s(8, 2.0), 0.0)
-
-    def test_crashes_at_other_hosts_count(self):
-        """Guards against a request that is sent to each host by turns."""
-        self.end(0.0)
-        self.counter.record_report("host-2", 7, 1, 0.1)
-        self.counter.record_report("host-2", 7, 1, 0.2)
-        self.assertEqual(self.counter.refusal_left_s(7, 0.3), 0.0)
-        self.counter.record_report("host-3", 7, 1, 0.4)
-        self.assertGreater(self.counter.refusal_left_s(7, 0.5), 0.0)
-
-    def test_answer_clears_an_innocent_request(self):
-        """Guards against refusing requests that ran beside one that crashes."""
-        self.end(0.0, losses=2)
-        self.end(1.0, losses=0, has_answer=True)
-        self.end(2.0, losses=2)
-        self.assertEqual(self.counter.refusal_left_s(7, 2.0), 0.0)
-        self.end(3.0, losses=5, has_answer=True)
-        self.assertEqual(len(self.counter), 0)
-
-    def test_suspicion_ends_and_returns_for_longer(self):
-        """Guards against a wrong suspicion that stays, and a right one that ends."""
-        self.end(0.0, losses=3)
-        self.assertEqual(self.counter.refusal_left_s(7, 21.0), 0.0)
-        self.end(21.0)
-        self.assertGreater(self.counter.refusal_left_s(7, 60.0), 0.0)
-        self.assertEqual(self.counter.refusal_left_s(7, 2000.0), 0.0)
+        self.lose(0.0, "a")
+        for now in (1.5, 3.0):
+            self.assertEqual(self.kind(now), LONE)
+            self.lose(now, "a", is_lone=True)
+        self.assertEqual(self.kind(3.1), REFUSED)
+        self.assertEqual(self.ledger.admit(8, 3.1).kind, FREE)
+
+    def test_second_lost_lone_read_refuses_a_query_over_shards(self):
+        """Guards against a query that is sent to all shards as often as it comes."""
+        self.lose(0.0, "a", "b", "c", "d")
+        self.lose(0.1, "a", is_lone=True)
+        self.assertEqual(self.kind(2.0), LONE)
+        self.lose(2.0, "b", is_lone=True)
+        admission = self.ledger.admit(7, 2.1)
+        self.assertEqual(admission.kind, REFUSED)
+        self.assertAlmostEqual(admission.wait_s, REFUSAL_S - 0.1)
+        self.assertEqual(set(admission.services), {"a", "b", "c", "d"})
+
+    def test_request_that_ran_beside_a_crashing_one_is_not_refused(self):
+        """Guards against refusing requests that lost replicas to another one."""
+        self.lose(0.0, "a", "b", "c", "d")
+        for now in (0.05, 0.1, 0.2):
+            self.lose(now, "b", is_lone=True)
+        self.assertEqual(self.kind(0.3), LONE)
+        self.assertEqual(self.ledger.admit(7, 0.3).services[0], "b")
+        self.survive(3.0, "a", "b", "c", "d")
+        self.assertEqual(self.kind(3.1), FREE)
+
+    def test_survival_clears_only_its_service(self):
+        """Guards against a query that some of its shards survive."""
+        self.condemn()
+        self.survive(2.1, "e", "b")
+        self.assertEqual(self.kind(2.2), REFUSED)
+        self.survive(2.1, "a")
+        self.assertEqual(self.kind(2.2), LONE)
+
+    def test_read_that_began_before_the_loss_proves_nothing(self):
+        """Guards against an answer that was computed before the replica crashed."""
+        self.lose(1.0, "a")
+        self.survive(0.9, "a")
+        self.assertEqual(self.kind(1.1), LONE)
+
+    def test_refusal_ends_with_one_lone_read_and_returns_for_longer(self):
+        """Guards against a refusal that ends for all copies, or never."""
+        self.condemn()
+        self.assertEqual(self.kind(61.9), REFUSED)
+        self.assertEqual(self.kind(62.1), LONE)
+        self.ledger.record_lone_read(7, 62.1)
+        self.assertEqual(self.kind(62.2), WAIT)
+        self.ledger.record_lone_end(7, 62.1)
+        self.lose(62.3, "c", is_lone=True)
+        self.assertEqual(self.kind(600.0), REFUSED)
+        self.assertEqual(self.kind(663.0), LONE)
+
+    def test_lone_reads_beside_each_other_are_bounded(self):
+        """Guards against as many reads as copies come at the same time."""
+        self.lose(0.0, "a", "b", "c")
+        for now in (5.0, 5.001):
+            self.assertEqual(self.kind(now), LONE)
+            self.ledger.record_lone_read(7, now)
+        self.assertEqual(self.kind(5.01), WAIT)
+        self.assertEqual(self.kind(8.0), LONE)
+
+    def test_replica_is_lost_once_however_often_it_is_reported(self):
+        """Guards against one crash that counts as several."""
+        for now in (0.0, 0.1, 0.5):
+            self.ledger.record_loss(7, "a", "i-1", now, is_lone=True)
+        self.assertEqual(len(self.ledger.get(7).losses), 1)
+        self.ledger.record_loss(7, "a", "i-1", 1.5, is_lone=True)
+        self.assertEqual(len(self.ledger.get(7).losses), 2)
 
     def test_memory_is_bounded(self):
-        """Guards against callers that fill the memory with different requests."""
-        for fingerprint in range(3000):
-            self.end(0.0, fingerprint=fingerprint)
-        self.assertEqual(len(self.counter), 1000)
+        """Guards against callers that push a refused request out of the memory."""
+        self.condemn()
+        for fingerprint in range(100, 3000):
+            self.lose(3.0, "a", fingerprint=fingerprint)
+        self.assertEqual(len(self.ledger), 1000)
+        self.assertEqual(self.kind(4.0), REFUSED)
+        for number in range(100):
+            self.lose(4.0 + number, "a", "b")
+        self.assertLessEqual(len(self.ledger.get(7).losses), 16)
+        self.assertEqual(self.kind(3000.0), FREE)
 
 
-class TestLossWatch(unittest.TestCase):
+class TestSignsOfLife(LedgerTestCase):
     """Lost connections to replicas that have crashed, or have not."""
 
     def setUp(self):
-        self.watch = LossWatch()
-        self.loss = self.watch.record_loss("i-1", 10.0)
+        super().setUp()
+        self.ledger.record_loss(7, "a", "i-1", 10.0, is_lone=True)
 
     def test_life_after_the_loss_refutes_a_crash(self):
         """Guards against accusing a request of a replica that went on."""
-        other = self.watch.record_loss("i-2", 10.0)
-        undecided_s = self.watch.undecided_s([self.loss], 10.4)
-        self.assertAlmostEqual(undecided_s, CONFIRM_S - 0.4)
-        self.watch.record_life("i-1", began_at=10.1, now=10.4)
-        self.assertTrue(self.loss.is_refuted)
-        self.assertFalse(other.is_refuted)
-        self.assertEqual(self.watch.undecided_s([self.loss], 10.4), 0.0)
+        self.ledger.record_loss(7, "b", "i-2", 10.0)
+        self.assertEqual(self.ledger.record_life("i-1", 10.1, now=10.4), [7])
+        self.assertEqual(
+            [each.replica_id for each in self.ledger.get(7).losses], ["i-2"]
+        )
 
     def test_what_began_before_the_loss_proves_nothing(self):
         """Guards against answers that a crashed replica had sent before."""
-        self.watch.record_life("i-1", began_at=9.9, now=10.01)
-        self.assertFalse(self.loss.is_refuted)
+        self.assertEqual(self.ledger.record_life("i-1", 9.9, now=10.01), [])
+        self.assertEqual(self.kind(10.1), LONE)
 
     def test_replica_that_is_back_has_crashed(self):
         """Guards against the next process of a replica as proof of its life."""
-        self.watch.record_life("i-1", began_at=12.0, now=12.1)
-        self.assertFalse(self.loss.is_refuted)
-        self.assertLess(self.watch.undecided_s([self.loss], 12.1), 0.0)
+        now = 10.1 + CONFIRM_S
+        self.assertEqual(self.ledger.record_life("i-1", now - 0.05, now), [])
+        self.assertEqual(self.kind(now), LONE)
 
     def test_lost_links_refute_losses(self):
         """Guards against accusing requests because this host was cut off."""
-        later = self.watch.record_loss("i-2", 10.5)
-        self.watch.refute_since(10.2)
-        self.assertEqual((self.loss.is_refuted, later.is_refuted), (False, True))
+        self.ledger.record_loss(7, "b", "i-2", 10.5)
+        self.assertEqual(self.ledger.void_own(10.2), [7])
+        self.assertEqual(
+            [each.replica_id for each in self.ledger.get(7).losses], ["i-1"]
+        )
 
     def test_memory_is_bounded(self):
         """Guards against losses that are kept after they were decided."""
-        for number in range(1000):
-            self.watch.record_loss(f"i-{number}", 20.0 + number)
-        self.assertLessEqual(len(self.watch._undecided), 3)
+        for number in range(3000):
+            self.ledger.record_loss(number, "a", f"i-{number}", 20.0 + number)
+        self.assertLessEqual(len(self.ledger._undecided), 3)
+        self.assertLessEqual(len(self.ledger._own), 1000)
+
+
+class TestReports(LedgerTestCase):
+    """What hosts tell each other."""
+
+    def setUp(self):
+        super().setUp()
+        self.other = CrashLedger("host-2")
+
+    def tell(self, now):
+        """Tell the other host what this one knows; return whether it is news."""
+        return self.other.merge(self.ledger.report(7, now), "host-1", now)
+
+    def test_refusal_reaches_another_host(self):
+        """Guards against a request that is sent to each host by turns."""
+        self.condemn()
+        self.assertTrue(self.tell(3.0))
+        self.assertFalse(self.tell(3.5))
+        self.assertEqual(self.other.admit(7, 4.0).kind, REFUSED)
+
+    def test_clearing_reaches_another_host_and_old_news_does_not_undo_it(self):
+        """Guards against innocent requests that stay suspected on other hosts."""
+        self.lose(0.0, "a", "b", "c")
+        old = self.ledger.report(7, 0.1)
+        self.other.merge(old, "host-1", 0.1)
+        self.survive(0.2, "a", "b", "c")
+        self.tell(0.3)
+        self.assertEqual(self.other.admit(7, 0.4).kind, FREE)
+        self.other.merge(old, "host-1", 0.1)
+        self.assertEqual(self.other.admit(7, 0.4).kind, FREE)
+
+    def test_lone_read_of_another_host_is_waited_for_until_it_ends(self):
+        """Guards against hosts that try the end of a refusal at the same time."""
+        self.condemn()
+        self.ledger.record_lone_read(7, 63.0)
+        self.tell(63.01)
+        self.assertEqual(self.other.admit(7, 63.02).kind, WAIT)
+        self.ledger.record_lone_end(7, 63.0)
+        self.tell(63.05)
+        self.assertEqual(self.other.admit(7, 63.06).kind, LONE)
+
+    def test_host_that_asks_is_told_refused_requests_first(self):
+        """Guards against a refusal that many mere suspicions hide."""
+        self.condemn()
+        for fingerprint in range(100, 200):
+            self.lose(3.0, "a", "b", fingerprint=fingerprint)
+        records = self.ledger.report_all(4.0)
+        self.assertEqual(records[0].fingerprint, 7)
+        self.assertLessEqual(len(records), 16)
+
+    def test_report_of_an_older_host_makes_requests_suspected(self):
+        """Guards against a refusal of an older version that this one ignores."""
+        self.ledger.record_older_report("host-3", 7, 3, now=0.0)
+        self.assertEqual(self.kind(0.1), LONE)
+        self.ledger.record_survival(7, "a", 0.2, is_lone=True)
+        self.assertEqual(self.kind(0.3), FREE)
+
+
+class HostsPlay:
+    """Hosts without network that get copies of a query which crashes replicas.
+
+    News between hosts gets lost with a probability of ``loss``. A host that starts
+    knows nothing, and one that is cut off hears nothing; neither gets copies before
+    ``CONTACT_S`` later, since what it does then does not count.
+    """
+
+    def __init__(self, seed, *, hosts=6, shards=8, loss=0.3):
+        self.rng = Random(seed)
+        self.ledgers = [CrashLedger(f"host-{number}") for number in range(hosts)]
+        self.shards = shards
+        self.loss = loss
+        self.away_until = [0.0] * hosts
+        self.cut_until = [0.0] * hosts
+        self.crash_times = []
+        self.late = 0
+
+    def run(self, seconds, period_s):
+        now, synced_at, fault_at = 0.0, 0.0, 5.0
+        while now < seconds:
+            now += self.rng.uniform(0.5, 1.5) * period_s
+            while synced_at < now:
+                synced_at += 1.5
+                self._sync(synced_at)
+            if now > fault_at:
+                fault_at = now + self.rng.uniform(4.0, 10.0)
+                self._break_host(now)
+            in_touch = [
+                number for number, until in enumerate(self.away_until) if now >= until
+            ]
+            if in_touch:
+                self._send_copy(self.rng.choice(in_touch), now)
+
+    def _send_copy(self, number, now):
+        ledger = self.ledgers[number]
+        kind = ledger.admit(7, now).kind
+        if kind in (REFUSED, WAIT):
+            return
+        if kind is FREE:
+            for shard in range(self.shards):
+                self._crash(ledger, shard, now, is_lone=False)
+            now += 0.02
+        self._crash(ledger, self.rng.randrange(self.shards), now, is_lone=True)
+        self._tell(number, now)
+
+    def _crash(self, ledger, shard, now, *, is_lone):
+        third = self.crash_times[2] if len(self.crash_times) > 2 else now
+        self.late += now > third + CONTACT_S
+        self.crash_times.append(now)
+        replica_id = f"i-{len(self.crash_times)}"
+        ledger.record_loss(7, f"s{shard}", replica_id, now, is_lone=is_lone)
+
+    def _tell(self, number, now):
+        record = self.ledgers[number].report(7, now)
+        for other, ledger in enumerate(self.ledgers):
+            is_cut = now < max(self.cut_until[number], self.cut_until[other])
+            if other != number and not is_cut and self.rng.random() > self.loss:
+                ledger.merge(record, f"host-{number}", now)
+
+    def _sync(self, now):
+        """Let each host exchange all it knows with another one, in a few tries."""
+        for number, ledger in enumerate(self.ledgers):
+            for _ in range(SYNC_TRIES):
+                other = self.rng.randrange(len(self.ledgers))
+                is_cut = now < max(self.cut_until[number], self.cut_until[other])
+                if is_cut or self.rng.random() < self.loss:
+                    continue
+                for record in ledger.report_all(now):
+                    self.ledgers[other].merge(record, ledger.host, now)
+                if self.rng.random() < self.loss:
+                    continue
+                for record in self.ledgers[other].report_all(now):
+                    ledger.merge(record, self.ledgers[other].host, now)
+                break
+
+    def _break_host(self, now):
+        number = self.rng.randrange(len(self.ledgers))
+        if self.rng.random() < 0.5:
+            self.ledgers[number] = CrashLedger(f"host-{number}")
+            self.away_until[number] = now + CONTACT_S
+        else:
+            self.cut_until[number] = now + self.rng.uniform(0.5, 6.0)
+            self.away_until[number] = self.cut_until[number] + CONTACT_S
+
+
+class TestManyHosts(unittest.TestCase):
+    """Copies of a query on hosts that restart, are cut off and miss news."""
+
+    def test_copies_stay_within_the_bound(self):
+        """Guards against a query that hosts send again because they do not know."""
+        for seed in range(40):
+            for shards, period_s in ((1, 1.0), (8, 0.7), (8, 2.6), (30, 5.0)):
+                with self.subTest(seed=seed, shards=shards, period_s=period_s):
+                    play = HostsPlay(seed, shards=shards)
+                    play.run(120.0, period_s)
+                    self.assertGreaterEqual(len(play.crash_times), 3)
+                    self.assertLessEqual(play.late, MAX_LATE_ARRIVALS)
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -18,6 +18,7 @@
     decode_changes,
     decode_contact_query,
     decode_contact_report,
+    decode_crash_news,
     decode_crash_report,
     decode_heartbeat,
     decode_limit_report,
@@ -50,6 +51,7 @@
 DECODERS = (
     decode_contact_query,
     decode_contact_report,
+    decode_crash_news,
     decode_crash_report,
     decode_heartbeat,
     decode_limit_report,
