Decide about held reads of a query in code of its own

LoneReads tells when the reads of a query that may crash replicas are sent, held or dropped, without network or clock; GatherCall only carries it out.

--- a/cicadalever/crashes/__init__.py
+++ b/cicadalever/crashes/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from ._ledger import MAX_FINGERPRINTS, CrashLedger
+from ._lone_reads import LONE_READ_CHECK_S, LoneReads, LoneStep
 from ._suspicion import (
     CONFIRM_S,
     FREE,
@@ -21,6 +22,9 @@
 __all__ = [
     "CONFIRM_S",
     "FREE",
+    "LONE_READ_CHECK_S",
+    "LoneReads",
+    "LoneStep",
     "MAX_FINGERPRINTS",
     "REFUSAL_S",
     "Admission",
--- /dev/null
+++ b/cicadalever/crashes/_lone_reads.py
@@ -0,0 +1,115 @@
+"""Reads of one query over shards that must not be sent side by side."""
+
+from enum import StrEnum
+
+from ._suspicion import Admission, AdmissionKind
+
+# Replicas that a query may lose before its further reads wait for a lone one.
+MAX_UNHELD_LOSSES = 1
+# Lone reads that may be silent before no other one is sent.
+MAX_LONE_READS = 3
+# Time between two checks whether the lone reads of other calls have ended.
+LONE_READ_CHECK_S = 0.01
+
+
+class LoneStep(StrEnum):
+    """What to do with the reads that are held.
+
+    ``SEND`` sends one of them, ``RELEASE`` all and ``DROP`` none at all; ``KEEP`` holds
+    them further.
+    """
+
+    SEND = "send"
+    RELEASE = "release"
+    DROP = "drop"
+    KEEP = "keep"
+
+
+class LoneReads:
+    """Decides which reads of one query are held until a replica has survived it.
+
+    A query that ``is_suspect`` begins with one read. Another one holds its further
+    reads when it has lost replicas. One that ``is_repeat``, because another host could
+    not complete it, stays suspected until a replica has survived it. Times are on one
+    monotonic clock in seconds.
+
+    >>> reads = LoneReads(is_suspect=True)
+    >>> reads.decide(Admission(AdmissionKind.LONE), now=0.0)
+    <LoneStep.SEND: 'send'>
+    >>> reads.record_start(now=0.0, overdue_s=0.02)
+    >>> reads.decide(Admission(AdmissionKind.LONE), now=0.01)
+    <LoneStep.KEEP: 'keep'>
+    >>> reads.record_survival()
+    >>> reads.decide(Admission(AdmissionKind.LONE), now=0.01)
+    <LoneStep.RELEASE: 'release'>
+    """
+
+    def __init__(self, *, is_suspect: bool, is_repeat: bool = False):
+        self._is_repeat = is_repeat
+        self._is_holding = is_suspect or is_repeat
+        self._has_survived = False
+        self._has_lost = False
+        self._losses = 0
+        self._count = self._in_progress = 0
+        self._due_at = float("inf")
+
+    @property
+    def is_holding(self) -> bool:
+        """Whether only one read may be in progress."""
+        return self._is_holding
+
+    @property
+    def has_lost(self) -> bool:
+        """Whether a lone read was lost, after which nothing is read again."""
+        return self._has_lost
+
+    @property
+    def due_at(self) -> float:
+        """Time of the next decision while reads are held."""
+        return self._due_at
+
+    def record_start(self, now: float, overdue_s: float) -> None:
+        """Record a lone read, which is silent if it lasts longer than a time."""
+        self._count += 1
+        self._in_progress += 1
+        self._due_at = now + overdue_s
+
+    def record_end(self, *, has_run: bool) -> None:
+        """Record the end of a lone read, and whether a replica may have run it."""
+        self._in_progress -= 1
+        self._count -= not has_run
+
+    def record_survival(self) -> None:
+        """Record that a replica has answered a lone read."""
+        self._has_survived |= self._is_holding
+
+    def record_loss(self, *, is_lone: bool) -> None:
+        """Record that a replica was lost, by a lone read or another one."""
+        self._has_lost |= is_lone
+        self._losses += 1
+        self._is_holding |= self._losses > MAX_UNHELD_LOSSES
+
+    def release(self) -> None:
+        """Let further reads be sent side by side."""
+        self._is_holding = self._has_survived = False
+        self._losses = 0
+        self._due_at = float("inf")
+
+    def decide(self, admission: Admission, now: float) -> LoneStep:
+        """Return what to do with the reads that are held."""
+        kind = admission.kind
+        if self._has_lost or kind is AdmissionKind.REFUSED:
+            return LoneStep.DROP
+        if self._has_survived:
+            return LoneStep.RELEASE
+        if self._in_progress and now < self._due_at:
+            return LoneStep.KEEP
+        if kind is AdmissionKind.WAIT:
+            self._due_at = now + LONE_READ_CHECK_S
+            return LoneStep.KEEP
+        if kind is AdmissionKind.FREE and not self._is_repeat:
+            return LoneStep.RELEASE
+        if self._count < MAX_LONE_READS:
+            return LoneStep.SEND
+        self._due_at = float("inf")
+        return LoneStep.KEEP if self._in_progress else LoneStep.DROP
--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -20,8 +20,6 @@
 
 # The final response is sent this long before the deadline, so that it arrives in time.
 DEADLINE_MARGIN_S = 0.006
-# Time between two checks whether the lone reads of other calls have ended.
-LONE_READ_CHECK_S = 0.01
 # A time-out of a peer takes effect this long after it was due. A busy event loop runs
 # timers before it reads what has arrived meanwhile; in this time it reads it.
 LAST_READ_S = 0.001
--- a/cicadalever/gateway/_forward_call.py
+++ b/cicadalever/gateway/_forward_call.py
@@ -2,11 +2,11 @@
 
 from functools import partial
 
-from cicadalever.crashes import AdmissionKind
+from cicadalever.crashes import LONE_READ_CHECK_S, AdmissionKind
 from cicadalever.wire import CallerResponse, is_hop_by_hop
 
 from ._answers import NOT_RUN_KINDS, NOT_RUN_STATUSES, AnswerKind
-from ._call import LONE_READ_CHECK_S, Call, error_response
+from ._call import Call, error_response
 from ._reads import Read, ReadResult
 
 # An idempotent request without an answer after this share of the route's target latency
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
-from cicadalever.crashes import Admission, AdmissionKind
+from cicadalever.crashes import Admission, AdmissionKind, LoneReads, LoneStep
 from cicadalever.discovery import ReplicaEntry
 from cicadalever.gather import (
     GatherEndReason,
@@ -16,7 +16,7 @@
 from cicadalever.wire import CallerResponse
 
 from ._answers import NOT_RUN_KINDS, AnswerKind
-from ._call import LONE_READ_CHECK_S, Call, error_response
+from ._call import Call, error_response
 from ._peers import PeerLink
 from ._reads import Read, ReadResult
 from ._shard_group import ShardGroup
@@ -27,10 +27,6 @@
 # Reads that must be overdue, without an answer to any other, before their silence is a
 # sign of lost links rather than of slow replicas.
 MIN_SILENT_READS = 4
-# Replicas that a query may lose before its further reads wait for a lone one.
-MAX_UNHELD_LOSSES = 1
-# Lone reads that may be silent before the others are given up.
-MAX_LONE_READS = 3
 # Time between attempts to read a shard again while the retry budget is used up.
 BUDGET_RETRY_S = 0.02
 
@@ -87,14 +83,6 @@
         # Shards to be read again, with the cause, and shards without a read so far.
         self._awaiting: dict[int, str] = {}
         self._unread: set[int] = set()
-        # Whether only one read may be in progress, because the query may crash
-        # replicas, and whether replicas have survived it since.
-        self._is_alone = False
-        self._is_released = False
-        self._has_lost_lone_read = False
-        self._losses = 0
-        self._lone_reads = self._lone_reads_in_flight = 0
-        self._lone_read_due_at = float("inf")
         # Replicas that were chosen for the first reads when the groups were formed.
         self._chosen_replicas: dict[int, ReplicaEntry] = {}
         self._group_answers: list[tuple[list[bytes], bytes]] = []
@@ -115,9 +103,9 @@
         self._overdue_s = self.runner.selector.overdue_s(route.name)
         self._sent_at = self.loop.now()
         self._unread = set(range(len(route.shards)))
-        if is_repeat or admission.kind is not AdmissionKind.FREE:
-            self._is_alone = True
-        else:
+        is_suspect = admission.kind is not AdmissionKind.FREE
+        self._lone_reads = LoneReads(is_suspect=is_suspect, is_repeat=is_repeat)
+        if not self._lone_reads.is_holding:
             self._start_unread()
         if not self.is_ended:
             self._advance(self.loop.now())
@@ -153,42 +141,25 @@
         self.runner.retry_budget.earn(self.route.shards[shard])
         return self._read(shard)
 
-    def _continue_alone(self, now: float) -> None:
-        """Send the next lone read, or all reads if a replica has survived one."""
-        if self._has_lost_lone_read:
-            self._give_up_held()
-        elif self._is_released:
-            self._release()
-        elif not self._lone_reads_in_flight or now >= self._lone_read_due_at:
-            admission = self._admit()
+    def _handle_held(self, now: float) -> None:
+        """Send, drop or keep the reads that wait for the end of a lone one."""
+        admission = self._admit()
+        step = self._lone_reads.decide(admission, now)
+        if step is LoneStep.RELEASE:
+            self._lone_reads.release()
+            self._start_unread()
+        elif step is LoneStep.SEND and not self._send_lone_read(admission):
+            self._drop_held()
+        elif step is LoneStep.DROP:
             is_refused = admission.kind is AdmissionKind.REFUSED
             if is_refused and not (self._may_have_run or self._reads):
                 self._end_crashing(admission)
-            elif is_refused:
-                self._give_up_held()
-            elif admission.kind is AdmissionKind.WAIT:
-                self._lone_read_due_at = now + LONE_READ_CHECK_S
-            elif admission.kind is AdmissionKind.FREE and not self._is_repeat:
-                self._release()
-            elif self._lone_reads < MAX_LONE_READS:
-                if not self._send_lone_read(admission):
-                    self._give_up_held()
-            elif self._lone_reads_in_flight:
-                self._lone_read_due_at = float("inf")
             else:
-                self._give_up_held()
-
-    def _release(self) -> None:
-        """Send all reads that waited for the end of a lone one."""
-        self._is_alone = self._is_released = False
-        self._losses = 0
-        self._lone_read_due_at = float("inf")
-        self._start_unread()
+                self._drop_held()
 
-    def _give_up_held(self) -> None:
+    def _drop_held(self) -> None:
         """Send none of the reads that wait."""
-        self._is_alone = False
-        self._lone_read_due_at = float("inf")
+        self._lone_reads.release()
         for shard in self._unread.union(self._awaiting):
             self._state.mark_exhausted(shard)
         self._unread.clear()
@@ -208,15 +179,13 @@
         )
         for shard in held:
             is_first = shard in self._unread and not self._is_repeat
-            if is_first:
+            cause = self._awaiting.get(shard, "repeat")
+            if is_first and self._read(shard):
                 self.runner.retry_budget.earn(shards[shard])
-                is_sent = self._read(shard)
-            else:
-                cause = self._awaiting.get(shard, "repeat")
-                is_sent = self._read_again(shard, cause, is_held=False)
-            if is_sent:
-                self._unread.discard(shard)
-                return True
+            elif is_first or not self._read_again(shard, cause, is_held=False):
+                continue
+            self._unread.discard(shard)
+            return True
         return False
 
     def _refuse_if_held_off(self) -> bool:
@@ -405,9 +374,12 @@
         self._attempts[shard] += 1
         self._has_extra_attempt = self._has_extra_attempt or self._attempts[shard] > 1
         self._state.record_read_start(shard)
-        is_lone = self._is_alone or self._admit().kind is not AdmissionKind.FREE
+        is_holding = self._lone_reads.is_holding
+        is_lone = is_holding or self._admit().kind is not AdmissionKind.FREE
         if is_lone:
-            self._count_lone_read()
+            self._lone_reads.record_start(self.loop.now(), self._overdue_s)
+        if is_holding:
+            self._begin_lone_read()
         read = self.runner.start(
             replica,
             self.outbound,
@@ -422,13 +394,6 @@
             self._handle_result(shard, self._synchronous_result)
         return True
 
-    def _count_lone_read(self) -> None:
-        self._lone_reads += 1
-        self._lone_reads_in_flight += 1
-        self._lone_read_due_at = self.loop.now() + self._overdue_s
-        if self._is_alone:
-            self._begin_lone_read()
-
     def _read_again(
         self, shard: int, cause: str, *, is_extra: bool = True, is_held: bool = True
     ) -> bool:
@@ -438,9 +403,9 @@
         is not extra. Without budget, or while a lone read decides about the others,
         the shard is tried again later, unless the read ``is_held`` no more.
         """
-        if self._has_lost_lone_read:
+        if self._lone_reads.has_lost:
             return False
-        if self._is_alone and is_held:
+        if self._lone_reads.is_holding and is_held:
             self._awaiting.setdefault(shard, cause)
             return False
         service = self.route.shards[shard]
@@ -501,13 +466,11 @@
     def _observe_loss(self, result: ReadResult) -> None:
         """Hold further reads if the query may crash replicas."""
         if result.is_lone:
-            self._lone_reads_in_flight -= 1
-            self._lone_reads -= result.kind in NOT_RUN_KINDS
-            self._has_lost_lone_read |= result.is_lost
-            self._is_released |= self._is_alone and result.kind is AnswerKind.SUCCESS
+            self._lone_reads.record_end(has_run=result.kind not in NOT_RUN_KINDS)
+            if result.kind is AnswerKind.SUCCESS:
+                self._lone_reads.record_survival()
         if result.is_lost:
-            self._losses += 1
-            self._is_alone |= self._losses > MAX_UNHELD_LOSSES
+            self._lone_reads.record_loss(is_lone=result.is_lone)
 
     def _add_shard_answer(self, shard: int, result: ReadResult) -> None:
         self._may_have_run = True
@@ -528,8 +491,8 @@
         self._groups.clear()
 
     def _advance(self, now: float) -> None:
-        if self._is_alone and not self.is_ended:
-            self._continue_alone(now)
+        if not self.is_ended and self._lone_reads.is_holding:
+            self._handle_held(now)
         if self.is_ended:
             return
         decision = self._state.decide(now)
@@ -557,14 +520,14 @@
             if not self._shard_answers and len(self._reads) >= MIN_SILENT_READS:
                 self.runner.on_silence(self._sent_at)
         wake_at = min(wake_at, self._overdue_at)
-        if self._is_alone:
-            wake_at = min(wake_at, self._lone_read_due_at)
+        if self._lone_reads.is_holding:
+            wake_at = min(wake_at, self._lone_reads.due_at)
         elif self._awaiting:
             wake_at = min(wake_at, now + BUDGET_RETRY_S)
         self._set_timer(wake_at)
 
     def _can_read_again(self, shard: int) -> bool:
-        if self._has_lost_lone_read:
+        if self._lone_reads.has_lost:
             return False
         has_attempts = self._attempts[shard] < self.route.max_attempts
         return has_attempts and self._has_untried_replica(shard)
@@ -585,7 +548,7 @@
         }
         if (
             end_reason is GatherEndReason.TOO_FEW
-            and not self._has_lost_lone_read
+            and not self._lone_reads.has_lost
             and self._try_hand_over(self._attempts_for_handover())
         ):
             return
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -6,11 +6,15 @@
 from cicadalever.crashes import (
     CONFIRM_S,
     REFUSAL_S,
+    Admission,
     AdmissionKind,
     CrashLedger,
+    LoneReads,
+    LoneStep,
 )
 
 FREE, LONE, WAIT, REFUSED = AdmissionKind
+SEND, RELEASE, DROP, KEEP = LoneStep
 # Bounds of the rule: arrivals later than this after the third crash, on all hosts.
 CONTACT_S = 4.0
 MAX_LATE_ARRIVALS = 3
@@ -232,6 +236,69 @@
         self.assertEqual(self.kind(0.3), FREE)
 
 
+class TestLoneReads(unittest.TestCase):
+    """Reads of a query over shards that are held while a replica may crash."""
+
+    def decide(self, reads, now, kind=LONE):
+        return reads.decide(Admission(kind), now)
+
+    def lose_two(self):
+        """Return the reads of a query that lost two replicas and reads one again."""
+        reads = LoneReads(is_suspect=False)
+        reads.record_loss(is_lone=False)
+        reads.record_start(0.0, overdue_s=0.02)
+        self.assertFalse(reads.is_holding)
+        reads.record_loss(is_lone=False)
+        self.assertTrue(reads.is_holding)
+        return reads
+
+    def test_query_that_lost_replicas_reads_one_shard_again(self):
+        """Guards against a second replica of each shard that is lost as well."""
+        reads = self.lose_two()
+        self.assertEqual(self.decide(reads, 0.01), KEEP)
+        reads.record_end(has_run=True)
+        reads.record_loss(is_lone=True)
+        self.assertEqual(self.decide(reads, 0.011), DROP)
+
+    def test_survival_releases_the_other_reads(self):
+        """Guards against shards that are missing though their replicas were sound."""
+        reads = self.lose_two()
+        reads.record_end(has_run=True)
+        reads.record_survival()
+        self.assertEqual(self.decide(reads, 0.01), RELEASE)
+        reads.release()
+        self.assertFalse(reads.is_holding)
+
+    def test_silent_lone_reads_are_replaced_a_few_times(self):
+        """Guards against a query that waits for a replica which does not answer."""
+        reads = self.lose_two()
+        for now in (0.03, 0.06):
+            self.assertEqual(self.decide(reads, now), SEND)
+            reads.record_start(now, overdue_s=0.02)
+        self.assertEqual(self.decide(reads, 0.09), KEEP)
+        for _ in range(3):
+            reads.record_end(has_run=True)
+        self.assertEqual(self.decide(reads, 0.1), DROP)
+
+    def test_reads_that_were_not_run_do_not_count(self):
+        """Guards against giving up because some replicas cannot be reached."""
+        reads = LoneReads(is_suspect=True)
+        for _ in range(10):
+            self.assertEqual(self.decide(reads, 0.0), SEND)
+            reads.record_start(0.0, overdue_s=0.02)
+            reads.record_end(has_run=False)
+
+    def test_admission_decides_while_nothing_is_in_progress(self):
+        """Guards against reads of a refused query, and holds of a cleared one."""
+        reads = LoneReads(is_suspect=True)
+        self.assertEqual(self.decide(reads, 0.0, REFUSED), DROP)
+        self.assertEqual(self.decide(reads, 0.0, FREE), RELEASE)
+        self.assertEqual(self.decide(reads, 0.0, WAIT), KEEP)
+        self.assertLess(reads.due_at, 0.1)
+        repeat = LoneReads(is_suspect=False, is_repeat=True)
+        self.assertEqual(self.decide(repeat, 0.0, FREE), SEND)
+
+
 class HostsPlay:
     """Hosts without network that get copies of a query which crashes replicas.
 
