--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -9,14 +9,8 @@
 from cicadalever.routing import Route, RoutingTable
 from cicadalever.wire import CallerRequest, CallerResponse
 
-from ._reads import (
-    RECOVERY_S,
-    OutboundRequest,
-    Read,
-    ReadRefusal,
-    ReadResult,
-    ReadRunner,
-)
+from ._outbound import OutboundRequest
+from ._reads import RECOVERY_S, Read, ReadRefusal, ReadResult, ReadRunner
 
 # The final response is sent this long before the deadline, so that it arrives in time.
 DEADLINE_MARGIN_S = 0.006
--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -15,13 +15,13 @@
 
 from ._answers import NOT_RUN_STATUSES
 from ._call import LAST_READ_S, Call, error_response
+from ._outbound import PEER_LEAVING, PEER_REFUSAL, PEER_SHARD_ATTEMPTS
 from ._peers import (
     PROGRESS_PERIOD_S,
     STATUS_DECLINED,
     STATUS_LOST_UPSTREAMS,
     PeerLink,
 )
-from ._reads import PEER_LEAVING, PEER_REFUSAL, PEER_SHARD_ATTEMPTS
 
 # Without an acknowledgement within this time, this host gathers the query itself: at
 # least ``MIN_ACKNOWLEDGE_S``, or a share of the time until the answer is due. A round
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -22,14 +22,7 @@
 from ._events import EventLog
 from ._forward_call import ForwardCall
 from ._gather_call import GatherCall
-from ._peers import (
-    PROGRESS_PERIOD_S,
-    STATUS_DECLINED,
-    STATUS_LOST_UPSTREAMS,
-    STATUS_PROCESSING,
-    PeerLink,
-)
-from ._reads import (
+from ._outbound import (
     PEER_ANSWER_US,
     PEER_ATTEMPTS,
     PEER_HEADERS,
@@ -39,11 +32,17 @@
     PEER_SHARD_ATTEMPTS,
     PEER_SHARDS,
     PEER_VERSION,
-    RECOVERY_S,
     OutboundRequest,
-    ReadRunner,
     leaving_headers,
 )
+from ._peers import (
+    PROGRESS_PERIOD_S,
+    STATUS_DECLINED,
+    STATUS_LOST_UPSTREAMS,
+    STATUS_PROCESSING,
+    PeerLink,
+)
+from ._reads import RECOVERY_S, ReadRunner
 from ._upstream_contact import UpstreamContact
 
 # Round trip between callers and hosts if the kernel has not measured it, and the
--- a/cicadalever/gateway/_shard_group.py
+++ b/cicadalever/gateway/_shard_group.py
@@ -8,8 +8,8 @@
 from cicadalever.wire import Exchange, Header, ReplicaAnswer
 
 from ._call import LAST_READ_S
+from ._outbound import PEER_MISSING, PEER_SHARD_ATTEMPTS
 from ._peers import STATUS_DECLINED, PeerLink
-from ._reads import PEER_MISSING, PEER_SHARD_ATTEMPTS
 
 if TYPE_CHECKING:
     from ._gather_call import GatherCall
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from cicadalever.gateway._delegated_call import DelegatedCall
-from cicadalever.gateway._reads import PEER_SHARD_ATTEMPTS
+from cicadalever.gateway._outbound import PEER_SHARD_ATTEMPTS
 from cicadalever.gateway._service import has_attempts
 from cicadalever.gather import decode_attempts, encode_attempts
 from cicadalever.routing import Limits, Route, RoutingTable, WeightedService
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -7,7 +7,7 @@
 from bench.fleet._host import HEADER_NAMES
 from cicadalever.gateway._delegated_call import DelegatedCall
 from cicadalever.gateway._gather_call import GatherCall
-from cicadalever.gateway._reads import PEER_SHARD_ATTEMPTS, OutboundRequest
+from cicadalever.gateway._outbound import PEER_SHARD_ATTEMPTS, OutboundRequest
 from cicadalever.routing import Limits, RoutingTable
 from cicadalever.wire import AnswerFault, CallerRequest, ReplicaAnswer
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -16,7 +16,7 @@
 from cicadalever.discovery import RejectedEntries, UpstreamDirectory
 from cicadalever.gateway import PlatformUpdate
 from cicadalever.gateway._follower import PlatformFollower, WatchTiming
-from cicadalever.gateway._reads import OutboundRequest
+from cicadalever.gateway._outbound import OutboundRequest
 from cicadalever.outcomes import Failure
 from cicadalever.peers import RelayedChanges, decode_changes, encode_changes
 from cicadalever.placement import LeastCostSelector, ReadOutcome
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,8 +19,8 @@
     PlatformFollower,
     WatchTiming,
 )
+from cicadalever.gateway._outbound import OutboundRequest
 from cicadalever.gateway._readiness import Readiness
-from cicadalever.gateway._reads import OutboundRequest
 from cicadalever.gateway._service import (
     AnswerLateness,
     parse_deadline,
