Record what replicas say of themselves in a class of its own

ReplicaStatements holds what ReadRunner did with rate limits, pauses and departures; nothing else changes.

--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -136,7 +136,7 @@
     runner.on_late = link.report_late
     runner.guard.gossip = components.gossip
     components.gossip.on_news = runner.guard.record_news
-    link.on_limit_report = runner.record_limit_reports
+    link.on_limit_report = runner.statements.record_limit_reports
     link.on_crash_report = runner.guard.record_older_report
     link.on_newer_version = daemon.follower.hurry
     return daemon
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -234,7 +234,7 @@
             return
         service.table = table
         runner = self.components.runner
-        runner.gathered_services = table.shard_names
+        runner.statements.gathered_services = table.shard_names
         runner.named_services = table.service_names.union(table.services)
         limits = table.limits
         self.components.caller_server.limits = ServerLimits(*limits)
@@ -373,7 +373,7 @@
         """
         now = self.components.loop.now()
         runner, peer_table = self.components.runner, self.components.link.peer_table
-        runner.end_unconfirmed_limits()
+        runner.statements.end_unconfirmed_limits()
         runner.notices.forget_ended_pauses(now)
         reports = runner.limits.take_reports(now)
         if reports:
--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -150,7 +150,7 @@
             # The peer does not know whether the reads of this host have run.
             status = 502
         host = self._peer.heartbeat.host
-        self.runner.record_leaving_report(host, answer)
+        self.runner.statements.record_leaving_report(host, answer)
         headers = [
             each
             for each in answer.headers
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -1,6 +1,5 @@
 """Reads: requests to single replicas, with choice of the replica and accounting."""
 
-import time
 from collections import deque
 from collections.abc import Callable, Container, Iterable
 from functools import partial
@@ -9,22 +8,15 @@
 from cicadalever.crashes import CrashLedger
 from cicadalever.discovery import DirectoryChange, ReplicaEntry, UpstreamDirectory
 from cicadalever.notices import (
-    Incarnation,
     ReplicaNotices,
-    decode_leaving,
-    parse_pause,
 )
-from cicadalever.outcomes import Failure
 from cicadalever.placement import (
     HostCounts,
     LeastCostSelector,
     connections_per_host,
 )
 from cicadalever.ratelimits import (
-    LimitChange,
-    LimitNews,
     NamedLimits,
-    parse_rate_limit,
 )
 from cicadalever.retries import RetryBudget
 from cicadalever.routing import Route, RoutingTable
@@ -48,7 +40,8 @@
 from ._crash_guard import CrashGuard
 from ._events import EventLog
 from ._metrics import GatewayMetrics
-from ._outbound import PEER_LEAVING, OutboundRequest
+from ._outbound import OutboundRequest
+from ._replica_statements import ReplicaStatements
 
 # Connection limit of replicas whose service is not in the configuration.
 DEFAULT_MAX_CONNECTIONS = 8
@@ -66,9 +59,6 @@
 DEFAULT_MAX_POOLS_IN_ADVANCE = 512
 # Most replicas that wait for a connection in advance; the oldest are dropped.
 MAX_NEW_REPLICAS = 4096
-# Kinds of answers that end the limit of a replica if they do not name it: those that
-# it has computed.
-_UNLIMITED_KINDS = frozenset((AnswerKind.SUCCESS, AnswerKind.FAILURE))
 
 
 # Time after which a service without a usable replica has probably one again, and
@@ -151,8 +141,15 @@
         )
         self.limits = NamedLimits(selector.rng)
         self.notices = ReplicaNotices(drain_s)
-        # Services that the configuration in force names as shards.
-        self.gathered_services: Container[str] = frozenset()
+        self.statements = ReplicaStatements(
+            loop,
+            directory,
+            events,
+            metrics,
+            self.limits,
+            self.notices,
+            self._withdraw_waiting,
+        )
         # Services that it names at all. Entries of others name no replica to use.
         self.named_services: Container[str] = frozenset()
         # Hosts that share the connections of replicas, or None while unknown.
@@ -236,7 +233,7 @@
         return connections_per_host(
             replica.slots,
             self._host_counts,
-            is_gathered=replica.service in self.gathered_services,
+            is_gathered=replica.service in self.statements.gathered_services,
             is_gatherer=self._is_gatherer,
         )
 
@@ -497,7 +494,9 @@
         pool = self._pools.pop(change.replica_id, None)
         if pool is not None:
             pool.close()
-        self._end_limit(previous, "restarted" if current is not None else "left")
+        self.statements.end_limit(
+            previous, "restarted" if current is not None else "left"
+        )
         if current is None:
             self.selector.forget(change.replica_id)
         else:
@@ -551,8 +550,8 @@
                 failures=self.selector.health(replica.id).consecutive_failures,
             )
         self.metrics.read_ended(kind, now - read.started_at)
-        self._observe_limit(replica, kind, answer, read.started_at)
-        self._observe_notices(replica, answer)
+        self.statements.observe_limit(replica, kind, answer, read.started_at)
+        self.statements.observe_notices(replica, answer)
         if kind is not AnswerKind.SUCCESS:
             self.events.emit_detail(
                 "read_failed",
@@ -564,135 +563,11 @@
                 ms=round((now - read.started_at) * 1000, 1),
             )
 
-    def _observe_limit(
-        self, replica: ReplicaEntry, kind: AnswerKind, answer, sent_at: float
-    ) -> None:
-        """Record whether a replica names a rate limit in an answer."""
-        value = answer.rate_limit
-        is_unlimited = value is None and kind in _UNLIMITED_KINDS and self.limits
-        if kind is AnswerKind.WRONG_REPLICA or not (value or is_unlimited):
-            return
-        if replica.id not in self.directory:
-            # Its limit would never end.
-            return
-        limit_per_s = None if value is None else parse_rate_limit(value)
-        if isinstance(limit_per_s, Failure):
-            self.events.emit_detail(
-                "limit_unreadable", replica=replica.id, reason=limit_per_s.reason
-            )
-            return
-        change = self.limits.record_answer(
-            replica.id,
-            limit_per_s,
-            sent_at,
-            self.loop.now(),
-            is_gathered=replica.service in self.gathered_services,
-        )
-        if change is LimitChange.NAMED:
-            self._log_limit(replica, limit_per_s, "answer")
-        elif change is LimitChange.ENDED:
-            self._end_limit(replica, "not named any more")
-
-    def _observe_notices(self, replica: ReplicaEntry, answer: ReplicaAnswer) -> None:
-        """Record whether a replica has said that it leaves or needs a pause."""
-        if answer.is_leaving:
-            incarnation = Incarnation(replica.id, replica.started_at_ms)
-            self._hold_off_leaving(incarnation, "answer")
-        if answer.retry_after is None:
-            return
-        pause_s = parse_pause(answer.retry_after)
-        if isinstance(pause_s, Failure):
-            self.events.emit_detail(
-                "pause_unreadable", replica=replica.id, reason=pause_s.reason
-            )
-        elif self.notices.record_pause(replica, pause_s, self.loop.now()):
-            self.metrics.replica_held_off("paused")
-            self.events.emit(
-                "replica_paused",
-                replica=replica.id,
-                service=replica.service,
-                seconds=pause_s,
-            )
-            self._withdraw_waiting(replica.id, "the replica pauses")
-
-    def record_leaving_report(
-        self, host: str, answer: ReplicaAnswer
-    ) -> list[Incarnation]:
-        """Record and return the replicas that a peer names as leaving in its answer."""
-        named = [
-            incarnation
-            for name, value in answer.headers
-            if name == PEER_LEAVING
-            for incarnation in decode_leaving(value)
-        ]
-        for incarnation in named:
-            self._hold_off_leaving(incarnation, host)
-        return named
-
-    def _hold_off_leaving(self, incarnation: Incarnation, source: str) -> None:
-        unix_ms = int(time.time() * 1000)
-        if not self.notices.record_leaving(incarnation, self.loop.now(), unix_ms):
-            return
-        replica = self.directory.get(incarnation.id)
-        self.notices.record_entry(incarnation.id, replica)
-        self.metrics.replica_held_off("leaving")
-        self.events.emit(
-            "replica_leaving",
-            replica=incarnation.id,
-            service=replica.service if replica is not None else None,
-            source=source,
-        )
-        if replica is not None and replica.started_at_ms == incarnation.started_at_ms:
-            self._withdraw_waiting(incarnation.id, "the replica is leaving")
-
     def _withdraw_waiting(self, replica_id: str, detail: str) -> None:
         pool = self._pools.get(replica_id)
         if pool is not None:
             pool.withdraw_waiting(detail)
 
-    def record_limit_reports(self, host: str, reports: Iterable[LimitNews]) -> None:
-        """Record what another host has learned about limits from answers."""
-        for news in reports:
-            replica = self.directory.get(news.replica_id)
-            if replica is None:
-                continue
-            change = self.limits.record_report(
-                news,
-                self.loop.now(),
-                is_gathered=replica.service in self.gathered_services,
-            )
-            if change is LimitChange.NAMED:
-                self._log_limit(replica, news.limit_per_s, host)
-            elif change is LimitChange.ENDED:
-                self._end_limit(replica, f"reported by {host}")
-
-    def end_unconfirmed_limits(self) -> None:
-        """End the limits that other hosts have reported, but not lately."""
-        for replica_id in self.limits.find_unconfirmed(self.loop.now()):
-            self._end_limit(self.directory.get(replica_id), "not reported any more")
-
-    def _log_limit(self, replica: ReplicaEntry, limit_per_s: float, source: str):
-        self.events.emit(
-            "limit_named",
-            replica=replica.id,
-            service=replica.service,
-            limit_per_s=limit_per_s,
-            share_per_s=round(self.limits.share_per_s(replica.id), 4),
-            source=source,
-        )
-
-    def _end_limit(self, replica: ReplicaEntry, reason: str) -> None:
-        ended = self.limits.forget(replica.id, self.loop.now())
-        if ended is not None:
-            self.events.emit(
-                "limit_ended",
-                replica=replica.id,
-                service=replica.service,
-                reason=reason,
-                seconds=round(ended.seconds, 2),
-                reads=ended.reads,
-            )
-
     def _is_connected(self, replica_id: str) -> bool:
         pool = self._pools.get(replica_id)
         return pool is not None and pool.has_idle
--- a/cicadalever/gateway/_shard_group.py
+++ b/cicadalever/gateway/_shard_group.py
@@ -118,7 +118,9 @@
             return
         self._end()
         host = self.peer.heartbeat.host
-        self.call.leaving.update(self.call.runner.record_leaving_report(host, answer))
+        self.call.leaving.update(
+            self.call.runner.statements.record_leaving_report(host, answer)
+        )
         self.link.peer_table.record_fellow_answer(self.peer)
         self.call.group_ended(self, signatures, missing, answer.body)
 
