Refuse a request only for lone reads whose replicas have not shown life

Replicas that run a request and reset the connection lost lone reads; the refusal was taken back when they accepted the probe 50 ms later, but hosts of the former version had been told of it at once and do not take it back for 20 s.

A lone read that was lost now counts after 0.2 s, in which the replica can show life and its caller waits; former hosts are told after CONFIRM_S. Signs of life go to other hosts at once.

--- a/cicadalever/crashes/__init__.py
+++ b/cicadalever/crashes/__init__.py
@@ -9,6 +9,7 @@
 from ._lone_reads import LONE_READ_CHECK_S, LoneReads, LoneStep
 from ._suspicion import (
     CONFIRM_S,
+    DECISION_S,
     FREE,
     REFUSAL_S,
     Admission,
@@ -21,6 +22,7 @@
 
 __all__ = [
     "CONFIRM_S",
+    "DECISION_S",
     "FREE",
     "LONE_READ_CHECK_S",
     "LoneReads",
--- a/cicadalever/crashes/_suspicion.py
+++ b/cicadalever/crashes/_suspicion.py
@@ -14,6 +14,9 @@
 # All lone reads that are lost within this time after the first replica count as one:
 # the replica may have been crashed by the request beside which this one ran.
 SETTLE_S = 1.0
+# Time after which a lone read that was lost counts for a refusal, unless the replica
+# has shown life.
+DECISION_S = 0.2
 # Time for which a request is refused before a lone read tries it again, and after such
 # a read was lost as well.
 REFUSAL_S = 60.0
@@ -33,8 +36,9 @@
     """How a request may be sent to replicas.
 
     ``FREE`` has no restriction. ``LONE`` means a single read, and no other one until a
-    replica has survived it. ``WAIT`` means that lone reads of it are in progress, whose
-    end decides. ``REFUSED`` means that it must not be sent.
+    replica has survived it. ``WAIT`` means that lone reads of it are in progress or
+    were just lost, and that the end of these decides. ``REFUSED`` means that it must
+    not be sent.
     """
 
     FREE = "free"
@@ -194,6 +198,8 @@
         if len(losses) >= MIN_CRASHES and may_read <= 0:
             refusal_s = REFUSAL_S if may_read == 0 else LONG_REFUSAL_S
             refused_until = max(each.at for each in losses) + refusal_s
+            if now < max(each.at for each in losses if each.is_lone) + DECISION_S:
+                return Admission(AdmissionKind.WAIT, services=services)
             if now < refused_until:
                 wait_s = refused_until - now
                 return Admission(AdmissionKind.REFUSED, wait_s, services)
--- a/cicadalever/gateway/_crash_guard.py
+++ b/cicadalever/gateway/_crash_guard.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 
 from cicadalever.crashes import (
+    CONFIRM_S,
+    DECISION_S,
     FREE,
     MAX_FINGERPRINTS,
     Admission,
@@ -76,6 +78,8 @@
             self._announce(fingerprint, is_urgent=is_lone)
         if is_lone:
             self.loop.call_later(PROBE_DELAY_S, self.probe, replica)
+            self.loop.call_later(DECISION_S, self._observe, fingerprint, suspicion)
+            self.loop.call_later(CONFIRM_S, self._report_to_older, fingerprint)
         self._observe(fingerprint, suspicion)
 
     def record_survival(
@@ -120,6 +124,12 @@
         self.ledger.record_older_report(
             report.host, report.fingerprint, report.crashes, self.loop.now()
         )
+        self.events.emit_detail(
+            "crash_news",
+            fingerprint=_to_hex(report.fingerprint),
+            by=report.host,
+            crashes=report.crashes,
+        )
 
     def record_news(self, host: str, fingerprints: list[int]) -> None:
         """Note the requests of which another host has told news."""
@@ -137,13 +147,22 @@
             by=name,
             losses=len(suspicion.losses),
         )
-        self._announce(fingerprint, is_urgent=False)
+        self._announce(fingerprint, is_urgent=True)
         self._observe(fingerprint, suspicion)
 
     def _announce(self, fingerprint: int, *, is_urgent: bool) -> None:
         if self.gossip is not None:
             self.gossip.announce(fingerprint, is_urgent=is_urgent)
 
+    def _report_to_older(self, fingerprint: int) -> None:
+        """Tell hosts of older versions of a refusal, which they do not take back."""
+        suspicion = self.ledger.get(fingerprint)
+        if suspicion is None or self.gossip is None:
+            return
+        admission = suspicion.admission(self.loop.now())
+        if admission.kind is AdmissionKind.REFUSED:
+            self.gossip.link.report_crashes(fingerprint, len(suspicion.losses))
+
     def _observe(self, fingerprint: int, suspicion: Suspicion | None) -> None:
         """Log when a request begins or ceases to be refused."""
         if suspicion is None:
@@ -157,8 +176,6 @@
                 self._refused.clear()
             self._refused.add(fingerprint)
             self.metrics.request_quarantined()
-            if self.gossip is not None:
-                self.gossip.link.report_crashes(fingerprint, len(suspicion.losses))
         else:
             self._refused.discard(fingerprint)
         self.events.emit(
