--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -234,6 +234,28 @@
             gateway.start()
 
 
+class TestInnocentRequests(CrashPlayTestCase):
+    """Queries that ran on the same replicas as one that crashes them."""
+
+    def test_queries_that_lost_replicas_are_served_again(self):
+        """Guards against refusing queries beside which another one crashed replicas."""
+        play = CrashPlay(self, shards=8, copies=2)
+        for replica in play.replicas:
+            replica.delay_s = 0.04
+        play.run(period_s=1.5, seconds=12.0)
+        self.check(play)
+        lost = {
+            event["fingerprint"]
+            for gateway in play.gateways
+            for event in gateway.events("replica_lost")
+        }
+        self.assertGreater(len(lost), 1)
+        cleared_at = play.crash_times[0] + DOWN_S + CONTACT_S
+        later = [each for each in play.innocent if each[0] > cleared_at]
+        self.assertGreater(len(later), 50)
+        self.assertEqual({status for _, _, status in later}, {200})
+
+
 class TestForwardedRequest(CrashPlayTestCase):
     """A request to a single replica that crashes it."""
 
