Tell callers of crashing requests when the refusal ends

Retry-After named a quarter of a second, after which callers came back in vain. It now names the end of the refusal, as for pauses.

--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -111,10 +111,11 @@
         """Return the response to a request that has not run and will not run.
 
         It names the time after which the request can probably be served. The end of a
-        pause is known, so that it is named also to callers that cannot wait so long.
+        pause, or of the refusal of a request that crashes replicas, is known, so that
+        it is named also to callers that cannot wait so long.
         """
         time_left_s = self.outbound.deadline - self.loop.now()
-        if refusal is not None and refusal.reason == "paused":
+        if refusal is not None and refusal.reason in ("paused", "crashes_replicas"):
             time_left_s = float("inf")
         retry_after_s = plan_retry_after(
             RECOVERY_S if refusal is None else refusal.wait_s,
--- a/cicadalever/gateway/_crash_guard.py
+++ b/cicadalever/gateway/_crash_guard.py
@@ -51,6 +51,10 @@
         self._refused: set[int] = set()
         self._reporting_hosts: set[str] = set()
 
+    def count_refused(self) -> int:
+        """Return the number of requests that are refused now."""
+        return self.ledger.count(AdmissionKind.REFUSED, self.loop.now())
+
     def admit(self, fingerprint: int) -> Admission:
         """Return whether a request may be sent to replicas now."""
         if not self.ledger:
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -158,6 +158,7 @@
             limited=len(components.runner.limits),
             leaving=components.runner.notices.count_leaving(),
             paused=components.runner.notices.count_paused(components.loop.now()),
+            quarantined=components.runner.guard.count_refused(),
             lag_s=self._lag_s,
         )
         components.metrics.set_faults(
--- a/cicadalever/gateway/_metrics.py
+++ b/cicadalever/gateway/_metrics.py
@@ -67,6 +67,9 @@
         self._held_off = self._counter(
             "replicas_held_off", "Replicas held off for what they have said", "cause"
         )
+        self._refused_requests = self._gauge(
+            "quarantined_requests", "Requests that are refused because of crashes"
+        )
         self._quarantined = self._counter(
             "requests_quarantined", "Requests that were found to crash replicas"
         )
@@ -144,13 +147,15 @@
         limited: int,
         leaving: int,
         paused: int,
+        quarantined: int,
         lag_s: float,
     ) -> None:
         """Set the gauges; ``age_s`` is the time since the platform last answered.
 
         ``upstream_age_s`` is the time since a replica last completed an answer or a
         handshake, ``limited`` the number of replicas that name a rate limit,
-        ``leaving`` and ``paused`` of those that are leaving and that pause, and
+        ``leaving`` and ``paused`` of those that are leaving and that pause,
+        ``quarantined`` the number of requests that are refused because of crashes, and
         ``lag_s`` the delay of the last periodic tick of the event loop.
         """
         self._platform_calls.set(calls)
@@ -161,6 +166,7 @@
         self._limited_replicas.set(limited)
         self._leaving_replicas.set(leaving)
         self._paused_replicas.set(paused)
+        self._refused_requests.set(quarantined)
         self._loop_lag.set(lag_s)
 
     def render(self) -> bytes:
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -668,9 +668,14 @@
         status: int,
         reason: str,
         rank: int = 0,
-        wait_s: float = RECOVERY_S,
+        wait_s: float | None = None,
         **fields,
     ) -> None:
+        """Refuse a request; it can be served in ``wait_s`` seconds, if that is known.
+
+        Otherwise it can probably be served after a short time, which is named only to
+        callers that can wait so long.
+        """
         self.events.emit(
             "request_refused",
             id=request.header(self.runner.names.request_id),
@@ -682,10 +687,14 @@
         )
         retry_after_s = None
         if status == 503:
-            deadline_s = parse_deadline(request.header(self.runner.names.deadline))
+            time_left_s = parse_deadline(request.header(self.runner.names.deadline))
+            if wait_s is not None:
+                time_left_s = float("inf")
+            elif time_left_s is None:
+                time_left_s = DEFAULT_TIME_LEFT_S
             retry_after_s = plan_retry_after(
-                wait_s,
-                DEFAULT_TIME_LEFT_S if deadline_s is None else deadline_s,
+                RECOVERY_S if wait_s is None else wait_s,
+                time_left_s,
                 rank,
                 self.runner.selector.rng,
             )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -273,6 +273,9 @@
             eventlet.spawn(play.ask, gateway, "/read/poison", play.statuses)
             eventlet.sleep(1.0)
         self.check(play)
+        status, headers, _ = play.gateways[0].ask("/read/poison", request_id="last")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["retry-after"]), 30.0)
 
 
 class TestDelegatedRequest(CrashPlayTestCase):
--- a/tests/test_gateway_status.py
+++ b/tests/test_gateway_status.py
@@ -25,6 +25,7 @@
             limited=0,
             leaving=0,
             paused=0,
+            quarantined=0,
             lag_s=0.0,
         )
         metrics.request_ended(0, "complete", 0.1)
