Begin queries with one read while nobody may know what crashed replicas

A host that starts asks the others; if all of them have started again, or if this one is cut off from them, a query that had crashed replicas before was sent to all shards once more. SharedMemory tells the age of what the hosts know together: it goes with each exchange, begins with the process unless that is the first start of the deployment, and ends the caution after a minute. Until then, or when no host has answered for 5 s, a query begins with one lone read.

--- a/cicadalever/crashes/__init__.py
+++ b/cicadalever/crashes/__init__.py
@@ -7,6 +7,7 @@
 
 from ._ledger import MAX_FINGERPRINTS, CrashLedger
 from ._lone_reads import LONE_READ_CHECK_S, LoneReads, LoneStep
+from ._memory import SharedMemory
 from ._suspicion import (
     CONFIRM_S,
     DECISION_S,
@@ -35,5 +36,6 @@
     "CrashRecord",
     "LostReplica",
     "ReportedLoss",
+    "SharedMemory",
     "Suspicion",
 ]
--- a/cicadalever/crashes/_lone_reads.py
+++ b/cicadalever/crashes/_lone_reads.py
@@ -29,9 +29,9 @@
     """Decides which reads of one query are held until a replica has survived it.
 
     A query that ``is_suspect`` begins with one read. Another one holds its further
-    reads when it has lost replicas. One that ``is_repeat``, because another host could
-    not complete it, stays suspected until a replica has survived it. Times are on one
-    monotonic clock in seconds.
+    reads when it has lost replicas. One that ``needs_survival``, because another host
+    could not complete it or this one may lack what others know, is held until a replica
+    has survived it. Times are on one monotonic clock in seconds.
 
     >>> reads = LoneReads(is_suspect=True)
     >>> reads.decide(Admission(AdmissionKind.LONE), now=0.0)
@@ -44,9 +44,9 @@
     <LoneStep.RELEASE: 'release'>
     """
 
-    def __init__(self, *, is_suspect: bool, is_repeat: bool = False):
-        self._is_repeat = is_repeat
-        self._is_holding = is_suspect or is_repeat
+    def __init__(self, *, is_suspect: bool, needs_survival: bool = False):
+        self._needs_survival = needs_survival
+        self._is_holding = is_suspect or needs_survival
         self._has_survived = False
         self._has_lost = False
         self._losses = 0
@@ -107,7 +107,7 @@
         if kind is AdmissionKind.WAIT:
             self._due_at = now + LONE_READ_CHECK_S
             return LoneStep.KEEP
-        if kind is AdmissionKind.FREE and not self._is_repeat:
+        if kind is AdmissionKind.FREE and not self._needs_survival:
             return LoneStep.RELEASE
         if self._count < MAX_LONE_READS:
             return LoneStep.SEND
--- a/cicadalever/gateway/_adapter.py
+++ b/cicadalever/gateway/_adapter.py
@@ -33,7 +33,8 @@
     process is killed when ``grace_s`` have passed; a host must be up to date again
     within ``contact_s`` after a disturbance; a new configuration must be in force on
     all hosts within ``apply_s``; and a replica that is leaving keeps serving for
-    another ``drain_s``.
+    another ``drain_s``. ``is_first_start`` tells that no host of the deployment has run
+    before.
     """
 
     host_id: str
@@ -52,6 +53,7 @@
     apply_s: float
     drain_s: float
     retries: RetryLimits
+    is_first_start: bool
 
 
 class PlatformUpdate(NamedTuple):
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from cicadalever.crashes import CrashLedger
+from cicadalever.crashes import CrashLedger, SharedMemory
 from cicadalever.discovery import UpstreamDirectory
 from cicadalever.peers import PeerTable
 from cicadalever.placement import LeastCostSelector
@@ -111,7 +111,13 @@
         link,
         Readiness(),
         contact,
-        CrashGossip(loop, link, runner.guard.ledger, events),
+        CrashGossip(
+            loop,
+            link,
+            runner.guard.ledger,
+            events,
+            SharedMemory(loop.now(), is_first_start=settings.is_first_start),
+        ),
         CallerServer(loop, settings.caller_address, service.handle, limits),
         CallerServer(
             loop, settings.readiness_address, handle_readiness_request, limits
--- a/cicadalever/gateway/_crash_gossip.py
+++ b/cicadalever/gateway/_crash_gossip.py
@@ -1,8 +1,8 @@
 """Exchange of what hosts know about requests that may crash replicas."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-from cicadalever.crashes import MAX_FINGERPRINTS, CrashLedger
+from cicadalever.crashes import MAX_FINGERPRINTS, CrashLedger, CrashRecord, SharedMemory
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
     CRASH_NEWS_PREFIX,
@@ -39,12 +39,18 @@
     """
 
     def __init__(
-        self, loop: EventLoop, link: PeerLink, ledger: CrashLedger, events: EventLog
+        self,
+        loop: EventLoop,
+        link: PeerLink,
+        ledger: CrashLedger,
+        events: EventLog,
+        memory: SharedMemory,
     ):
         self.loop = loop
         self.link = link
         self.ledger = ledger
         self.events = events
+        self.memory = memory
         # Called with another host and the requests of which it has told news.
         self.on_news: Callable[[str, list[int]], None] = lambda host, changed: None
         # When the news of a request is to be sent.
@@ -57,6 +63,11 @@
         self._tries = 0
         self._asked: Address | None = None
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether this host probably knows what any host has known."""
+        return self.memory.is_complete(self.loop.now())
+
     def start(self) -> None:
         """Begin to exchange news with other hosts."""
         self.link.handlers[CRASH_NEWS_PREFIX] = self._receive
@@ -105,7 +116,7 @@
             addresses = dict.fromkeys(peers.advisers())
             if peers.is_seed:
                 addresses.update(dict.fromkeys(peers.known_hosts()))
-            self.link.send_crash_news(records, addresses)
+            self._send(records, addresses)
         self._schedule()
 
     def _sync(self) -> None:
@@ -127,7 +138,17 @@
         if addresses:
             address = self._asked = self.link.rng.choice(addresses)
             records = self.ledger.report_all(now)
-            self.link.send_crash_news(records, [address], wants_reply=True)
+            self._send(records, [address], wants_reply=True)
+
+    def _send(
+        self,
+        records: list[CrashRecord],
+        addresses: Iterable[Address],
+        *,
+        wants_reply: bool = False,
+    ) -> None:
+        age_s = self.memory.age_s(self.loop.now())
+        self.link.send_crash_news(records, addresses, age_s, wants_reply=wants_reply)
 
     def _receive(self, data: bytes) -> None:
         news = decode_crash_news(data)
@@ -140,6 +161,7 @@
         now = self.loop.now()
         if news.address == self._asked:
             self._tries = 0
+            self.memory.record_answer(news.memory_ms / 1000, now)
         changed = [
             record.fingerprint
             for record in news.records
@@ -154,4 +176,4 @@
                 self.announce(fingerprint, is_urgent=True)
         self.on_news(news.host, changed)
         if news.wants_reply:
-            self.link.send_crash_news(self.ledger.report_all(now), [news.address])
+            self._send(self.ledger.report_all(now), [news.address])
--- a/cicadalever/gateway/_crash_guard.py
+++ b/cicadalever/gateway/_crash_guard.py
@@ -51,6 +51,11 @@
         self._refused: set[int] = set()
         self._reporting_hosts: set[str] = set()
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether this host probably knows which requests crash replicas."""
+        return self.gossip is None or self.gossip.is_informed
+
     def count_refused(self) -> int:
         """Return the number of requests that are refused now."""
         return self.ledger.count(AdmissionKind.REFUSED, self.loop.now())
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -104,7 +104,10 @@
         self._sent_at = self.loop.now()
         self._unread = set(range(len(route.shards)))
         is_suspect = admission.kind is not AdmissionKind.FREE
-        self._lone_reads = LoneReads(is_suspect=is_suspect, is_repeat=is_repeat)
+        self._lone_reads = LoneReads(
+            is_suspect=is_suspect,
+            needs_survival=is_repeat or not self.runner.guard.is_informed,
+        )
         if not self._lone_reads.is_holding:
             self._start_unread()
         if not self.is_ended:
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -237,15 +237,24 @@
         self,
         records: Iterable[CrashRecord],
         addresses: Iterable[Address],
+        memory_s: float,
         *,
         wants_reply: bool = False,
     ) -> None:
-        """Tell other hosts about requests that may crash replicas."""
+        """Tell other hosts about requests that may crash replicas.
+
+        ``memory_s`` is the time in seconds for which this host and those that told it
+        have known of such requests.
+        """
         if self._socket is None:
             return
         datagrams = list(
             encode_crash_news(
-                self.host_id, self.peer_table.address, records, wants_reply=wants_reply
+                self.host_id,
+                self.peer_table.address,
+                records,
+                memory_s,
+                wants_reply=wants_reply,
             )
         )
         for address in addresses:
--- a/cicadalever/peers/_crash_news.py
+++ b/cicadalever/peers/_crash_news.py
@@ -21,13 +21,15 @@
 class CrashNews(msgspec.Struct, array_like=True, frozen=True):
     """What the host at ``address`` knows of requests that may crash replicas.
 
-    With ``wants_reply`` it asks the receiver for all that this one knows.
+    With ``wants_reply`` it asks the receiver for all that this one knows. ``memory_ms``
+    is the age of its memory, see ``cicadalever.crashes.SharedMemory``.
     """
 
     host: str
     address: tuple[str, int]
     wants_reply: bool
     records: list[CrashRecord]
+    memory_ms: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -38,19 +40,21 @@
     host: str,
     address: tuple[str, int],
     records: Iterable[CrashRecord],
+    memory_s: float = 0.0,
     *,
     wants_reply: bool = False,
 ) -> Iterator[bytes]:
     """Yield the datagrams of some records, at least one.
 
-    Only the first one asks for a reply.
+    Only the first one asks for a reply. ``memory_s`` may be infinite.
     """
     pending: list[CrashRecord] = []
     size = 0
     is_first = True
+    memory_ms = round(1000 * min(memory_s, MAX_AGE_MS / 1000))
 
     def encode() -> bytes:
-        news = CrashNews(host, address, wants_reply and is_first, pending)
+        news = CrashNews(host, address, wants_reply and is_first, pending, memory_ms)
         return CRASH_NEWS_PREFIX + _encoder.encode(news)
 
     for record in records:
@@ -73,6 +77,7 @@
     is_valid = (
         _is_name(news.host)
         and is_host_address(news.address)
+        and 0 <= news.memory_ms <= MAX_AGE_MS
         and len(news.records) <= MAX_ITEMS
         and all(map(_is_valid, news.records))
     )
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -5,7 +5,13 @@
 from types import SimpleNamespace
 
 from bench.fleet._loop import VirtualLoop
-from cicadalever.crashes import AdmissionKind, CrashLedger, CrashRecord, ReportedLoss
+from cicadalever.crashes import (
+    AdmissionKind,
+    CrashLedger,
+    CrashRecord,
+    ReportedLoss,
+    SharedMemory,
+)
 from cicadalever.gateway._crash_gossip import CrashGossip
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
@@ -30,10 +36,14 @@
         self.hosts = {}
         self.addresses = [(f"10.0.0.{number}", 1) for number in range(1, hosts + 1)]
         for address in self.addresses:
-            self.start(address)
+            self.start(address, is_first_start=True)
 
-    def start(self, address):
-        """Start a host that knows nothing."""
+    def start(self, address, *, is_first_start=False):
+        """Start a host that knows nothing, in place of the one that ran there."""
+        if address in self.hosts:
+            self.hosts[address].link.send_crash_news = lambda *arguments, **options: (
+                None
+            )
         seeds = [each for each in self.addresses[:3] if each != address]
         others = [each for each in self.addresses if each != address]
         is_seed = address in self.addresses[:3]
@@ -47,10 +57,10 @@
             host_id=f"host-{address[0]}", peer_table=peers, rng=self.rng, handlers={}
         )
 
-        def send(records, addresses, *, wants_reply=False):
+        def send(records, addresses, memory_s, *, wants_reply=False):
             datagrams = list(
                 encode_crash_news(
-                    link.host_id, address, records, wants_reply=wants_reply
+                    link.host_id, address, records, memory_s, wants_reply=wants_reply
                 )
             )
             for receiver in addresses:
@@ -60,7 +70,8 @@
         link.send_crash_news = send
         events = SimpleNamespace(emit_detail=lambda *arguments, **fields: None)
         ledger = CrashLedger(link.host_id)
-        gossip = CrashGossip(self.loop, link, ledger, events)
+        memory = SharedMemory(self.loop.now(), is_first_start=is_first_start)
+        gossip = CrashGossip(self.loop, link, ledger, events, memory)
         gossip.start()
         self.hosts[address] = gossip
 
@@ -134,6 +145,23 @@
         self.loop.run_until(15.0 + CONTACT_S)
         self.assertEqual(self.network.count_refusing(), 10)
 
+    def test_memory_of_the_fleet(self):
+        """Guards against hosts that take a common restart for a calm past."""
+        hosts = self.network.hosts
+        self.loop.run_until(15.0)
+        self.assertTrue(all(each.is_informed for each in hosts.values()))
+        one, *others = self.network.addresses
+        self.network.start(one)
+        self.assertFalse(hosts[one].is_informed)
+        self.loop.run_until(15.2)
+        self.assertTrue(hosts[one].is_informed)
+        for address in self.network.addresses:
+            self.network.start(address)
+        self.loop.run_until(70.0)
+        self.assertFalse(any(each.is_informed for each in hosts.values()))
+        self.loop.run_until(80.0)
+        self.assertTrue(all(each.is_informed for each in hosts.values()))
+
     def test_lossy_network(self):
         """Guards against a host that stays ignorant when datagrams get lost."""
         self.network.drops = lambda *ends: self.network.rng.random() < 0.3
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -11,6 +11,7 @@
     CrashLedger,
     LoneReads,
     LoneStep,
+    SharedMemory,
 )
 
 FREE, LONE, WAIT, REFUSED = AdmissionKind
@@ -302,10 +303,30 @@
         self.assertEqual(self.decide(reads, 0.0, FREE), RELEASE)
         self.assertEqual(self.decide(reads, 0.0, WAIT), KEEP)
         self.assertLess(reads.due_at, 0.1)
-        repeat = LoneReads(is_suspect=False, is_repeat=True)
+        repeat = LoneReads(is_suspect=False, needs_survival=True)
         self.assertEqual(self.decide(repeat, 0.0, FREE), SEND)
 
 
+class TestSharedMemory(unittest.TestCase):
+    """Whether a host knows what others know or have known."""
+
+    def test_first_start_and_restart(self):
+        """Guards against caution without a past, and none after all hosts restarted."""
+        self.assertTrue(SharedMemory(0.0, is_first_start=True).is_complete(0.1))
+        memory = SharedMemory(0.0, is_first_start=False)
+        memory.record_answer(3.0, now=1.0)
+        self.assertFalse(memory.is_complete(5.0))
+        memory.record_answer(62.0, now=5.0)
+        self.assertTrue(memory.is_complete(5.1))
+
+    def test_host_that_hears_of_no_other_one(self):
+        """Guards against a host that is cut off from what the others learn."""
+        memory = SharedMemory(0.0, is_first_start=True)
+        memory.record_answer(100.0, now=10.0)
+        kinds = [memory.is_complete(now) for now in (14.0, 16.0, 60.0, 80.0)]
+        self.assertEqual(kinds, [True, False, False, True])
+
+
 class HostsPlay:
     """Hosts without network that get copies of a query which crashes replicas.
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -224,6 +224,21 @@
         restarts.kill()
         self.check(play)
 
+    def test_hosts_that_all_restart_do_not_send_the_query_whole(self):
+        """Guards against a fleet that has forgotten the crashes altogether."""
+        play = CrashPlay(self, shards=8, copies=4)
+        play.run(period_s=1.5, seconds=6.0)
+        for gateway in play.gateways:
+            gateway.kill()
+            settings = gateway.settings_path.read_text()
+            gateway.settings_path.write_text(settings + "Bootstrap=false\n")
+            gateway.start()
+        for gateway in play.gateways:
+            wait_for(gateway.is_ready, "readiness")
+            wait_for(lambda gateway=gateway: play.is_served(gateway), "an answer")
+        play.run(period_s=1.5, seconds=12.0)
+        self.check(play)
+
     @staticmethod
     def _restart(gateway):
         while True:
