Test handing over and witnesses between the landed version and this one

A host without upstreams is found out by connections that another host makes for it, and hands its requests over: with the former version on either side, for links that hang and links that are severed.

--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from tests.platform_standins import (
+    ROOT,
     FaultProxy,
     GatewayProcess,
     ReplicaStandIn,
@@ -26,6 +27,8 @@
     link_mbps = 100
     # Data centre of the gateway that keeps its links; the other one is in dc-a.
     sound_data_centre = "dc-a"
+    # Folders of their builds, first that of the gateway whose links are cut.
+    roots = (ROOT, ROOT)
 
     def setUp(self):
         stores = [StoreStandIn(), StoreStandIn()]
@@ -53,8 +56,16 @@
                 store, node=f"host-{number}", host=f"127.0.0.{number}", **options, **own
             )
             for number, store, own in (
-                (2, stores[0], {"link_mbps": self.link_mbps}),
-                (3, stores[1], {"data_centre": self.sound_data_centre}),
+                (
+                    2,
+                    stores[0],
+                    {"link_mbps": self.link_mbps, "root": self.roots[0]},
+                ),
+                (
+                    3,
+                    stores[1],
+                    {"data_centre": self.sound_data_centre, "root": self.roots[1]},
+                ),
             )
         )
         for gateway in (self.cut, self.sound):
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -13,6 +13,7 @@
 from tests.platform_standins import ROOT, wait_for
 from tests.soak import Soak
 from tests.test_crashing_requests import POISON, CrashPlay, Host
+from tests.test_lost_links import LostLinksTestCase
 
 # The version that runs in production until this one has landed.
 LANDED_COMMIT = "8a6b630"
@@ -135,6 +136,36 @@
         self.upgrade(2, is_wide=False)
 
 
+class TestHandingOver(UpgradeTestCase, LostLinksTestCase):
+    """Requests of a host without upstreams that one of another build takes over.
+
+    The hosts find out by connecting to replicas for each other.
+    """
+
+    def setUp(self):
+        # Each test starts its gateways itself.
+        self.former = self.extract_landed()
+
+    def hand_over(self, *roots):
+        self.roots = roots
+        LostLinksTestCase.setUp(self)
+        self.check_served("calm")
+        for mode in ("cut", "sever"):
+            with self.subTest(mode):
+                self.cut_links(mode)
+                self.check_served(mode)
+                self.set_links("pass")
+                wait_for(self.cut.is_ready, "the host to be back")
+
+    def test_former_version_takes_over(self):
+        """Guards against requests that the former version does not accept."""
+        self.hand_over(ROOT, self.former)
+
+    def test_this_version_takes_over(self):
+        """Guards against requests of the former version that this one rejects."""
+        self.hand_over(self.former, ROOT)
+
+
 class TestCrashingRequests(UpgradeTestCase):
     """A query that crashes replicas at hosts of the landed version and of this one."""
 
