--- a/cicadalever/crashes/__init__.py
+++ b/cicadalever/crashes/__init__.py
@@ -5,8 +5,8 @@
 directly: its hosts tell each other which replicas a request has lost or left alive.
 """
 
+from ._canary_reads import CANARY_CHECK_S, CanaryReads, CanaryStep
 from ._ledger import MAX_FINGERPRINTS, CrashLedger
-from ._lone_reads import LONE_READ_CHECK_S, LoneReads, LoneStep
 from ._memory import SharedMemory
 from ._suspicion import (
     CONFIRM_S,
@@ -25,9 +25,9 @@
     "CONFIRM_S",
     "DECISION_S",
     "FREE",
-    "LONE_READ_CHECK_S",
-    "LoneReads",
-    "LoneStep",
+    "CANARY_CHECK_S",
+    "CanaryReads",
+    "CanaryStep",
     "MAX_FINGERPRINTS",
     "REFUSAL_S",
     "Admission",
--- a/cicadalever/crashes/_lone_reads.py
+++ b/cicadalever/crashes/_canary_reads.py
@@ -4,15 +4,15 @@
 
 from ._suspicion import Admission, AdmissionKind
 
-# Replicas that a query may lose before its further reads wait for a lone one.
+# Replicas that a query may lose before its further reads wait for a canary read.
 MAX_UNHELD_LOSSES = 1
-# Lone reads that may be silent before no other one is sent.
-MAX_LONE_READS = 3
-# Time between two checks whether the lone reads of other calls have ended.
-LONE_READ_CHECK_S = 0.01
+# Canary reads that may be silent before no other one is sent.
+MAX_CANARIES = 3
+# Time between two checks whether the canary reads of other calls have ended.
+CANARY_CHECK_S = 0.01
 
 
-class LoneStep(StrEnum):
+class CanaryStep(StrEnum):
     """What to do with the reads that are held.
 
     ``SEND`` sends one of them, ``RELEASE`` all and ``DROP`` none at all; ``KEEP`` holds
@@ -25,7 +25,7 @@
     KEEP = "keep"
 
 
-class LoneReads:
+class CanaryReads:
     """Decides which reads of one query are held until a replica has survived it.
 
     A query that ``is_suspect`` begins with one read. Another one holds its further
@@ -33,15 +33,15 @@
     could not complete it or this one may lack what others know, is held until a replica
     has survived it. Times are on one monotonic clock in seconds.
 
-    >>> reads = LoneReads(is_suspect=True)
-    >>> reads.decide(Admission(AdmissionKind.LONE), now=0.0)
-    <LoneStep.SEND: 'send'>
+    >>> reads = CanaryReads(is_suspect=True)
+    >>> reads.decide(Admission(AdmissionKind.CANARY), now=0.0)
+    <CanaryStep.SEND: 'send'>
     >>> reads.record_start(now=0.0, overdue_s=0.02)
-    >>> reads.decide(Admission(AdmissionKind.LONE), now=0.01)
-    <LoneStep.KEEP: 'keep'>
+    >>> reads.decide(Admission(AdmissionKind.CANARY), now=0.01)
+    <CanaryStep.KEEP: 'keep'>
     >>> reads.record_survival()
-    >>> reads.decide(Admission(AdmissionKind.LONE), now=0.01)
-    <LoneStep.RELEASE: 'release'>
+    >>> reads.decide(Admission(AdmissionKind.CANARY), now=0.01)
+    <CanaryStep.RELEASE: 'release'>
     """
 
     def __init__(self, *, is_suspect: bool, needs_survival: bool = False):
@@ -60,7 +60,7 @@
 
     @property
     def has_lost(self) -> bool:
-        """Whether a lone read was lost, after which nothing is read again."""
+        """Whether a canary read was lost, after which nothing is read again."""
         return self._has_lost
 
     @property
@@ -69,23 +69,23 @@
         return self._due_at
 
     def record_start(self, now: float, overdue_s: float) -> None:
-        """Record a lone read, which is silent if it lasts longer than a time."""
+        """Record a canary read, which is silent if it lasts longer than a time."""
         self._count += 1
         self._in_progress += 1
         self._due_at = now + overdue_s
 
     def record_end(self, *, has_run: bool) -> None:
-        """Record the end of a lone read, and whether a replica may have run it."""
+        """Record the end of a canary read, and whether a replica may have run it."""
         self._in_progress -= 1
         self._count -= not has_run
 
     def record_survival(self) -> None:
-        """Record that a replica has answered a lone read."""
+        """Record that a replica has answered a canary read."""
         self._has_survived |= self._is_holding
 
-    def record_loss(self, *, is_lone: bool) -> None:
-        """Record that a replica was lost, by a lone read or another one."""
-        self._has_lost |= is_lone
+    def record_loss(self, *, is_canary: bool) -> None:
+        """Record that a replica was lost, by a canary read or another one."""
+        self._has_lost |= is_canary
         self._losses += 1
         self._is_holding |= self._losses > MAX_UNHELD_LOSSES
 
@@ -95,21 +95,21 @@
         self._losses = 0
         self._due_at = float("inf")
 
-    def decide(self, admission: Admission, now: float) -> LoneStep:
+    def decide(self, admission: Admission, now: float) -> CanaryStep:
         """Return what to do with the reads that are held."""
         kind = admission.kind
         if self._has_lost or kind is AdmissionKind.REFUSED:
-            return LoneStep.DROP
+            return CanaryStep.DROP
         if self._has_survived:
-            return LoneStep.RELEASE
+            return CanaryStep.RELEASE
         if self._in_progress and now < self._due_at:
-            return LoneStep.KEEP
+            return CanaryStep.KEEP
         if kind is AdmissionKind.WAIT:
-            self._due_at = now + LONE_READ_CHECK_S
-            return LoneStep.KEEP
+            self._due_at = now + CANARY_CHECK_S
+            return CanaryStep.KEEP
         if kind is AdmissionKind.FREE and not self._needs_survival:
-            return LoneStep.RELEASE
-        if self._count < MAX_LONE_READS:
-            return LoneStep.SEND
+            return CanaryStep.RELEASE
+        if self._count < MAX_CANARIES:
+            return CanaryStep.SEND
         self._due_at = float("inf")
-        return LoneStep.KEEP if self._in_progress else LoneStep.DROP
+        return CanaryStep.KEEP if self._in_progress else CanaryStep.DROP
--- a/cicadalever/crashes/_ledger.py
+++ b/cicadalever/crashes/_ledger.py
@@ -27,18 +27,18 @@
     A replica that crashes loses all requests that it runs, and connections break for
     other reasons, so a loss only raises a suspicion. A suspected request is sent to one
     replica at a time. One that a replica survives is cleared for all replicas of that
-    service, on all hosts. One that loses such lone reads as well is refused, and tried
-    by a single lone read again only after a long time. Hosts exchange all of this,
-    because callers send copies to any host. Times are on one monotonic clock in
+    service, on all hosts. One that loses such canary reads as well is refused, and
+    tried by a single canary read again only after a long time. Hosts exchange all of
+    this, because callers send copies to any host. Times are on one monotonic clock in
     seconds.
 
     >>> ledger = CrashLedger("host-1")
     >>> for number in range(8):
     ...     _ = ledger.record_loss(7, f"s{number}", f"i-{number}", 0.0)
     >>> ledger.admit(7, now=0.1).kind
-    <AdmissionKind.LONE: 'lone'>
-    >>> _ = ledger.record_loss(7, "s1", "i-9", 0.1, is_lone=True)
-    >>> _ = ledger.record_loss(7, "s1", "i-1", 4.0, is_lone=True)
+    <AdmissionKind.CANARY: 'canary'>
+    >>> _ = ledger.record_loss(7, "s1", "i-9", 0.1, is_canary=True)
+    >>> _ = ledger.record_loss(7, "s1", "i-1", 4.0, is_canary=True)
     >>> ledger.admit(7, now=5.0)
     Admission(kind=<AdmissionKind.REFUSED: 'refused'>, wait_s=59.0, services=('s1', \
 's0', 's2', 's3', 's4', 's5', 's6', 's7'))
@@ -78,21 +78,26 @@
         replica_id: str,
         now: float,
         *,
-        is_lone: bool = False,
+        is_canary: bool = False,
     ) -> bool:
         """Record that this host lost a replica that may have run a request.
 
         Return whether that is news.
         """
         self._forget_decided(now)
-        loss = LostReplica(replica_id, service, now, is_lone)
+        loss = LostReplica(replica_id, service, now, is_canary)
         self._undecided.setdefault(replica_id, []).append((fingerprint, now))
         self._own.append((fingerprint, loss))
         del self._own[:-MAX_FINGERPRINTS]
         return self._get_or_add(fingerprint, now).add_loss(loss)
 
     def record_survival(
-        self, fingerprint: int, service: str, began_at: float, *, is_lone: bool = False
+        self,
+        fingerprint: int,
+        service: str,
+        began_at: float,
+        *,
+        is_canary: bool = False,
     ) -> bool:
         """Record that a replica of a service answered a read that began at a time.
 
@@ -102,7 +107,7 @@
         if suspicion is None:
             return False
         is_cleared = suspicion.clear_service(service, began_at)
-        if is_lone:
+        if is_canary:
             is_cleared |= suspicion.clear_service(UNKNOWN_SERVICE, began_at)
         return is_cleared
 
@@ -141,20 +146,20 @@
                 cleared.append(fingerprint)
         return cleared
 
-    def record_lone_read(self, fingerprint: int, started_at: float) -> None:
-        """Record that this host has begun a lone read of a request."""
+    def record_canary(self, fingerprint: int, started_at: float) -> None:
+        """Record that this host has begun a canary read of a request."""
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is not None:
-            reads = suspicion.lone_reads(self.host)
-            suspicion.set_lone_reads(self.host, [*reads, started_at])
+            reads = suspicion.canaries(self.host)
+            suspicion.set_canaries(self.host, [*reads, started_at])
 
-    def record_lone_end(self, fingerprint: int, started_at: float) -> None:
-        """Record that a lone read of this host has ended."""
+    def record_canary_end(self, fingerprint: int, started_at: float) -> None:
+        """Record that a canary read of this host has ended."""
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is not None:
-            reads = suspicion.lone_reads(self.host)
+            reads = suspicion.canaries(self.host)
             others = [each for each in reads if each != started_at]
-            suspicion.set_lone_reads(self.host, others)
+            suspicion.set_canaries(self.host, others)
 
     def record_older_report(
         self, host: str, fingerprint: int, crashes: int, now: float
@@ -163,7 +168,7 @@
         suspicion = self._get_or_add(fingerprint, now)
         for number in range(min(crashes, MAX_REPORTED)):
             suspicion.add_loss(
-                LostReplica(f"{host}#{number}", UNKNOWN_SERVICE, now, is_lone=False)
+                LostReplica(f"{host}#{number}", UNKNOWN_SERVICE, now, is_canary=False)
             )
 
     def merge(self, record: CrashRecord, host: str, now: float) -> bool:
@@ -174,9 +179,9 @@
             return False
         active_at = now - record.active_age_ms / 1000
         suspicion = self._get_or_add(record.fingerprint, active_at)
-        own_reads = suspicion.lone_reads(self.host)
+        own_reads = suspicion.canaries(self.host)
         is_news = suspicion.merge(record, host, now)
-        suspicion.set_lone_reads(self.host, own_reads)
+        suspicion.set_canaries(self.host, own_reads)
         return is_news
 
     def report(self, fingerprint: int, now: float) -> CrashRecord | None:
--- a/cicadalever/crashes/_suspicion.py
+++ b/cicadalever/crashes/_suspicion.py
@@ -4,25 +4,25 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-# Replicas that a request must have lost before it is refused, and how many lone reads
+# Replicas that a request must have lost before it is refused, and how many canary reads
 # must be among them.
 MIN_CRASHES = 3
-MIN_LONE_CRASHES = 2
+MIN_CANARY_CRASHES = 2
 # A crashed replica is back only after some seconds. One that shows life sooner has lost
 # a connection, but has not crashed.
 CONFIRM_S = 1.0
-# All lone reads that are lost within this time after the first replica count as one:
+# All canary reads that are lost within this time after the first replica count as one:
 # the replica may have been crashed by the request beside which this one ran.
 SETTLE_S = 1.0
-# Time after which a lone read that was lost counts for a refusal, unless the replica
+# Time after which a canary read that was lost counts for a refusal, unless the replica
 # has shown life.
 DECISION_S = 0.2
-# Time for which a request is refused before a lone read tries it again, and after such
-# a read was lost as well.
+# Time for which a request is refused before a canary read tries it again, and after
+# such a read was lost as well.
 REFUSAL_S = 60.0
 LONG_REFUSAL_S = 600.0
-# Time after which a lone read of another host is not waited for any more.
-LONE_READ_S = 2.0
+# Time after which a canary read of another host is not waited for any more.
+CANARY_TIMEOUT_S = 2.0
 # Lost replicas that are remembered of one request.
 MAX_LOSSES = 16
 # Lost replicas and signs of life that one report contains.
@@ -35,14 +35,14 @@
 class AdmissionKind(StrEnum):
     """How a request may be sent to replicas.
 
-    ``FREE`` has no restriction. ``LONE`` means a single read, and no other one until a
-    replica has survived it. ``WAIT`` means that lone reads of it are in progress or
+    ``FREE`` has no restriction. ``CANARY`` means a single read, and no other one until
+    a replica has survived it. ``WAIT`` means that canary reads of it are in progress or
     were just lost, and that the end of these decides. ``REFUSED`` means that it must
     not be sent.
     """
 
     FREE = "free"
-    LONE = "lone"
+    CANARY = "canary"
     WAIT = "wait"
     REFUSED = "refused"
 
@@ -51,7 +51,7 @@
     """Whether a request may be sent, and for how many seconds it is refused.
 
     ``services`` are those whose replicas it may have crashed, beginning with those that
-    lone reads have lost.
+    canary reads have lost.
     """
 
     kind: AdmissionKind
@@ -65,13 +65,14 @@
 class LostReplica(NamedTuple):
     """A replica that was lost at a monotonic time in seconds.
 
-    ``is_lone`` tells that the read was sent although the request was suspected before.
+    ``is_canary`` tells that the read was sent although the request was suspected
+    before.
     """
 
     replica_id: str
     service: str
     at: float
-    is_lone: bool
+    is_canary: bool
 
 
 class ReportedLoss(NamedTuple):
@@ -80,7 +81,7 @@
     replica_id: str
     service: str
     age_ms: int
-    is_lone: bool
+    is_canary: bool
 
 
 class CrashRecord(NamedTuple):
@@ -88,7 +89,7 @@
 
     ``active_age_ms`` is the time since the request last came or lost a replica.
     ``cleared_services`` and ``live_replicas`` are names with the age of the newest sign
-    of life, and ``lone_reads`` the hosts and ages of lone reads in progress.
+    of life, and ``canaries`` the hosts and ages of canary reads in progress.
     """
 
     fingerprint: int
@@ -96,7 +97,7 @@
     losses: list[ReportedLoss]
     cleared_services: list[tuple[str, int]] = []
     live_replicas: list[tuple[str, int]] = []
-    lone_reads: list[tuple[str, int]] = []
+    canaries: list[tuple[str, int]] = []
 
 
 class Suspicion:
@@ -113,8 +114,8 @@
         # showed life.
         self._services_cleared_at: dict[str, float] = {}
         self._replicas_alive_at: dict[str, float] = {}
-        # Start times of the lone reads in progress, by host.
-        self._lone_reads: dict[str, list[float]] = {}
+        # Start times of the canary reads in progress, by host.
+        self._canaries: dict[str, list[float]] = {}
 
     @property
     def losses(self) -> list[LostReplica]:
@@ -124,7 +125,7 @@
     @property
     def has_evidence(self) -> bool:
         """Whether other hosts should know of the suspicion."""
-        return len(self._losses) > 1 or any(each.is_lone for each in self._losses)
+        return len(self._losses) > 1 or any(each.is_canary for each in self._losses)
 
     def add_loss(self, loss: LostReplica) -> bool:
         """Add a lost replica and return whether that is news.
@@ -138,17 +139,17 @@
                 known.replica_id == loss.replica_id
                 and abs(known.at - loss.at) < CONFIRM_S
             ):
-                if loss.is_lone and not known.is_lone:
-                    self._losses[index] = known._replace(is_lone=True)
+                if loss.is_canary and not known.is_canary:
+                    self._losses[index] = known._replace(is_canary=True)
                     return True
                 return False
-        if len(self._losses) >= MAX_LOSSES and not loss.is_lone:
+        if len(self._losses) >= MAX_LOSSES and not loss.is_canary:
             return False
         self._losses.append(loss)
         if len(self._losses) > MAX_LOSSES:
             # The first loss tells when the request became suspected.
             self._losses.remove(
-                max(self._losses, key=lambda each: (not each.is_lone, each.at))
+                max(self._losses, key=lambda each: (not each.is_canary, each.at))
             )
         return True
 
@@ -163,24 +164,24 @@
         """Record that a replica accepted or answered what began at a time."""
         return self._record_life(self._replicas_alive_at, replica_id, began_at)
 
-    def set_lone_reads(self, host: str, started_at: Iterable[float]) -> bool:
-        """Replace the lone reads in progress on a host; return whether that is news."""
-        known = self._lone_reads.pop(host, [])
+    def set_canaries(self, host: str, started_at: Iterable[float]) -> bool:
+        """Replace the canaries in progress on a host; return whether that is news."""
+        known = self._canaries.pop(host, [])
         reads = list(started_at)
         if reads:
-            self._lone_reads[host] = reads
+            self._canaries[host] = reads
         return len(reads) != len(known)
 
-    def lone_reads(self, host: str) -> list[float]:
-        """Return the start times of the lone reads in progress on a host."""
-        return self._lone_reads.get(host, [])
+    def canaries(self, host: str) -> list[float]:
+        """Return the start times of the canary reads in progress on a host."""
+        return self._canaries.get(host, [])
 
-    def count_lone_losses(self) -> int:
-        """Count the lone reads that were lost; early ones count as one."""
+    def count_canary_losses(self) -> int:
+        """Count the canary reads that were lost; early ones count as one."""
         settled_at = self._settled_at()
-        lone = [each.at for each in self._losses if each.is_lone]
-        late = sum(at > settled_at for at in lone)
-        return late + (len(lone) > late)
+        canary = [each.at for each in self._losses if each.is_canary]
+        late = sum(at > settled_at for at in canary)
+        return late + (len(canary) > late)
 
     def admission(self, now: float) -> Admission:
         """Return whether the request may be sent now."""
@@ -190,32 +191,32 @@
         services = tuple(
             dict.fromkeys(
                 each.service
-                for each in sorted(losses, key=lambda each: not each.is_lone)
+                for each in sorted(losses, key=lambda each: not each.is_canary)
             )
         )
-        lone = self.count_lone_losses()
-        may_read = MIN_LONE_CRASHES - lone
+        canary = self.count_canary_losses()
+        may_read = MIN_CANARY_CRASHES - canary
         if len(losses) >= MIN_CRASHES and may_read <= 0:
             refusal_s = REFUSAL_S if may_read == 0 else LONG_REFUSAL_S
             refused_until = max(each.at for each in losses) + refusal_s
-            if now < max(each.at for each in losses if each.is_lone) + DECISION_S:
+            if now < max(each.at for each in losses if each.is_canary) + DECISION_S:
                 return Admission(AdmissionKind.WAIT, services=services)
             if now < refused_until:
                 wait_s = refused_until - now
                 return Admission(AdmissionKind.REFUSED, wait_s, services)
         if now > self._settled_at() and self._count_running(now) >= max(1, may_read):
             return Admission(AdmissionKind.WAIT, services=services)
-        return Admission(AdmissionKind.LONE, services=services)
+        return Admission(AdmissionKind.CANARY, services=services)
 
     def report(self, fingerprint: int, now: float) -> CrashRecord:
         """Return what this host tells others."""
-        losses = sorted(self._losses, key=lambda each: (not each.is_lone, each.at))
+        losses = sorted(self._losses, key=lambda each: (not each.is_canary, each.at))
         return CrashRecord(
             fingerprint,
             _age_ms(self.active_at, now),
             [
                 ReportedLoss(
-                    each.replica_id, each.service, _age_ms(each.at, now), each.is_lone
+                    each.replica_id, each.service, _age_ms(each.at, now), each.is_canary
                 )
                 for each in losses[:MAX_REPORTED_LOSSES]
             ],
@@ -223,9 +224,9 @@
             _report_newest(self._replicas_alive_at, now),
             [
                 (name, _age_ms(at, now))
-                for name, reads in self._lone_reads.items()
+                for name, reads in self._canaries.items()
                 for at in reads
-                if now - at < LONE_READ_S
+                if now - at < CANARY_TIMEOUT_S
             ],
         )
 
@@ -239,26 +240,26 @@
         for each in record.losses:
             at = now - each.age_ms / 1000
             is_news |= self.add_loss(
-                LostReplica(each.replica_id, each.service, at, each.is_lone)
+                LostReplica(each.replica_id, each.service, at, each.is_canary)
             )
         reads: dict[str, list[float]] = {host: []}
-        for name, age_ms in record.lone_reads:
+        for name, age_ms in record.canaries:
             reads.setdefault(name, []).append(now - age_ms / 1000)
         for name, started_at in reads.items():
-            if name == host or name not in self._lone_reads:
-                is_news |= self.set_lone_reads(name, started_at)
+            if name == host or name not in self._canaries:
+                is_news |= self.set_canaries(name, started_at)
         self.active_at = max(self.active_at, now - record.active_age_ms / 1000)
         return is_news
 
     def _settled_at(self) -> float:
         """Return when the requests that ran beside this one have ended."""
-        plain = [each.at for each in self._losses if not each.is_lone]
+        plain = [each.at for each in self._losses if not each.is_canary]
         return min(plain) + SETTLE_S if plain else float("-inf")
 
     def _count_running(self, now: float) -> int:
         return sum(
-            now - started_at < LONE_READ_S
-            for reads in self._lone_reads.values()
+            now - started_at < CANARY_TIMEOUT_S
+            for reads in self._canaries.values()
             for started_at in reads
         )
 
--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -46,8 +46,8 @@
         self.hedges = 0
         self.retries = 0
         self.is_ended = False
-        # Start time of the lone read in progress that other hosts were told of.
-        self._lone_read_at: float | None = None
+        # Start time of the canary read in progress that other hosts were told of.
+        self._canary_at: float | None = None
         # Replicas that have answered the request and said that they are leaving.
         self.leaving: set[Incarnation] = set()
         # Shards of the reads in progress; 0 for a route without shards.
@@ -144,29 +144,27 @@
         )
 
     def _observe(self, result: ReadResult) -> None:
-        """Record what a replica has said of itself, and the end of a lone read."""
+        """Record what a replica has said of itself, and the end of a canary read."""
         if result.answer.is_leaving:
             replica = result.replica
             self.leaving.add(Incarnation(replica.id, replica.started_at_ms))
-        if result.is_lone:
-            self._end_lone_read()
+        if result.is_canary:
+            self._end_canary()
 
     def _admit(self) -> Admission:
         """Return whether the request may be sent to replicas now."""
         return self.runner.guard.admit(self.outbound.fingerprint)
 
-    def _begin_lone_read(self) -> None:
+    def _begin_canary(self) -> None:
         """Tell other hosts of a read of a request that may crash replicas."""
-        self._end_lone_read()
-        self._lone_read_at = self.runner.guard.begin_lone_read(
-            self.outbound.fingerprint
-        )
+        self._end_canary()
+        self._canary_at = self.runner.guard.begin_canary(self.outbound.fingerprint)
 
-    def _end_lone_read(self) -> None:
-        if self._lone_read_at is not None:
+    def _end_canary(self) -> None:
+        if self._canary_at is not None:
             fingerprint = self.outbound.fingerprint
-            self.runner.guard.end_lone_read(fingerprint, self._lone_read_at)
-            self._lone_read_at = None
+            self.runner.guard.end_canary(fingerprint, self._canary_at)
+            self._canary_at = None
 
     def _end_crashing(self, admission: Admission) -> None:
         """Refuse a request that replicas do not survive."""
@@ -185,7 +183,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self._end_lone_read()
+        self._end_canary()
         for read in self._reads:
             self.runner.abandon(read, detail, self._on_abandoned_end)
         self._reads.clear()
--- a/cicadalever/gateway/_crash_gossip.py
+++ b/cicadalever/gateway/_crash_gossip.py
@@ -18,8 +18,8 @@
 # Delays after which news is sent, because datagrams get lost. A request that only lost
 # connections is mostly cleared before the first one.
 NEWS_DELAYS_S = (0.05, 0.15, 0.5)
-# The same for a request that has lost a lone read: its caller may already be repeating
-# it at another host.
+# The same for a request that has lost a canary read: its caller may already be
+# repeating it at another host.
 URGENT_DELAYS_S = (0.0, 0.1, 0.4)
 # Least time between two sendings of news.
 MIN_PERIOD_S = 0.01
--- a/cicadalever/gateway/_crash_guard.py
+++ b/cicadalever/gateway/_crash_guard.py
@@ -20,8 +20,8 @@
 from ._events import EventLog
 from ._metrics import GatewayMetrics
 
-# Delay after which a replica that a lone read has lost is probed: one that crashes may
-# lose its connections a moment before it refuses new ones.
+# Delay after which a replica that a canary read has lost is probed: one that crashes
+# may lose its connections a moment before it refuses new ones.
 PROBE_DELAY_S = 0.05
 # Hosts whose version reports crashes in detail; beyond that all are forgotten.
 MAX_HOSTS = 4096
@@ -30,8 +30,8 @@
 class CrashGuard:
     """Records what happens to the reads of requests, and admits or refuses them.
 
-    ``probe`` is called with a replica that a lone read has lost; a connection that the
-    replica accepts shows that it has not crashed.
+    ``probe`` is called with a replica that a canary read has lost; a connection that
+    the replica accepts shows that it has not crashed.
     """
 
     def __init__(
@@ -67,11 +67,15 @@
         return self.ledger.admit(fingerprint, self.loop.now())
 
     def record_loss(
-        self, fingerprint: int, replica: ReplicaEntry, *, is_lone: bool
+        self, fingerprint: int, replica: ReplicaEntry, *, is_canary: bool
     ) -> None:
         """Record that a replica was lost while it may have run a request."""
         is_news = self.ledger.record_loss(
-            fingerprint, replica.service, replica.id, self.loop.now(), is_lone=is_lone
+            fingerprint,
+            replica.service,
+            replica.id,
+            self.loop.now(),
+            is_canary=is_canary,
         )
         suspicion = self.ledger.get(fingerprint)
         self.events.emit_detail(
@@ -79,25 +83,27 @@
             fingerprint=_to_hex(fingerprint),
             replica=replica.id,
             service=replica.service,
-            is_lone=is_lone,
+            is_canary=is_canary,
             losses=len(suspicion.losses),
-            lone_losses=suspicion.count_lone_losses(),
+            canary_losses=suspicion.count_canary_losses(),
         )
         if is_news and suspicion.has_evidence:
-            self._announce(fingerprint, is_urgent=is_lone)
-        if is_lone:
+            self._announce(fingerprint, is_urgent=is_canary)
+        if is_canary:
             self.loop.call_later(PROBE_DELAY_S, self.probe, replica)
             self.loop.call_later(DECISION_S, self._observe, fingerprint, suspicion)
             self.loop.call_later(CONFIRM_S, self._report_to_older, fingerprint)
         self._observe(fingerprint, suspicion)
 
     def record_survival(
-        self, fingerprint: int, service: str, began_at: float, *, is_lone: bool
+        self, fingerprint: int, service: str, began_at: float, *, is_canary: bool
     ) -> None:
         """Record that a replica of a service answered a read that began at a time."""
         if not self.ledger:
             return
-        if self.ledger.record_survival(fingerprint, service, began_at, is_lone=is_lone):
+        if self.ledger.record_survival(
+            fingerprint, service, began_at, is_canary=is_canary
+        ):
             self._record_cleared(fingerprint, service)
 
     def record_life(self, replica_id: str, began_at: float) -> None:
@@ -113,18 +119,18 @@
         for fingerprint in self.ledger.void_own(since):
             self._record_cleared(fingerprint, "lost links")
 
-    def begin_lone_read(self, fingerprint: int) -> float:
-        """Record a lone read that begins now, and return the time."""
+    def begin_canary(self, fingerprint: int) -> float:
+        """Record a canary read that begins now, and return the time."""
         now = self.loop.now()
-        self.ledger.record_lone_read(fingerprint, now)
+        self.ledger.record_canary(fingerprint, now)
         suspicion = self.ledger.get(fingerprint)
         if suspicion is not None and suspicion.has_evidence:
             self._announce(fingerprint, is_urgent=True)
         return now
 
-    def end_lone_read(self, fingerprint: int, began_at: float) -> None:
-        """Record the end of a lone read."""
-        self.ledger.record_lone_end(fingerprint, began_at)
+    def end_canary(self, fingerprint: int, began_at: float) -> None:
+        """Record the end of a canary read."""
+        self.ledger.record_canary_end(fingerprint, began_at)
 
     def record_older_report(self, report: CrashReport) -> None:
         """Add the crashes that a host of an older version has counted."""
@@ -191,7 +197,7 @@
             "request_quarantined" if is_refused else "request_cleared",
             fingerprint=_to_hex(fingerprint),
             losses=len(suspicion.losses),
-            lone_losses=suspicion.count_lone_losses(),
+            canary_losses=suspicion.count_canary_losses(),
             services=admission.services[:8],
             seconds=round(admission.wait_s, 1),
         )
--- a/cicadalever/gateway/_forward_call.py
+++ b/cicadalever/gateway/_forward_call.py
@@ -2,7 +2,7 @@
 
 from functools import partial
 
-from cicadalever.crashes import LONE_READ_CHECK_S, AdmissionKind
+from cicadalever.crashes import CANARY_CHECK_S, AdmissionKind
 from cicadalever.wire import CallerResponse, is_hop_by_hop
 
 from ._answers import NOT_RUN_KINDS, NOT_RUN_STATUSES, AnswerKind
@@ -43,8 +43,8 @@
         self._last_result: ReadResult | None = None
         # Result of a read that ends before ``ReadRunner.start`` returns.
         self._synchronous_result: ReadResult | None = None
-        # Whether a lone read was lost, after which no other one is sent.
-        self._has_lost_lone_read = False
+        # Whether a canary read was lost, after which no other one is sent.
+        self._has_lost_canary = False
         hedge_s = HEDGE_TARGET_SHARE * self.route.target_latency_s
         self._hedge_at = self.request.received_at + hedge_s
         self.runner.retry_budget.earn(service)
@@ -57,10 +57,10 @@
             self._end_crashing(admission)
             return
         if admission.kind is AdmissionKind.WAIT:
-            self._set_timer(self.loop.now() + LONE_READ_CHECK_S)
+            self._set_timer(self.loop.now() + CANARY_CHECK_S)
             return
-        if admission.kind is AdmissionKind.LONE:
-            self._begin_lone_read()
+        if admission.kind is AdmissionKind.CANARY:
+            self._begin_canary()
         self._has_started = True
         if not self._send():
             self._refuse("no_replica", {"service": self._service})
@@ -83,7 +83,7 @@
             self.route,
             self.table,
             partial(self.run_or_abort, self._on_read_end),
-            is_lone=self._admit().kind is not AdmissionKind.FREE,
+            is_canary=self._admit().kind is not AdmissionKind.FREE,
         )
         if read.on_end is not None:
             self._reads[read] = 0
@@ -104,7 +104,7 @@
             return True
         is_lost = last.kind is AnswerKind.UNKNOWN and self.route.idempotent
         has_attempts = self._attempts < self.route.max_attempts
-        return is_lost and has_attempts and not self._has_lost_lone_read
+        return is_lost and has_attempts and not self._has_lost_canary
 
     def _on_read_end(self, read: Read, result: ReadResult) -> None:
         if self._reads.pop(read, None) is None:
@@ -116,7 +116,7 @@
         if self.is_ended:
             return
         self._observe(result)
-        self._has_lost_lone_read |= result.is_lost and result.is_lone
+        self._has_lost_canary |= result.is_lost and result.is_canary
         kind = result.kind
         if kind is AnswerKind.SUCCESS:
             self._respond(result)
@@ -166,11 +166,11 @@
 
         It gets no second one while the first is in progress.
         """
-        if self._has_lost_lone_read:
+        if self._has_lost_canary:
             return False
         kind = self._admit().kind
         return kind is AdmissionKind.FREE or (
-            kind is AdmissionKind.LONE and cause != "hedge"
+            kind is AdmissionKind.CANARY and cause != "hedge"
         )
 
     def _on_timer(self) -> None:
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
-from cicadalever.crashes import Admission, AdmissionKind, LoneReads, LoneStep
+from cicadalever.crashes import Admission, AdmissionKind, CanaryReads, CanaryStep
 from cicadalever.discovery import ReplicaEntry
 from cicadalever.gather import (
     GatherEndReason,
@@ -104,11 +104,11 @@
         self._sent_at = self.loop.now()
         self._unread = set(range(len(route.shards)))
         is_suspect = admission.kind is not AdmissionKind.FREE
-        self._lone_reads = LoneReads(
+        self._canaries = CanaryReads(
             is_suspect=is_suspect,
             needs_survival=is_repeat or not self.runner.guard.is_informed,
         )
-        if not self._lone_reads.is_holding:
+        if not self._canaries.is_holding:
             self._start_unread()
         if not self.is_ended:
             self._advance(self.loop.now())
@@ -145,15 +145,15 @@
         return self._read(shard)
 
     def _handle_held(self, now: float) -> None:
-        """Send, drop or keep the reads that wait for the end of a lone one."""
+        """Send, drop or keep the reads that wait for the end of a canary read."""
         admission = self._admit()
-        step = self._lone_reads.decide(admission, now)
-        if step is LoneStep.RELEASE:
-            self._lone_reads.release()
+        step = self._canaries.decide(admission, now)
+        if step is CanaryStep.RELEASE:
+            self._canaries.release()
             self._start_unread()
-        elif step is LoneStep.SEND and not self._send_lone_read(admission):
+        elif step is CanaryStep.SEND and not self._send_canary(admission):
             self._drop_held()
-        elif step is LoneStep.DROP:
+        elif step is CanaryStep.DROP:
             is_refused = admission.kind is AdmissionKind.REFUSED
             if is_refused and not (self._may_have_run or self._reads):
                 self._end_crashing(admission)
@@ -162,13 +162,13 @@
 
     def _drop_held(self) -> None:
         """Send none of the reads that wait."""
-        self._lone_reads.release()
+        self._canaries.release()
         for shard in self._unread.union(self._awaiting):
             self._state.mark_exhausted(shard)
         self._unread.clear()
         self._awaiting.clear()
 
-    def _send_lone_read(self, admission: Admission) -> bool:
+    def _send_canary(self, admission: Admission) -> bool:
         """Read one of the shards that wait, if one can be read.
 
         The first choice is one whose replicas the query may have crashed: a replica
@@ -377,19 +377,19 @@
         self._attempts[shard] += 1
         self._has_extra_attempt = self._has_extra_attempt or self._attempts[shard] > 1
         self._state.record_read_start(shard)
-        is_holding = self._lone_reads.is_holding
-        is_lone = is_holding or self._admit().kind is not AdmissionKind.FREE
-        if is_lone:
-            self._lone_reads.record_start(self.loop.now(), self._overdue_s)
+        is_holding = self._canaries.is_holding
+        is_canary = is_holding or self._admit().kind is not AdmissionKind.FREE
+        if is_canary:
+            self._canaries.record_start(self.loop.now(), self._overdue_s)
         if is_holding:
-            self._begin_lone_read()
+            self._begin_canary()
         read = self.runner.start(
             replica,
             self.outbound,
             self.route,
             self.table,
             partial(self.run_or_abort, self._on_read_end),
-            is_lone=is_lone,
+            is_canary=is_canary,
         )
         if read.on_end is not None:
             self._reads[read] = shard
@@ -403,12 +403,12 @@
         """Read a shard from another replica, if attempts and retry budget remain.
 
         Return whether a read was started. A read that replaces one that was never sent
-        is not extra. Without budget, or while a lone read decides about the others,
+        is not extra. Without budget, or while a canary read decides about the others,
         the shard is tried again later, unless the read ``is_held`` no more.
         """
-        if self._lone_reads.has_lost:
+        if self._canaries.has_lost:
             return False
-        if self._lone_reads.is_holding and is_held:
+        if self._canaries.is_holding and is_held:
             self._awaiting.setdefault(shard, cause)
             return False
         service = self.route.shards[shard]
@@ -442,7 +442,7 @@
         now = self.loop.now()
         if (
             result.kind is not AnswerKind.SUCCESS
-            or result.is_lone
+            or result.is_canary
             or self._state.needs_decision(now)
         ):
             self._advance(now)
@@ -468,12 +468,12 @@
 
     def _observe_loss(self, result: ReadResult) -> None:
         """Hold further reads if the query may crash replicas."""
-        if result.is_lone:
-            self._lone_reads.record_end(has_run=result.kind not in NOT_RUN_KINDS)
+        if result.is_canary:
+            self._canaries.record_end(has_run=result.kind not in NOT_RUN_KINDS)
             if result.kind is AnswerKind.SUCCESS:
-                self._lone_reads.record_survival()
+                self._canaries.record_survival()
         if result.is_lost:
-            self._lone_reads.record_loss(is_lone=result.is_lone)
+            self._canaries.record_loss(is_canary=result.is_canary)
 
     def _add_shard_answer(self, shard: int, result: ReadResult) -> None:
         self._may_have_run = True
@@ -494,7 +494,7 @@
         self._groups.clear()
 
     def _advance(self, now: float) -> None:
-        if not self.is_ended and self._lone_reads.is_holding:
+        if not self.is_ended and self._canaries.is_holding:
             self._handle_held(now)
         if self.is_ended:
             return
@@ -523,14 +523,14 @@
             if not self._shard_answers and len(self._reads) >= MIN_SILENT_READS:
                 self.runner.on_silence(self._sent_at)
         wake_at = min(wake_at, self._overdue_at)
-        if self._lone_reads.is_holding:
-            wake_at = min(wake_at, self._lone_reads.due_at)
+        if self._canaries.is_holding:
+            wake_at = min(wake_at, self._canaries.due_at)
         elif self._awaiting:
             wake_at = min(wake_at, now + BUDGET_RETRY_S)
         self._set_timer(wake_at)
 
     def _can_read_again(self, shard: int) -> bool:
-        if self._lone_reads.has_lost:
+        if self._canaries.has_lost:
             return False
         has_attempts = self._attempts[shard] < self.route.max_attempts
         return has_attempts and self._has_untried_replica(shard)
@@ -551,7 +551,7 @@
         }
         if (
             end_reason is GatherEndReason.TOO_FEW
-            and not self._lone_reads.has_lost
+            and not self._canaries.has_lost
             and self._try_hand_over(self._attempts_for_handover())
         ):
             return
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -84,20 +84,20 @@
     answer: ReplicaAnswer
     replica: ReplicaEntry
     is_lost: bool = False
-    is_lone: bool = False
+    is_canary: bool = False
 
 
 class Read:
     """One request to one replica; ``on_end`` is None once it has ended.
 
-    ``started_at`` is the monotonic time in seconds. A read that ``is_lone`` was sent
+    ``started_at`` is the monotonic time in seconds. A read that ``is_canary`` was sent
     although its request may crash replicas.
     """
 
-    def __init__(self, replica: ReplicaEntry, started_at: float, *, is_lone: bool):
+    def __init__(self, replica: ReplicaEntry, started_at: float, *, is_canary: bool):
         self.replica = replica
         self.started_at = started_at
-        self.is_lone = is_lone
+        self.is_canary = is_canary
         self.exchange: Exchange | None = None
         self.on_end: Callable[[Read, ReadResult], None] | None = None
 
@@ -313,15 +313,15 @@
         table: RoutingTable,
         on_end: Callable[[Read, ReadResult], None],
         *,
-        is_lone: bool = False,
+        is_canary: bool = False,
     ) -> Read:
         """Send a request to a replica.
 
-        ``on_end`` is called once, possibly before this method returns. ``is_lone``
+        ``on_end`` is called once, possibly before this method returns. ``is_canary``
         tells that the request may crash replicas.
         """
         now = self.loop.now()
-        read = Read(replica, now, is_lone=is_lone)
+        read = Read(replica, now, is_canary=is_canary)
         read.on_end = on_end
         self.selector.record_start(replica.id, read, now)
         self.limits.record_read(replica.id)
@@ -512,17 +512,17 @@
         is_lost = answer.fault is AnswerFault.LOST and answer.retry_after is None
         if is_lost:
             self.guard.record_loss(
-                outbound.fingerprint, read.replica, is_lone=read.is_lone
+                outbound.fingerprint, read.replica, is_canary=read.is_canary
             )
         elif self.guard.ledger and shows_survival(answer, kind, self.names):
             self.guard.record_survival(
                 outbound.fingerprint,
                 read.replica.service,
                 read.started_at,
-                is_lone=read.is_lone,
+                is_canary=read.is_canary,
             )
         if on_end is not None:
-            result = ReadResult(kind, answer, read.replica, is_lost, read.is_lone)
+            result = ReadResult(kind, answer, read.replica, is_lost, read.is_canary)
             on_end(read, result)
 
     def _record_end(
--- a/cicadalever/peers/_crash_news.py
+++ b/cicadalever/peers/_crash_news.py
@@ -88,7 +88,7 @@
 
 def _is_valid(record: CrashRecord) -> bool:
     losses = record.losses
-    signs = [*record.cleared_services, *record.live_replicas, *record.lone_reads]
+    signs = [*record.cleared_services, *record.live_replicas, *record.canaries]
     names = [name for name, _ in signs]
     names += [each.replica_id for each in losses] + [each.service for each in losses]
     ages = [record.active_age_ms, *(age for _, age in signs)]
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -84,14 +84,14 @@
             )
 
     def condemn(self, address):
-        """Let a host lose replicas to a request and lone reads of it."""
+        """Let a host lose replicas to a request and canary reads of it."""
         gossip, now = self.hosts[address], self.loop.now()
         for number in range(5):
             gossip.ledger.record_loss(
-                7, f"s{number}", f"i-{number}", now - 3.0, is_lone=False
+                7, f"s{number}", f"i-{number}", now - 3.0, is_canary=False
             )
         for number, at in enumerate((now - 1.5, now - 0.5)):
-            gossip.ledger.record_loss(7, "s0", f"i-lone{number}", at, is_lone=True)
+            gossip.ledger.record_loss(7, "s0", f"i-canary{number}", at, is_canary=True)
         gossip.announce(7, is_urgent=True)
 
     def count_refusing(self):
@@ -219,7 +219,7 @@
             sound._replace(losses=[sound.losses[0]] * 100),
             sound._replace(losses=[sound.losses[0]._replace(age_ms=-5)]),
             sound._replace(losses=[sound.losses[0]._replace(service="x" * 300)]),
-            sound._replace(lone_reads=[("host-1", -1)]),
+            sound._replace(canaries=[("host-1", -1)]),
             sound._replace(cleared_services=[("s", 10**12)]),
         )
         for record in odd:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -8,14 +8,14 @@
     REFUSAL_S,
     Admission,
     AdmissionKind,
+    CanaryReads,
+    CanaryStep,
     CrashLedger,
-    LoneReads,
-    LoneStep,
     SharedMemory,
 )
 
-FREE, LONE, WAIT, REFUSED = AdmissionKind
-SEND, RELEASE, DROP, KEEP = LoneStep
+FREE, CANARY, WAIT, REFUSED = AdmissionKind
+SEND, RELEASE, DROP, KEEP = CanaryStep
 # Bounds of the rule: arrivals later than this after the third crash, on all hosts.
 CONTACT_S = 4.0
 MAX_LATE_ARRIVALS = 3
@@ -29,11 +29,11 @@
     def setUp(self):
         self.ledger = CrashLedger("host-1")
 
-    def lose(self, now, *services, is_lone=False, fingerprint=7):
+    def lose(self, now, *services, is_canary=False, fingerprint=7):
         """Lose a replica of each service at a time."""
         for service in services:
             self.ledger.record_loss(
-                fingerprint, service, f"i-{service}-{now}", now, is_lone=is_lone
+                fingerprint, service, f"i-{service}-{now}", now, is_canary=is_canary
             )
 
     def survive(self, now, *services):
@@ -41,10 +41,10 @@
             self.ledger.record_survival(7, service, now)
 
     def condemn(self):
-        """Lose four shards, and lone reads 0.1 and 2 s later."""
+        """Lose four shards, and canary reads 0.1 and 2 s later."""
         self.lose(0.0, "a", "b", "c", "d")
-        self.lose(0.1, "a", is_lone=True)
-        self.lose(2.0, "a", is_lone=True)
+        self.lose(0.1, "a", is_canary=True)
+        self.lose(2.0, "a", is_canary=True)
 
     def kind(self, now):
         return self.ledger.admit(7, now).kind
@@ -57,17 +57,17 @@
         """Guards against a request that takes one replica after the other."""
         self.lose(0.0, "a")
         for now in (1.5, 3.0):
-            self.assertEqual(self.kind(now), LONE)
-            self.lose(now, "a", is_lone=True)
+            self.assertEqual(self.kind(now), CANARY)
+            self.lose(now, "a", is_canary=True)
         self.assertEqual(self.kind(3.3), REFUSED)
         self.assertEqual(self.ledger.admit(8, 3.1).kind, FREE)
 
-    def test_second_lost_lone_read_refuses_a_query_over_shards(self):
+    def test_second_lost_canary_refuses_a_query_over_shards(self):
         """Guards against a query that is sent to all shards as often as it comes."""
         self.lose(0.0, "a", "b", "c", "d")
-        self.lose(0.1, "a", is_lone=True)
-        self.assertEqual(self.kind(2.0), LONE)
-        self.lose(2.0, "b", is_lone=True)
+        self.lose(0.1, "a", is_canary=True)
+        self.assertEqual(self.kind(2.0), CANARY)
+        self.lose(2.0, "b", is_canary=True)
         admission = self.ledger.admit(7, 2.3)
         self.assertEqual(admission.kind, REFUSED)
         self.assertAlmostEqual(admission.wait_s, REFUSAL_S - 0.3)
@@ -77,8 +77,8 @@
         """Guards against refusing requests that lost replicas to another one."""
         self.lose(0.0, "a", "b", "c", "d")
         for now in (0.05, 0.1, 0.2):
-            self.lose(now, "b", is_lone=True)
-        self.assertEqual(self.kind(0.3), LONE)
+            self.lose(now, "b", is_canary=True)
+        self.assertEqual(self.kind(0.3), CANARY)
         self.assertEqual(self.ledger.admit(7, 0.3).services[0], "b")
         self.survive(3.0, "a", "b", "c", "d")
         self.assertEqual(self.kind(3.1), FREE)
@@ -89,48 +89,48 @@
         self.survive(2.1, "e", "b")
         self.assertEqual(self.kind(2.3), REFUSED)
         self.survive(2.1, "a")
-        self.assertEqual(self.kind(2.3), LONE)
+        self.assertEqual(self.kind(2.3), CANARY)
 
     def test_connections_that_break_do_not_refuse_a_request(self):
         """Guards against a refusal before the lost replica could show life."""
         self.condemn()
         self.assertEqual(self.kind(2.1), WAIT)
         self.ledger.record_life("i-a-2.0", 2.05, now=2.1)
-        self.assertEqual(self.kind(2.1), LONE)
+        self.assertEqual(self.kind(2.1), CANARY)
 
     def test_read_that_began_before_the_loss_proves_nothing(self):
         """Guards against an answer that was computed before the replica crashed."""
         self.lose(1.0, "a")
         self.survive(0.9, "a")
-        self.assertEqual(self.kind(1.1), LONE)
+        self.assertEqual(self.kind(1.1), CANARY)
 
-    def test_refusal_ends_with_one_lone_read_and_returns_for_longer(self):
+    def test_refusal_ends_with_one_canary_and_returns_for_longer(self):
         """Guards against a refusal that ends for all copies, or never."""
         self.condemn()
         self.assertEqual(self.kind(61.9), REFUSED)
-        self.assertEqual(self.kind(62.1), LONE)
-        self.ledger.record_lone_read(7, 62.1)
+        self.assertEqual(self.kind(62.1), CANARY)
+        self.ledger.record_canary(7, 62.1)
         self.assertEqual(self.kind(62.2), WAIT)
-        self.ledger.record_lone_end(7, 62.1)
-        self.lose(62.3, "c", is_lone=True)
+        self.ledger.record_canary_end(7, 62.1)
+        self.lose(62.3, "c", is_canary=True)
         self.assertEqual(self.kind(600.0), REFUSED)
-        self.assertEqual(self.kind(663.0), LONE)
+        self.assertEqual(self.kind(663.0), CANARY)
 
-    def test_lone_reads_beside_each_other_are_bounded(self):
+    def test_canaries_beside_each_other_are_bounded(self):
         """Guards against as many reads as copies come at the same time."""
         self.lose(0.0, "a", "b", "c")
         for now in (5.0, 5.001):
-            self.assertEqual(self.kind(now), LONE)
-            self.ledger.record_lone_read(7, now)
+            self.assertEqual(self.kind(now), CANARY)
+            self.ledger.record_canary(7, now)
         self.assertEqual(self.kind(5.01), WAIT)
-        self.assertEqual(self.kind(8.0), LONE)
+        self.assertEqual(self.kind(8.0), CANARY)
 
     def test_replica_is_lost_once_however_often_it_is_reported(self):
         """Guards against one crash that counts as several."""
         for now in (0.0, 0.1, 0.5):
-            self.ledger.record_loss(7, "a", "i-1", now, is_lone=True)
+            self.ledger.record_loss(7, "a", "i-1", now, is_canary=True)
         self.assertEqual(len(self.ledger.get(7).losses), 1)
-        self.ledger.record_loss(7, "a", "i-1", 1.5, is_lone=True)
+        self.ledger.record_loss(7, "a", "i-1", 1.5, is_canary=True)
         self.assertEqual(len(self.ledger.get(7).losses), 2)
 
     def test_memory_is_bounded(self):
@@ -151,7 +151,7 @@
 
     def setUp(self):
         super().setUp()
-        self.ledger.record_loss(7, "a", "i-1", 10.0, is_lone=True)
+        self.ledger.record_loss(7, "a", "i-1", 10.0, is_canary=True)
 
     def test_life_after_the_loss_refutes_a_crash(self):
         """Guards against accusing a request of a replica that went on."""
@@ -164,13 +164,13 @@
     def test_what_began_before_the_loss_proves_nothing(self):
         """Guards against answers that a crashed replica had sent before."""
         self.assertEqual(self.ledger.record_life("i-1", 9.9, now=10.01), [])
-        self.assertEqual(self.kind(10.1), LONE)
+        self.assertEqual(self.kind(10.1), CANARY)
 
     def test_replica_that_is_back_has_crashed(self):
         """Guards against the next process of a replica as proof of its life."""
         now = 10.1 + CONFIRM_S
         self.assertEqual(self.ledger.record_life("i-1", now - 0.05, now), [])
-        self.assertEqual(self.kind(now), LONE)
+        self.assertEqual(self.kind(now), CANARY)
 
     def test_lost_links_refute_losses(self):
         """Guards against accusing requests because this host was cut off."""
@@ -217,15 +217,15 @@
         self.other.merge(old, "host-1", 0.1)
         self.assertEqual(self.other.admit(7, 0.4).kind, FREE)
 
-    def test_lone_read_of_another_host_is_waited_for_until_it_ends(self):
+    def test_canary_of_another_host_is_waited_for_until_it_ends(self):
         """Guards against hosts that try the end of a refusal at the same time."""
         self.condemn()
-        self.ledger.record_lone_read(7, 63.0)
+        self.ledger.record_canary(7, 63.0)
         self.tell(63.01)
         self.assertEqual(self.other.admit(7, 63.02).kind, WAIT)
-        self.ledger.record_lone_end(7, 63.0)
+        self.ledger.record_canary_end(7, 63.0)
         self.tell(63.05)
-        self.assertEqual(self.other.admit(7, 63.06).kind, LONE)
+        self.assertEqual(self.other.admit(7, 63.06).kind, CANARY)
 
     def test_host_that_asks_is_told_refused_requests_first(self):
         """Guards against a refusal that many mere suspicions hide."""
@@ -239,24 +239,24 @@
     def test_report_of_an_older_host_makes_requests_suspected(self):
         """Guards against a refusal of an older version that this one ignores."""
         self.ledger.record_older_report("host-3", 7, 3, now=0.0)
-        self.assertEqual(self.kind(0.1), LONE)
-        self.ledger.record_survival(7, "a", 0.2, is_lone=True)
+        self.assertEqual(self.kind(0.1), CANARY)
+        self.ledger.record_survival(7, "a", 0.2, is_canary=True)
         self.assertEqual(self.kind(0.3), FREE)
 
 
-class TestLoneReads(unittest.TestCase):
+class TestCanaryReads(unittest.TestCase):
     """Reads of a query over shards that are held while a replica may crash."""
 
-    def decide(self, reads, now, kind=LONE):
+    def decide(self, reads, now, kind=CANARY):
         return reads.decide(Admission(kind), now)
 
     def lose_two(self):
         """Return the reads of a query that lost two replicas and reads one again."""
-        reads = LoneReads(is_suspect=False)
-        reads.record_loss(is_lone=False)
+        reads = CanaryReads(is_suspect=False)
+        reads.record_loss(is_canary=False)
         reads.record_start(0.0, overdue_s=0.02)
         self.assertFalse(reads.is_holding)
-        reads.record_loss(is_lone=False)
+        reads.record_loss(is_canary=False)
         self.assertTrue(reads.is_holding)
         return reads
 
@@ -265,7 +265,7 @@
         reads = self.lose_two()
         self.assertEqual(self.decide(reads, 0.01), KEEP)
         reads.record_end(has_run=True)
-        reads.record_loss(is_lone=True)
+        reads.record_loss(is_canary=True)
         self.assertEqual(self.decide(reads, 0.011), DROP)
 
     def test_survival_releases_the_other_reads(self):
@@ -277,7 +277,7 @@
         reads.release()
         self.assertFalse(reads.is_holding)
 
-    def test_silent_lone_reads_are_replaced_a_few_times(self):
+    def test_silent_canaries_are_replaced_a_few_times(self):
         """Guards against a query that waits for a replica which does not answer."""
         reads = self.lose_two()
         for now in (0.03, 0.06):
@@ -290,7 +290,7 @@
 
     def test_reads_that_were_not_run_do_not_count(self):
         """Guards against giving up because some replicas cannot be reached."""
-        reads = LoneReads(is_suspect=True)
+        reads = CanaryReads(is_suspect=True)
         for _ in range(10):
             self.assertEqual(self.decide(reads, 0.0), SEND)
             reads.record_start(0.0, overdue_s=0.02)
@@ -298,12 +298,12 @@
 
     def test_admission_decides_while_nothing_is_in_progress(self):
         """Guards against reads of a refused query, and holds of a cleared one."""
-        reads = LoneReads(is_suspect=True)
+        reads = CanaryReads(is_suspect=True)
         self.assertEqual(self.decide(reads, 0.0, REFUSED), DROP)
         self.assertEqual(self.decide(reads, 0.0, FREE), RELEASE)
         self.assertEqual(self.decide(reads, 0.0, WAIT), KEEP)
         self.assertLess(reads.due_at, 0.1)
-        repeat = LoneReads(is_suspect=False, needs_survival=True)
+        repeat = CanaryReads(is_suspect=False, needs_survival=True)
         self.assertEqual(self.decide(repeat, 0.0, FREE), SEND)
 
 
@@ -368,17 +368,17 @@
             return
         if kind is FREE:
             for shard in range(self.shards):
-                self._crash(ledger, shard, now, is_lone=False)
+                self._crash(ledger, shard, now, is_canary=False)
             now += 0.02
-        self._crash(ledger, self.rng.randrange(self.shards), now, is_lone=True)
+        self._crash(ledger, self.rng.randrange(self.shards), now, is_canary=True)
         self._tell(number, now)
 
-    def _crash(self, ledger, shard, now, *, is_lone):
+    def _crash(self, ledger, shard, now, *, is_canary):
         third = self.crash_times[2] if len(self.crash_times) > 2 else now
         self.late += now > third + CONTACT_S
         self.crash_times.append(now)
         replica_id = f"i-{len(self.crash_times)}"
-        ledger.record_loss(7, f"s{shard}", replica_id, now, is_lone=is_lone)
+        ledger.record_loss(7, f"s{shard}", replica_id, now, is_canary=is_canary)
 
     def _tell(self, number, now):
         record = self.ledgers[number].report(7, now)
