Connect to held shards meanwhile, draw canaries at random, refuse after two

After a common restart each query begins with a canary. All took shard 0, whose slow replica delayed them all, and the other shards were connected to only afterwards: they are now while the canary is out. Two lost canaries refuse a request if no other loss is known, since what came before may be forgotten.

--- a/cicadalever/crashes/_suspicion.py
+++ b/cicadalever/crashes/_suspicion.py
@@ -196,7 +196,11 @@
         )
         canary = self.count_canary_losses()
         may_read = MIN_CANARY_CRASHES - canary
-        if len(losses) >= MIN_CRASHES and may_read <= 0:
+        # Without another loss than those of canaries, this host may have missed some.
+        has_enough = len(losses) >= MIN_CRASHES or all(
+            each.is_canary for each in losses
+        )
+        if has_enough and may_read <= 0:
             refusal_s = REFUSAL_S if may_read == 0 else LONG_REFUSAL_S
             refused_until = max(each.at for each in losses) + refusal_s
             if now < max(each.at for each in losses if each.is_canary) + DECISION_S:
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -110,6 +110,8 @@
         )
         if not self._canaries.is_holding:
             self._start_unread()
+        elif not is_repeat:
+            self._prepare_held()
         if not self.is_ended:
             self._advance(self.loop.now())
 
@@ -144,6 +146,14 @@
         self.runner.retry_budget.earn(self.route.shards[shard])
         return self._read(shard)
 
+    def _prepare_held(self) -> None:
+        """Choose the replicas of the held reads, and connect to them meanwhile."""
+        for shard, service in enumerate(self.route.shards):
+            replica = self.runner.choose_replica(service, self.route, ())
+            if replica is not None:
+                self._chosen_replicas[shard] = replica
+                self.runner.connect_to(replica, self.table)
+
     def _handle_held(self, now: float) -> None:
         """Send, drop or keep the reads that wait for the end of a canary read."""
         admission = self._admit()
@@ -172,13 +182,15 @@
         """Read one of the shards that wait, if one can be read.
 
         The first choice is one whose replicas the query may have crashed: a replica
-        that survives it shows that it does not.
+        that survives it shows that it does not. Among others it is random, since a slow
+        one would delay all queries.
         """
+        rng = self.runner.selector.rng
         order = {service: number for number, service in enumerate(admission.services)}
         shards = self.route.shards
         held = sorted(
             self._unread.union(self._awaiting),
-            key=lambda shard: (order.get(shards[shard], len(order)), shard),
+            key=lambda shard: (order.get(shards[shard], len(order)), rng.random()),
         )
         for shard in held:
             is_first = shard in self._unread and not self._is_repeat
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -429,6 +429,10 @@
             if health.is_unreachable:
                 health.record_connected()
 
+    def connect_to(self, replica: ReplicaEntry, table: RoutingTable) -> None:
+        """Open a connection to a replica that is read soon, unless there is one."""
+        self._pool_for(replica, table).warm_up()
+
     def warm_up(self, table: RoutingTable) -> None:
         """Connect to new replicas near this host before queries need them.
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -98,6 +98,13 @@
         self.ledger.record_life("i-a-2.0", 2.05, now=2.1)
         self.assertEqual(self.kind(2.1), CANARY)
 
+    def test_canaries_alone_refuse_what_other_hosts_may_have_counted(self):
+        """Guards against a third replica after a restart of all hosts."""
+        for now in (0.0, 2.0):
+            self.assertNotEqual(self.kind(now), REFUSED)
+            self.lose(now, "a", is_canary=True)
+        self.assertEqual(self.kind(2.3), REFUSED)
+
     def test_read_that_began_before_the_loss_proves_nothing(self):
         """Guards against an answer that was computed before the replica crashed."""
         self.lose(1.0, "a")
