Make room in the ledger before a request is added to it

With 1000 refused requests the one that was being added was the first that might be evicted, so that its loss was recorded nowhere and the guard raised an exception. The new test failed before (the request was unknown).

--- a/cicadalever/crashes/_ledger.py
+++ b/cicadalever/crashes/_ledger.py
@@ -214,9 +214,9 @@
     def _get_or_add(self, fingerprint: int, now: float) -> Suspicion:
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is None or now - suspicion.active_at > MEMORY_S:
-            suspicion = self._suspicions[fingerprint] = Suspicion(now)
-            if len(self._suspicions) > MAX_FINGERPRINTS:
+            if suspicion is None and len(self._suspicions) >= MAX_FINGERPRINTS:
                 self._evict(now)
+            suspicion = self._suspicions[fingerprint] = Suspicion(now)
         suspicion.active_at = max(suspicion.active_at, now)
         self._suspicions.move_to_end(fingerprint)
         return suspicion
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -152,6 +152,15 @@
         self.assertLessEqual(len(self.ledger.get(7).losses), 16)
         self.assertEqual(self.kind(3000.0), FREE)
 
+    def test_memory_full_of_refused_requests_takes_another_one(self):
+        """Guards against a loss that is recorded nowhere, and an exception."""
+        for number in range(1100):
+            at = 0.5 * number
+            for now in (at, at + 0.1, at + 0.2):
+                self.lose(now, "a", is_canary=True, fingerprint=number)
+                self.assertIsNotNone(self.ledger.get(number))
+        self.assertEqual(len(self.ledger), 1000)
+
 
 class TestSignsOfLife(LedgerTestCase):
     """Lost connections to replicas that have crashed, or have not."""
