Hand groups of shards to other data centres also after a canary

After a canary a query read all shards itself, across data centres, and each group began with a canary of its own. Groups are now formed of the shards that are unread, and the host of a group leaves the canary to the one that asks.

--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -1,6 +1,6 @@
 """Call that reads all shards of a route and merges their answers."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from functools import partial
 
 from cicadalever.crashes import Admission, AdmissionKind, CanaryReads, CanaryStep
@@ -104,9 +104,11 @@
         self._sent_at = self.loop.now()
         self._unread = set(range(len(route.shards)))
         is_suspect = admission.kind is not AdmissionKind.FREE
+        # The host that asks for a group of shards has sent a canary if it had to.
+        is_informed = self._is_group or self.runner.guard.is_informed
         self._canaries = CanaryReads(
             is_suspect=is_suspect,
-            needs_survival=is_repeat or not self.runner.guard.is_informed,
+            needs_survival=is_repeat or not is_informed,
         )
         if not self._canaries.is_holding:
             self._start_unread()
@@ -121,8 +123,7 @@
         if not unread:
             return
         self._is_starting = True
-        is_first = len(unread) == len(self.route.shards)
-        grouped = self._start_groups() if is_first and not self._is_repeat else set()
+        grouped = set() if self._is_repeat else self._start_groups(unread)
         for shard in sorted(unread - grouped):
             if not self._start_shard(shard) and shard not in self._awaiting:
                 self._state.mark_exhausted(shard)
@@ -147,12 +148,17 @@
         return self._read(shard)
 
     def _prepare_held(self) -> None:
-        """Choose the replicas of the held reads, and connect to them meanwhile."""
+        """Choose the replicas of the held reads, and connect to them meanwhile.
+
+        Shards of other data centres may be read by a host there.
+        """
+        own = self.runner.selector.data_centre
         for shard, service in enumerate(self.route.shards):
             replica = self.runner.choose_replica(service, self.route, ())
             if replica is not None:
                 self._chosen_replicas[shard] = replica
-                self.runner.connect_to(replica, self.table)
+                if self._link is None or replica.data_centre == own:
+                    self.runner.connect_to(replica, self.table)
 
     def _handle_held(self, now: float) -> None:
         """Send, drop or keep the reads that wait for the end of a canary read."""
@@ -246,20 +252,22 @@
         """Shards that have not answered."""
         return self._state.unanswered_shards()
 
-    def _start_groups(self) -> set[int]:
+    def _start_groups(self, unread: Collection[int]) -> set[int]:
         """Send groups of shards to hosts of other data centres; return these shards."""
         if self._link is None:
             return set()
         fellows = self._link.fellows_by_data_centre(self.table.version)
         if not fellows:
             return set()
-        for shard, service in enumerate(self.route.shards):
+        for shard in unread:
+            service = self.route.shards[shard]
             replica = self.runner.choose_replica(service, self.route, ())
             if replica is not None:
                 self._chosen_replicas[shard] = replica
         data_centre_of = {
             shard: replica.data_centre
             for shard, replica in self._chosen_replicas.items()
+            if shard in unread
         }
         own = self.runner.selector.data_centre
         groups = group_by_data_centre(data_centre_of, own, fellows)
