Send less news of requests that only lost connections

Now three losses or a lost canary are news; only the latter is repeated, seeds pass it on once, reports name at most four losses, and news is batched for 50 ms.

--- a/cicadalever/crashes/_ledger.py
+++ b/cicadalever/crashes/_ledger.py
@@ -18,7 +18,7 @@
 # Bounds the memory; the request that has not come for the longest time is forgotten.
 MAX_FINGERPRINTS = 1000
 # Requests about which a host that asks is told.
-MAX_REPORTED = 16
+MAX_REPORTED = 8
 
 
 class CrashLedger:
@@ -192,7 +192,7 @@
         return suspicion.report(fingerprint, now)
 
     def report_all(self, now: float) -> list[CrashRecord]:
-        """Return what a host that knows nothing should be told, at most 16 requests.
+        """Return what a host that knows nothing should be told, at most 8 requests.
 
         Those that are refused come first, then those that came last.
         """
--- a/cicadalever/crashes/_suspicion.py
+++ b/cicadalever/crashes/_suspicion.py
@@ -26,8 +26,8 @@
 # Lost replicas that are remembered of one request.
 MAX_LOSSES = 16
 # Lost replicas and signs of life that one report contains.
-MAX_REPORTED_LOSSES = 6
-MAX_REPORTED_SURVIVALS = 8
+MAX_REPORTED_LOSSES = 4
+MAX_REPORTED_SURVIVALS = 4
 # Service of replicas that an older host lost, which does not tell it.
 UNKNOWN_SERVICE = ""
 
@@ -125,7 +125,9 @@
     @property
     def has_evidence(self) -> bool:
         """Whether other hosts should know of the suspicion."""
-        return len(self._losses) > 1 or any(each.is_canary for each in self._losses)
+        return len(self._losses) >= MIN_CRASHES or any(
+            each.is_canary for each in self._losses
+        )
 
     def add_loss(self, loss: LostReplica) -> bool:
         """Add a lost replica and return whether that is news.
--- a/cicadalever/gateway/_crash_gossip.py
+++ b/cicadalever/gateway/_crash_gossip.py
@@ -15,14 +15,16 @@
 from ._events import EventLog
 from ._peers import PeerLink
 
-# Delays after which news is sent, because datagrams get lost. A request that only lost
-# connections is mostly cleared before the first one.
-NEWS_DELAYS_S = (0.05, 0.15, 0.5)
+# Delays after which news is sent. A request that only lost connections is mostly
+# cleared before.
+NEWS_DELAYS_S = (0.5,)
 # The same for a request that has lost a canary read: its caller may already be
-# repeating it at another host.
+# repeating it at another host, and datagrams get lost.
 URGENT_DELAYS_S = (0.0, 0.1, 0.4)
+# The same for news that is passed on once.
+FORWARD_DELAYS_S = (0.0,)
 # Least time between two sendings of news.
-MIN_PERIOD_S = 0.01
+MIN_PERIOD_S = 0.05
 # Time between two questions to another host for all that it knows, time after which one
 # without an answer is put to another host, and how often that is done.
 SYNC_PERIOD_S = 1.5
@@ -75,9 +77,21 @@
 
     def announce(self, fingerprint: int, *, is_urgent: bool) -> None:
         """Tell other hosts soon what is known about a request."""
-        now = self.loop.now()
         delays = URGENT_DELAYS_S if is_urgent else NEWS_DELAYS_S
-        self._due[fingerprint] = [now + delay for delay in delays]
+        self._plan(fingerprint, delays)
+
+    def announce_once(self, fingerprint: int) -> None:
+        """Tell other hosts at once, without repetition."""
+        self._plan(fingerprint, FORWARD_DELAYS_S)
+
+    def _plan(self, fingerprint: int, delays: tuple[float, ...]) -> None:
+        now = self.loop.now()
+        times = [now + delay for delay in delays]
+        repetitions = self._due.get(fingerprint, ())
+        self._due[fingerprint] = [
+            *times,
+            *(each for each in repetitions if each > times[-1]),
+        ]
         self._schedule()
 
     def _remember(self, fingerprint: int) -> None:
@@ -173,7 +187,7 @@
                 "crash_news", fingerprint=f"{fingerprint:016x}", by=news.host
             )
             if self.link.peer_table.is_seed:
-                self.announce(fingerprint, is_urgent=True)
+                self.announce_once(fingerprint)
         self.on_news(news.host, changed)
         if news.wants_reply:
             self._send(self.ledger.report_all(now), [news.address])
--- a/cicadalever/gateway/_crash_guard.py
+++ b/cicadalever/gateway/_crash_guard.py
@@ -125,7 +125,7 @@
         self.ledger.record_canary(fingerprint, now)
         suspicion = self.ledger.get(fingerprint)
         if suspicion is not None and suspicion.has_evidence:
-            self._announce(fingerprint, is_urgent=True)
+            self._announce_once(fingerprint)
         return now
 
     def end_canary(self, fingerprint: int, began_at: float) -> None:
@@ -162,13 +162,17 @@
             by=name,
             losses=len(suspicion.losses),
         )
-        self._announce(fingerprint, is_urgent=True)
+        self._announce_once(fingerprint)
         self._observe(fingerprint, suspicion)
 
     def _announce(self, fingerprint: int, *, is_urgent: bool) -> None:
         if self.gossip is not None:
             self.gossip.announce(fingerprint, is_urgent=is_urgent)
 
+    def _announce_once(self, fingerprint: int) -> None:
+        if self.gossip is not None:
+            self.gossip.announce_once(fingerprint)
+
     def _report_to_older(self, fingerprint: int) -> None:
         """Tell hosts of older versions of a refusal, which they do not take back."""
         suspicion = self.ledger.get(fingerprint)
