--- a/cicadalever/gateway/_crash_gossip.py
+++ b/cicadalever/gateway/_crash_gossip.py
@@ -23,8 +23,10 @@
 URGENT_DELAYS_S = (0.0, 0.1, 0.4)
 # The same for news that is passed on once.
 FORWARD_DELAYS_S = (0.0,)
-# Least time between two sendings of news.
+# Least time between two sendings of news, for each request that the first one names,
+# and most requests that one names: each is sent to all hosts that the sender knows.
 MIN_PERIOD_S = 0.05
+MAX_RECORDS = 4
 # Time between two questions to another host for all that it knows, time after which one
 # without an answer is put to another host, and how often that is done.
 SYNC_PERIOD_S = 1.5
@@ -60,7 +62,7 @@
         # Requests of which other hosts know; only these are told that one is cleared.
         self._told: set[int] = set()
         self._flush_at = float("inf")
-        self._flushed_at = float("-inf")
+        self._next_flush_at = float("-inf")
         # Unanswered questions, and the host that was asked last.
         self._tries = 0
         self._asked: Address | None = None
@@ -103,7 +105,7 @@
         if not self._due:
             return
         due_at = min(times[0] for times in self._due.values())
-        due_at = max(due_at, self._flushed_at + MIN_PERIOD_S)
+        due_at = max(due_at, self._next_flush_at)
         if due_at < self._flush_at:
             self._flush_at = due_at
             self.loop.call_at(due_at, self._flush, due_at)
@@ -112,11 +114,13 @@
         if planned_at != self._flush_at:
             # Another flush was planned for an earlier time.
             return
-        now = self._flushed_at = self.loop.now()
+        now = self.loop.now()
         self._flush_at = float("inf")
         due = [key for key, times in self._due.items() if times[0] <= now]
         records = []
         for fingerprint in due:
+            if len(records) == MAX_RECORDS:
+                break
             times = self._due[fingerprint]
             del times[0]
             if not times:
@@ -125,6 +129,7 @@
             if record is not None and (record.losses or fingerprint in self._told):
                 records.append(record)
                 self._remember(fingerprint)
+        self._next_flush_at = now + MIN_PERIOD_S * max(1, len(records))
         if records:
             peers = self.link.peer_table
             addresses = dict.fromkeys(peers.advisers())
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -185,6 +185,20 @@
         idle = 10 * 2 * 2
         self.assertLessEqual(self.network.datagrams - before, idle)
 
+    def test_rate_of_news_is_bounded(self):
+        """Guards against links that are full of news after many lost canaries."""
+        before = self.network.datagrams
+        gossip = self.network.hosts[self.network.addresses[9]]
+        for fingerprint in range(1000):
+            gossip.ledger.record_loss(
+                fingerprint, "a", f"i-{fingerprint}", 10.0, is_canary=True
+            )
+            gossip.announce(fingerprint, is_urgent=True)
+        self.loop.run_until(11.0)
+        sent = self.network.datagrams - before
+        # 24 requests by one host to three seeds, each of which passes them on to nine.
+        self.assertLess(sent, 24 * 3 + 3 * 24 * 9 + 200)
+
 
 class TestCrashNews(unittest.TestCase):
     """Datagrams of crash news."""
