--- a/cicadalever/crashes/_suspicion.py
+++ b/cicadalever/crashes/_suspicion.py
@@ -17,8 +17,8 @@
 # Time after which a canary read that was lost counts for a refusal, unless the replica
 # has shown life.
 DECISION_S = 0.2
-# Time for which a request is refused before a canary read tries it again, and after
-# such a read was lost as well.
+# Time for which a request is refused before a canary read tries it again, since the
+# suspicion may be wrong, and after such a read was lost as well.
 REFUSAL_S = 60.0
 LONG_REFUSAL_S = 600.0
 # Time after which a canary read of another host is not waited for any more.
