Do not log a lost trial as the end of a refusal

When the canary after a refusal was lost too, the request waits 0.2 s for a sign of life, which was taken for the end of the refusal: operators read request_cleared and then request_quarantined again, counted twice. A request that waits is neither. The new test failed before (quarantined, cleared, quarantined). The method is called by what it does. tests.test_crash_gossip passes.

--- a/cicadalever/gateway/_crash_guard.py
+++ b/cicadalever/gateway/_crash_guard.py
@@ -91,9 +91,9 @@
             self._announce(fingerprint, is_urgent=is_canary)
         if is_canary:
             self.loop.call_later(PROBE_DELAY_S, self.probe, replica)
-            self.loop.call_later(DECISION_S, self._observe, fingerprint, suspicion)
+            self.loop.call_later(DECISION_S, self._log_refusal, fingerprint, suspicion)
             self.loop.call_later(CONFIRM_S, self._report_to_older, fingerprint)
-        self._observe(fingerprint, suspicion)
+        self._log_refusal(fingerprint, suspicion)
 
     def record_survival(
         self, fingerprint: int, service: str, began_at: float, *, is_canary: bool
@@ -152,7 +152,7 @@
             self._reporting_hosts.clear()
         self._reporting_hosts.add(host)
         for fingerprint in fingerprints:
-            self._observe(fingerprint, self.ledger.get(fingerprint))
+            self._log_refusal(fingerprint, self.ledger.get(fingerprint))
 
     def _record_cleared(self, fingerprint: int, name: str) -> None:
         suspicion = self.ledger.get(fingerprint)
@@ -163,7 +163,7 @@
             losses=len(suspicion.losses),
         )
         self._announce_once(fingerprint)
-        self._observe(fingerprint, suspicion)
+        self._log_refusal(fingerprint, suspicion)
 
     def _announce(self, fingerprint: int, *, is_urgent: bool) -> None:
         if self.gossip is not None:
@@ -182,11 +182,14 @@
         if admission.kind is AdmissionKind.REFUSED:
             self.gossip.link.report_crashes(fingerprint, len(suspicion.losses))
 
-    def _observe(self, fingerprint: int, suspicion: Suspicion | None) -> None:
+    def _log_refusal(self, fingerprint: int, suspicion: Suspicion | None) -> None:
         """Log when a request begins or ceases to be refused."""
         if suspicion is None:
             return
         admission = suspicion.admission(self.loop.now())
+        if admission.kind is AdmissionKind.WAIT:
+            # It is decided when the replica that was lost last could show life.
+            return
         is_refused = admission.kind is AdmissionKind.REFUSED
         if is_refused == (fingerprint in self._refused):
             return
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -13,6 +13,7 @@
     SharedMemory,
 )
 from cicadalever.gateway._crash_gossip import CrashGossip
+from cicadalever.gateway._crash_guard import CrashGuard
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
     MAX_DATAGRAM_BYTES,
@@ -200,6 +201,28 @@
         self.assertLess(sent, 24 * 3 + 3 * 24 * 9 + 200)
 
 
+class TestCrashGuard(unittest.TestCase):
+    """Lines of the log about a request that crashes replicas."""
+
+    def test_lost_trial_is_not_logged_as_cleared(self):
+        """Guards against a log that says the opposite of what happened."""
+        loop, lines = VirtualLoop(), []
+        events = SimpleNamespace(
+            emit=lambda event, **fields: lines.append(event),
+            emit_detail=lambda event, **fields: None,
+        )
+        metrics = SimpleNamespace(request_quarantined=lambda: None)
+        guard = CrashGuard(
+            loop, events, metrics, CrashLedger("host-1"), lambda replica: None
+        )
+        for at, is_canary in ((0.0, False), (2.0, True), (4.0, True), (70.0, True)):
+            loop.run_until(at)
+            replica = SimpleNamespace(id=f"i-{at}", service="a")
+            guard.record_loss(7, replica, is_canary=is_canary)
+        loop.run_until(72.0)
+        self.assertEqual(lines, ["request_quarantined"])
+
+
 class TestCrashNews(unittest.TestCase):
     """Datagrams of crash news."""
 
