Log when the platform was out of reach and which removals are held back

The logs could not tell whether a host used a removed replica because a call stayed unanswered or because of the grace period. platform_lost now says how long the call had run, platform_back since when the platform was surely out of reach, and grace_started and removal_held when the grace ends and for whom.

--- a/cicadalever/discovery/_directory.py
+++ b/cicadalever/discovery/_directory.py
@@ -43,6 +43,8 @@
         self._ready_by_service: dict[str, dict[str, ReplicaEntry]] = {}
         # Times at which missing replicas are removed, by id.
         self._removal_times: dict[str, float] = {}
+        # Those of them that have not been reported yet.
+        self._unreported_removals: set[str] = set()
         # Last entries of removed replicas, with the revision of the removal, by id.
         self._removed: dict[str, ReplicaEntry] = {}
         # Replicas whose entry or removal is of an earlier era of the platform.
@@ -115,10 +117,24 @@
         if replica_id not in self._entries:
             return None
         if now < self._grace_until:
-            self._removal_times.setdefault(replica_id, self._grace_until)
+            if replica_id not in self._removal_times:
+                self._removal_times[replica_id] = self._grace_until
+                self._unreported_removals.add(replica_id)
             return None
         return self._remove_now(replica_id, reason, revision)
 
+    def take_held_removals(self) -> list[tuple[str, float]]:
+        """Return the replicas whose removal was held back since the last call.
+
+        Each is given with the time of its removal.
+        """
+        held, self._unreported_removals = self._unreported_removals, set()
+        return [
+            (each, self._removal_times[each])
+            for each in sorted(held)
+            if each in self._removal_times
+        ]
+
     def reject(self, replica_id: str) -> DirectoryChange | None:
         """Remove a replica at once because its present entry names none.
 
--- /dev/null
+++ b/cicadalever/freshness/_contact.py
@@ -0,0 +1,66 @@
+"""Record of when the platform has answered and when it has not."""
+
+from typing import NamedTuple
+
+
+class Outage(NamedTuple):
+    """A time in which the platform may have been out of reach.
+
+    It was in reach at ``answered_at`` and again at ``returned_at``. At ``failed_at``,
+    or later, it was not, or a connection to it was not: the return lies between
+    ``failed_at`` and ``returned_at``.
+    """
+
+    answered_at: float
+    failed_at: float
+    returned_at: float
+
+
+class PlatformContact:
+    """Derives from the ends of calls when the platform may have been out of reach.
+
+    Times are on one monotonic clock in seconds.
+
+    >>> contact = PlatformContact(now=0.0)
+    >>> contact.record_answer(now=5.0) is None
+    True
+    >>> contact.record_failure(called_at=6.0), contact.record_failure(called_at=8.0)
+    (True, False)
+    >>> contact.record_answer(now=9.0)
+    Outage(answered_at=5.0, failed_at=8.0, returned_at=9.0)
+    """
+
+    def __init__(self, now: float):
+        self._answered_at = now
+        self._failed_at: float | None = None
+
+    @property
+    def answered_at(self) -> float:
+        """Time as of which the platform has last confirmed that nothing is missing."""
+        return self._answered_at
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the latest call has failed."""
+        return self._failed_at is not None
+
+    def record_failure(self, called_at: float) -> bool:
+        """Record the failure of a call; return whether it is the first one.
+
+        The connection of the first one may have been dead since the last answer. The
+        next calls use new connections.
+        """
+        is_first = self._failed_at is None
+        self._failed_at = self._answered_at if is_first else called_at
+        return is_first
+
+    def record_answer(self, now: float) -> Outage | None:
+        """Record an answer that is current as of ``now``.
+
+        Return the outage that it ends, or None if the calls before it were answered.
+        """
+        outage = None
+        if self._failed_at is not None:
+            outage = Outage(self._answered_at, self._failed_at, now)
+        self._answered_at, self._failed_at = now, None
+        return outage
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -202,10 +202,17 @@
                 for each in update.removed
             ]
             changes += [directory.reject(each) for each in update.unreadable]
+        self._report_held(now)
         self._handle_directory_changes(
             [change for change in changes if change is not None]
         )
 
+    def _report_held(self, now: float) -> None:
+        for replica_id, removal_at in self.components.directory.take_held_removals():
+            self.components.events.emit_detail(
+                "removal_held", replica=replica_id, seconds=round(removal_at - now, 2)
+            )
+
     def _report_rejected(self, update: PlatformUpdate) -> None:
         sound = {entry.id for entry in update.entries}.union(update.removed)
         unreported = self._rejected.record(
@@ -223,10 +230,18 @@
         None stands for the full grace period of the directory.
         """
         directory, now = self.components.directory, self.components.loop.now()
+        previous_s = directory.remaining_grace_s(now)
         if grace_s is None:
             directory.start_grace_period(now)
         else:
             directory.start_grace_period(now, grace_s)
+        remaining_s = directory.remaining_grace_s(now)
+        if remaining_s > previous_s:
+            self.components.events.emit(
+                "grace_started",
+                seconds=round(remaining_s, 2),
+                source="platform" if grace_s is None else "larger host",
+            )
 
     def _apply_table(self, table, update: PlatformUpdate) -> None:
         service = self.components.service
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -7,6 +7,7 @@
 import eventlet
 import eventlet.event
 
+from cicadalever.freshness import PlatformContact
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.peers import Position, RelayedChanges
 from cicadalever.wire import EventLoop
@@ -139,13 +140,14 @@
         self._unconfirmed_since = 0.0
         self._thread = None
         self._pause: eventlet.event.Event | None = None
-        self._lost_at: float | None = None
-        self._contact_at = loop.now()
+        self._contact = PlatformContact(loop.now())
+        # When the latest call to the platform began.
+        self._called_at = loop.now()
 
     @property
     def contact_age_s(self) -> float:
         """Seconds since the last answer from the platform."""
-        return self.loop.now() - self._contact_at
+        return self.loop.now() - self._contact.answered_at
 
     def start(self) -> None:
         """Start the green thread."""
@@ -184,7 +186,7 @@
             if self._follow_peer():
                 backoff_s = MIN_BACKOFF_S
                 continue
-            called_at = self.loop.now()
+            called_at = self._called_at = self.loop.now()
             wait_s = self._watch_wait_s()
             result = self.client.watch(self._revision, wait_s)
             if isinstance(result, HistoryLost) or not self._can_go_on(result):
@@ -242,6 +244,7 @@
     def _read_all(self, *, allow_stale: bool) -> None:
         backoff_s = MIN_BACKOFF_S
         while True:
+            self._called_at = self.loop.now()
             result = self.client.read_all(allow_stale=allow_stale)
             if not isinstance(result, Failure):
                 break
@@ -268,7 +271,7 @@
     def _watch_wait_s(self) -> float:
         if self._unconfirmed is not None:
             return 0.0
-        if self._lost_at is not None or self._is_resuming:
+        if self._contact.is_lost or self._is_resuming:
             return RECONNECT_WAIT_S
         if self.relay is not None and self.relay.has_followers:
             return self.timing.followed_wait_s
@@ -370,14 +373,22 @@
         eventlet.sleep(seconds * (1.0 + 0.5 * self.rng.random()))
 
     def _record_failure(self, failure: Failure) -> None:
-        if self._lost_at is None:
-            self._lost_at = self.loop.now()
-            self.events.emit("platform_lost", reason=failure.reason)
+        now = self.loop.now()
+        answered_s = now - self._contact.answered_at
+        if self._contact.record_failure(self._called_at):
+            self.events.emit(
+                "platform_lost",
+                reason=failure.reason,
+                called_s=round(now - self._called_at, 2),
+                answered_s=round(answered_s, 2),
+            )
 
     def _record_contact(self, age_s: float = 0.0) -> None:
-        self._contact_at = self.loop.now() - age_s
-        if self._lost_at is not None:
-            away_s = self._contact_at - self._lost_at
-            self._lost_at = None
-            self.events.emit("platform_back", away_s=round(away_s, 2))
+        outage = self._contact.record_answer(self.loop.now() - age_s)
+        if outage is not None:
+            self.events.emit(
+                "platform_back",
+                away_s=round(outage.returned_at - outage.answered_at, 2),
+                failed_s=round(outage.returned_at - outage.failed_at, 2),
+            )
             self.on_platform_returned(None)
