Print the logs of gateways with the violations of mixed builds

test_hosts_that_gather_themselves failed once in a whole run on beside load: gateway 1 refused queries with 503 for 12 s after the faults had ended. The output was cut, so that the reason of the refusals is not known.

--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -100,6 +100,9 @@
 class UpgradeTestCase(unittest.TestCase):
     """Provides the landed version."""
 
+    # Violations are printed whole, with the log lines that tell their cause.
+    maxDiff = None
+
     def extract_landed(self):
         """Return the folder of the landed build."""
         if not (ROOT / ".git").exists():
@@ -118,6 +121,7 @@
         violations = upgrade.run()
         if violations:
             violations += upgrade.history
+            violations += [line for tail in upgrade.log_tails for line in tail]
         self.assertEqual(violations, [])
         self.assertEqual(
             upgrade.combinations,
