Give up a call to the platform a share of ContactMs after the last answer

What callers saw: requests at a service or route of an old version, though the host counted as in touch again and new calls to the platform worked.

Cause: a connection may fall silent as early as the last answer, and nothing but the time-out of the call tells. Its wait was planned from the start of the call and for versions that come after the silence, ContactMs + bound - 3 s, and its margin and the time to connect were added to that: 5.5 to 6.5 s at ContactMs 4 s.

Fix: WatchTiming (now in cicadalever.freshness) plans the end of a call, with its connection, head and body, from the last answer: 0.7 of ContactMs later at most, however long the host paused in between. The rest is left for a call on a new connection. Pauses, the age of relayed data and long polls are bounded by ContactMs as well as by the other bounds, since it may be the smallest; the time of a poll comes from the bounds too, so that a lost source is replaced in time. Each page of a complete read has one time-out as well.

Tests replaced: test_lost_watch_ends_before_the_bounds_apply_again allowed a lost watch to take ContactMs + bound; it now demands ContactMs, for seven settings and any pause before the call. test_wait_stays_in_range pinned 1.0 s at ContactMs 0.5 s, which cannot keep that bound; it demands waits of 0.4 of ContactMs and at most 30 s. New: at most one call in two seconds at 4/3/3.

--- a/cicadalever/freshness/__init__.py
+++ b/cicadalever/freshness/__init__.py
@@ -5,5 +5,6 @@
 """
 
 from ._contact import Outage, PlatformContact
+from ._timing import PlannedCall, WatchTiming
 
-__all__ = ["Outage", "PlatformContact"]
+__all__ = ["Outage", "PlannedCall", "PlatformContact", "WatchTiming"]
--- a/cicadalever/gateway/_adapter.py
+++ b/cicadalever/gateway/_adapter.py
@@ -104,15 +104,21 @@
     def close(self) -> None:
         """Close all connections; a call after that opens new ones."""
 
-    def read_all(self, *, allow_stale: bool) -> PlatformUpdate | Failure:
-        """Return the full state; with ``allow_stale`` it may be a few seconds old."""
+    def read_all(
+        self, *, allow_stale: bool, timeout_s: float
+    ) -> PlatformUpdate | Failure:
+        """Return the full state; with ``allow_stale`` it may be a few seconds old.
+
+        Each of the calls that it takes fails after ``timeout_s`` seconds.
+        """
 
     def watch(
-        self, after: int, wait_s: float
+        self, after: int, wait_s: float, timeout_s: float
     ) -> PlatformUpdate | HistoryLost | Failure:
         """Return the changes after a revision, after at most ``wait_s`` seconds.
 
-        Without changes, the update is empty.
+        Without changes, the update is empty. The call fails if the answer, with the
+        time to connect, is not complete ``timeout_s`` seconds after its begin.
         """
 
 
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -4,6 +4,7 @@
 
 from cicadalever.crashes import CrashLedger, SharedMemory
 from cicadalever.discovery import UpstreamDirectory
+from cicadalever.freshness import WatchTiming
 from cicadalever.peers import PeerTable
 from cicadalever.placement import LeastCostSelector
 from cicadalever.retries import SLACK_PER_HOST, RetryBudget
@@ -14,7 +15,7 @@
 from ._crash_gossip import CrashGossip
 from ._daemon import GatewayComponents, GatewayDaemon
 from ._events import EventLog
-from ._follower import PlatformFollower, WatchTiming
+from ._follower import PlatformFollower
 from ._metrics import GatewayMetrics
 from ._peers import PeerLink
 from ._readiness import Readiness
@@ -84,9 +85,11 @@
         runner, link, events, has_other_data_centres=settings.data_centres > 1
     )
     service = GatewayService(runner, events, link, contact)
+    timing = WatchTiming.plan(settings.contact_s, settings.apply_s, settings.drain_s)
     relay = ChangeRelay(
         loop,
         link,
+        timing,
         age_s=lambda: daemon.follower.contact_age_s,
         grace_s=lambda: directory.remaining_grace_s(loop.now()),
         on_first_follower=lambda: daemon.follower.restart(),
@@ -129,7 +132,7 @@
     daemon = GatewayDaemon(components, adapter.settings_path)
     daemon.follower = PlatformFollower(
         adapter.connect(settings.platform_address),
-        WatchTiming.plan(settings.contact_s, settings.apply_s, settings.drain_s),
+        timing,
         loop,
         rng,
         events,
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import NamedTuple
 
 import eventlet
 import eventlet.event
 
-from cicadalever.freshness import PlatformContact
+from cicadalever.freshness import PlannedCall, PlatformContact, WatchTiming
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.peers import Position, RelayedChanges
 from cicadalever.wire import EventLoop
@@ -18,8 +17,6 @@
 
 # Longest wait that the platform allows for a watch call.
 MAX_WATCH_WAIT_S = 30.0
-# Time to call the platform again after a watch has timed out, and to apply the answer.
-RECOVERY_MARGIN_S = 3.0
 # Time after which a first read is used although the changes since then cannot be read:
 # without it, this host could serve no request at all.
 MAX_UNCONFIRMED_S = 2.0
@@ -28,16 +25,6 @@
 # Wait of the watch call after a failure: short, so that its answer soon shows that the
 # platform is reachable again.
 RECONNECT_WAIT_S = 0.1
-# Least time between two watch calls, as a share of the time in which a change must be
-# in force. Changes in quick succession are then fetched by one call.
-INTERVAL_SHARE = 0.35
-# Greatest age of data from another host, as a share of the same time. The rest is left
-# for asking the platform instead.
-MAX_AGE_SHARE = 0.5
-# Time for the answer of a slow platform, and the least wait of a watch call of a host
-# that relays changes to others.
-SLOW_ANSWER_S = 0.4
-MIN_FOLLOWED_WAIT_S = 0.1
 # The platform limits the answer to a watch to a few hundred changes. After an answer
 # with at least this many, more may be pending, so the next call follows after this
 # share of the interval.
@@ -49,43 +36,6 @@
 MAX_BACKOFF_S = 1.0
 
 
-class WatchTiming(NamedTuple):
-    """Longest wait of a watch call and least time between two calls, in seconds.
-
-    A platform that lost a watch call during a disturbance never answers it, and TCP
-    keep-alive probes do not detect that. The wait therefore ends early enough for this
-    host to be up to date when the bounds of the deployment apply again.
-    """
-
-    wait_s: float
-    interval_s: float
-    # Greatest age of data from another host that is used.
-    max_age_s: float = 0.0
-
-    @property
-    def followed_wait_s(self) -> float:
-        """Longest wait of a watch call of a host that relays changes to others.
-
-        It is short enough that the data of this host does not become older than
-        ``max_age_s`` while nothing changes.
-        """
-        return max(
-            MIN_FOLLOWED_WAIT_S,
-            self.max_age_s - self.interval_s - SLOW_ANSWER_S,
-        )
-
-    @classmethod
-    def plan(cls, contact_s: float, apply_s: float, drain_s: float) -> "WatchTiming":
-        """Return the timing for the bounds of a deployment; see ``HostSettings``."""
-        bound_s = min(apply_s, drain_s)
-        wait_s = contact_s + bound_s - RECOVERY_MARGIN_S
-        return cls(
-            min(MAX_WATCH_WAIT_S, max(1.0, wait_s)),
-            INTERVAL_SHARE * bound_s,
-            MAX_AGE_SHARE * bound_s,
-        )
-
-
 class PlatformFollower:
     """Reads the full state once and then follows the changes in a green thread.
 
@@ -187,8 +137,8 @@
                 backoff_s = MIN_BACKOFF_S
                 continue
             called_at = self._called_at = self.loop.now()
-            wait_s = self._watch_wait_s()
-            result = self.client.watch(self._revision, wait_s)
+            call = self._plan_call(called_at)
+            result = self.client.watch(self._revision, *call)
             if isinstance(result, HistoryLost) or not self._can_go_on(result):
                 self.events.emit("history_lost", revision=self._revision, era=self._era)
                 if was_history_lost:
@@ -245,7 +195,9 @@
         backoff_s = MIN_BACKOFF_S
         while True:
             self._called_at = self.loop.now()
-            result = self.client.read_all(allow_stale=allow_stale)
+            result = self.client.read_all(
+                allow_stale=allow_stale, timeout_s=self.timing.read_timeout_s
+            )
             if not isinstance(result, Failure):
                 break
             self._record_failure(result)
@@ -268,7 +220,16 @@
         if update is not None:
             self._deliver(update)
 
-    def _watch_wait_s(self) -> float:
+    def _plan_call(self, now: float) -> PlannedCall:
+        """Return the times of a watch call that begins at ``now``."""
+        return self.timing.plan_call(
+            now,
+            self._contact.answered_at,
+            self.timing.min_margin_s,
+            self._longest_wait_s(),
+        )
+
+    def _longest_wait_s(self) -> float:
         if self._unconfirmed is not None:
             return 0.0
         if self._contact.is_lost or self._is_resuming:
@@ -276,8 +237,8 @@
         if self.relay is not None and self.relay.has_followers:
             return self.timing.followed_wait_s
         if self._has_rejected_source:
-            return min(self.timing.wait_s, REJECTION_S)
-        return self.timing.wait_s
+            return REJECTION_S
+        return MAX_WATCH_WAIT_S
 
     def _follow_peer(self) -> bool:
         """Apply changes of a larger host; return whether that was possible."""
--- a/cicadalever/gateway/_relay.py
+++ b/cicadalever/gateway/_relay.py
@@ -5,6 +5,7 @@
 
 import eventlet.event
 
+from cicadalever.freshness import WatchTiming
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.peers import (
     ChangeLog,
@@ -27,11 +28,6 @@
 from ._peers import PeerLink
 
 RELAY_PATH = b"/changes/"
-# A long poll without changes is answered after this time, so that the follower knows
-# how old its data is.
-LONG_POLL_S = 0.8
-# Time after the end of a long poll after which the source counts as unreachable.
-LONG_POLL_MARGIN_S = 0.4
 # Time for which a host is not chosen as a source again after it failed as one.
 REJECTION_S = 2.0
 # Followers that have not polled for this long no longer count. A follower that rejected
@@ -54,7 +50,9 @@
     """Sends changes to the hosts that follow this one, and polls the host it follows.
 
     ``age_s`` and ``grace_s`` return the age of this host's data and the time that is
-    left for expired entries to be published again; see ``RelayedChanges``.
+    left for expired entries to be published again; see ``RelayedChanges``. A long poll
+    without changes is answered after ``timing.long_poll_s``, so that the follower knows
+    how old its data is.
     ``on_first_follower`` should start a new call to the platform, since the data of
     this host grows old during a watch with a long wait.
     """
@@ -63,12 +61,14 @@
         self,
         loop: EventLoop,
         link: PeerLink,
+        timing: WatchTiming,
         age_s: Callable[[], float],
         grace_s: Callable[[], float],
         on_first_follower: Callable[[], None],
     ):
         self.loop = loop
         self.link = link
+        self.timing = timing
         self.age_s = age_s
         self.grace_s = grace_s
         self.on_first_follower = on_first_follower
@@ -116,7 +116,9 @@
             return
         self._waiting_followers.append(follower)
         connection.on_disconnect = lambda: self._remove(follower)
-        self.loop.call_later(LONG_POLL_S, self._respond_if_waiting, follower)
+        self.loop.call_later(
+            self.timing.long_poll_s, self._respond_if_waiting, follower
+        )
 
     def _respond_to_all(self) -> None:
         waiting, self._waiting_followers = self._waiting_followers, []
@@ -167,7 +169,7 @@
 
         exchange = Exchange(encode, b"", RELAY_RANK, answered.send)
         timer = self.loop.call_later(
-            LONG_POLL_S + LONG_POLL_MARGIN_S, exchange.cancel, "no answer to the poll"
+            self.timing.poll_timeout_s, exchange.cancel, "no answer to the poll"
         )
         self.link.send(source.address, exchange)
         answer: ReplicaAnswer = answered.wait()
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -15,7 +15,7 @@
 
 from cicadalever.discovery import RejectedEntries, UpstreamDirectory
 from cicadalever.gateway import PlatformUpdate
-from cicadalever.gateway._follower import PlatformFollower, WatchTiming
+from cicadalever.gateway._follower import PlatformFollower
 from cicadalever.gateway._outbound import OutboundRequest
 from cicadalever.outcomes import Failure
 from cicadalever.peers import RelayedChanges, decode_changes, encode_changes
@@ -23,7 +23,7 @@
 from cicadalever.wire import CallerRequest, EventLoop
 from tests.platform_standins import wait_for
 from tests.test_discovery import entry
-from tests.test_gateway import NAMES, FakeClient, FakeEvents
+from tests.test_gateway import NAMES, PATIENT, FakeClient, FakeEvents
 from tests.test_gateway_process import GatewayTestCase, configuration
 from tests.test_store_client import load_store
 
@@ -128,7 +128,7 @@
 
         follower = PlatformFollower(
             client,
-            WatchTiming(wait_s=30.0, interval_s=0.001),
+            PATIENT,
             EventLoop(),
             Random(1),
             FakeEvents(),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,17 +8,14 @@
 
 import eventlet
 
+from cicadalever.freshness import WatchTiming
 from cicadalever.gateway import HistoryLost, PlatformUpdate
 from cicadalever.gateway._answers import (
     AnswerKind,
     classify_answer,
     classify_read_outcome,
 )
-from cicadalever.gateway._follower import (
-    MIN_BACKOFF_S,
-    PlatformFollower,
-    WatchTiming,
-)
+from cicadalever.gateway._follower import MIN_BACKOFF_S, PlatformFollower
 from cicadalever.gateway._outbound import OutboundRequest
 from cicadalever.gateway._readiness import Readiness
 from cicadalever.gateway._service import (
@@ -52,6 +49,18 @@
 )
 SIGNED = [(b"x-id", b"1"), (b"x-signed", b"s")]
 FAILURE = Failure(FailureCode.UNREACHABLE, "reset")
+# Times of a host that waits for long and does not pause between its calls.
+PATIENT = WatchTiming.plan(60.0, 60.0, 60.0)._replace(interval_s=0.001)
+# Bounds of deployments in seconds: contact, apply and drain.
+BOUNDS = [
+    (4.0, 3.0, 3.0),
+    (5.0, 5.0, 5.0),
+    (6.0, 6.0, 6.0),
+    (4.0, 10.0, 10.0),
+    (10.0, 2.0, 2.0),
+    (2.0, 2.0, 2.0),
+    (3.0, 1.0, 1.0),
+]
 
 
 def gather_route(shards, **changes):
@@ -254,17 +263,46 @@
 
     def test_lost_watch_ends_before_the_bounds_apply_again(self):
         """Guards against requests to removed replicas after a watch call was lost."""
-        for contact_s, bound_s in ((4.0, 3.0), (5.0, 5.0)):
-            times = WatchTiming.plan(contact_s, bound_s, bound_s)
-            # A lost watch call times out 1.5 s after its wait, and the next call takes
-            # at most 1 s.
-            self.assertLess(times.wait_s + 1.5 + 1.0, contact_s + bound_s)
-            self.assertLess(times.interval_s, bound_s / 2)
+        for bounds in BOUNDS:
+            times = WatchTiming.plan(*bounds)
+            for delay_s in (0.0, 0.5 * times.interval_s, times.interval_s):
+                call = times.plan_call(delay_s, 0.0, times.min_margin_s)
+                # The next call has a connection of its own and a slow answer.
+                recovery_s = 1.5 * MIN_BACKOFF_S + 0.25
+                end_s = delay_s + call.timeout_s + recovery_s
+                self.assertLess(end_s, bounds[0] + 0.001, bounds)
+                self.assertLessEqual(call.timeout_s + delay_s, 0.701 * bounds[0])
+            self.assertLess(times.interval_s, min(bounds) / 2)
+
+    def test_lost_source_is_replaced_within_the_bounds(self):
+        """Guards against a poll that outlasts the time in which changes must apply."""
+        for bounds in BOUNDS:
+            times = WatchTiming.plan(*bounds)
+            end_s = times.max_age_s + times.poll_timeout_s
+            self.assertLess(end_s, 0.9 * min(bounds))
+            # A sound source answers in time, even if it holds the poll to the end.
+            self.assertGreater(times.poll_timeout_s, 1.25 * times.long_poll_s)
 
     def test_wait_stays_in_range(self):
         """Guards against waits that the platform rejects or that amount to polling."""
-        self.assertEqual(WatchTiming.plan(60.0, 60.0, 60.0).wait_s, 30.0)
-        self.assertEqual(WatchTiming.plan(0.5, 0.5, 0.5).wait_s, 1.0)
+        long = WatchTiming.plan(60.0, 60.0, 60.0)
+        self.assertEqual(long.plan_call(0.0, 0.0, long.min_margin_s).wait_s, 30.0)
+        for bounds in BOUNDS:
+            times = WatchTiming.plan(*bounds)
+            call = times.plan_call(0.0, 0.0, times.min_margin_s)
+            self.assertGreaterEqual(call.wait_s, 0.4 * bounds[0])
+            late = times.plan_call(100.0, 0.0, times.min_margin_s)
+            self.assertGreaterEqual(late.wait_s, 0.1)
+
+    def test_calls_without_changes_are_rare(self):
+        """Guards against a price of freshness beyond one call in two seconds."""
+        times = WatchTiming.plan(4.0, 3.0, 3.0)
+        call = times.plan_call(0.0, 0.0, times.min_margin_s)
+        self.assertGreaterEqual(call.wait_s, 2.0)
+        for contact_s, bound_s in ((4.0, 3.0), (5.0, 5.0), (6.0, 6.0), (10.0, 2.0)):
+            followed = WatchTiming.plan(contact_s, bound_s, bound_s)
+            # Hosts that relay changes to others call once in this time.
+            self.assertGreaterEqual(followed.interval_s, 0.35 * bound_s)
 
 
 class FakeClient:
@@ -277,10 +315,10 @@
     def close(self):
         """Do nothing."""
 
-    def read_all(self, *, allow_stale):
+    def read_all(self, *, allow_stale, timeout_s):
         return self._next(("read_all", allow_stale))
 
-    def watch(self, after, wait_s):
+    def watch(self, after, wait_s, timeout_s):
         return self._next(("watch", after))
 
     def _next(self, call):
@@ -339,7 +377,7 @@
         self.relay, self.updates, self.returned = FakeRelay(answers), [], []
         follower = PlatformFollower(
             client,
-            WatchTiming(wait_s=30.0, interval_s=0.001, max_age_s=2.5),
+            PATIENT._replace(max_age_s=2.5),
             EventLoop(),
             Random(1),
             FakeEvents(),
@@ -401,7 +439,7 @@
         self.updates, self.returned = [], []
         follower = PlatformFollower(
             client,
-            WatchTiming(wait_s=30.0, interval_s=interval_s),
+            PATIENT._replace(interval_s=interval_s),
             EventLoop(),
             Random(1),
             events,
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -73,7 +73,7 @@
         )
         client = self.client()
         for _ in range(3):
-            update = client.watch(5, 0.1)
+            update = client.watch(5, 0.1, 1.6)
             self.assertIsInstance(update, PlatformUpdate)
             self.assertEqual(update.revision, 9)
         self.assertEqual(self.connections, 1)
@@ -89,7 +89,7 @@
                 eventlet.sleep(0)
 
         self.serve(send)
-        result = self.client(max_answer_bytes=1_000_000).watch(5, 0.1)
+        result = self.client(max_answer_bytes=1_000_000).watch(5, 0.1, 1.6)
         self.assertIsInstance(result, Failure)
         self.assertIn("exceeds 1000000 bytes", result.reason)
         self.assertLess(self.sent, 32 * 1024 * 1024)
@@ -105,7 +105,7 @@
 
         self.serve(send)
         with eventlet.Timeout(20.0, AssertionError("the call never ended")):
-            result = self.client().watch(5, 0.1)
+            result = self.client().watch(5, 0.1, 1.6)
         self.assertIsInstance(result, Failure)
 
     def test_drip_in_the_head_is_a_failure(self):
@@ -119,7 +119,7 @@
 
         self.serve(send)
         with eventlet.Timeout(20.0, AssertionError("the call never ended")):
-            result = self.client().watch(5, 0.1)
+            result = self.client().watch(5, 0.1, 1.6)
         self.assertIsInstance(result, Failure)
 
     def test_probes_are_not_cut_short(self):
@@ -139,4 +139,4 @@
         self.serve(
             lambda sock: sock.sendall(b"HTTP/1.1 410 X\r\nContent-Length: 0\r\n\r\n")
         )
-        self.assertIsInstance(self.client().watch(5, 0.1), HistoryLost)
+        self.assertIsInstance(self.client().watch(5, 0.1, 1.6), HistoryLost)
--- /dev/null
+++ b/tests/test_unanswered_watch.py
@@ -0,0 +1,124 @@
+"""Tests of hosts whose connections to the platform fall silent for good."""
+
+import time
+import unittest
+
+import eventlet
+
+from tests.platform_standins import GatewayProcess, StoreStandIn, _Server, wait_for
+from tests.test_gateway_process import configuration
+
+# Bounds of the settings of ``GatewayProcess``.
+CONTACT_S = 4.0
+APPLY_MS = 3000
+# Time from a call of a host to the silence of its connections.
+PHASES_S = (0.1, 0.9, 1.7, 2.6)
+# Time from the silence to the next change.
+CHANGE_AFTER_S = 0.3
+
+
+class SilencingProxy(_Server):
+    """Proxy of a store whose open connections fall silent for good; new ones work.
+
+    The silent ones are not closed. With ``is_half``, each still carries half of the
+    next answer.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.called_at = 0.0
+        self.silent = set()
+        self.halved = set()
+        super().__init__()
+
+    def silence(self, *, is_half):
+        """Let all open connections fall silent."""
+        self.silent |= self._sockets
+        if is_half:
+            self.halved |= self._sockets
+
+    def _serve(self, sock):
+        host, _, port = self.store.address.rpartition(":")
+        upstream = eventlet.connect((host, int(port)))
+        answers = eventlet.spawn(self._copy, upstream, sock, sock, is_answer=True)
+        try:
+            self._copy(sock, upstream, sock, is_answer=False)
+        finally:
+            answers.kill()
+            sock.close()
+            upstream.close()
+
+    def _copy(self, source, target, key, *, is_answer):
+        try:
+            while data := source.recv(65536):
+                if not is_answer:
+                    self.called_at = time.monotonic()
+                elif key in self.halved and key in self.silent:
+                    self.halved.discard(key)
+                    target.sendall(data[: len(data) // 2])
+                if key not in self.silent:
+                    target.sendall(data)
+        except OSError:
+            pass
+
+
+class Host:
+    """A host with a store of its own, which it reaches by a proxy."""
+
+    def __init__(self, test, **options):
+        self.store = StoreStandIn()
+        test.addCleanup(self.store.stop)
+        self.store.put("op/config", configuration(7))
+        self.proxy = SilencingProxy(self.store)
+        test.addCleanup(self.proxy.stop)
+        self.gateway = GatewayProcess(self.proxy, apply_ms=APPLY_MS, **options)
+        test.addCleanup(self.gateway.stop)
+
+    def in_force_at(self, version):
+        """Return since when a version is in force, on the monotonic clock, or None."""
+        offset_s = time.monotonic() - time.time()
+        for event in self.gateway.events("configuration_in_force"):
+            if event["version"] == version:
+                return event["time"] + offset_s
+        return None
+
+    def measure_delay(self, phase_s, *, is_half):
+        """Let the connections fall silent some time after the next call.
+
+        Return the time from then until a version is in force that is written soon.
+        """
+        called_at = self.proxy.called_at
+        wait_for(lambda: self.proxy.called_at > called_at, "a call")
+        eventlet.sleep(phase_s)
+        self.proxy.silence(is_half=is_half)
+        silent_at = time.monotonic()
+        eventlet.sleep(CHANGE_AFTER_S)
+        self.store.put("op/config", configuration(8))
+        eventlet.sleep(CONTACT_S)
+        return (self.in_force_at(8) or float("inf")) - silent_at
+
+
+class TestSilentConnections(unittest.TestCase):
+    """All connections of a host fall silent while it waits for a change."""
+
+    def check_bound(self, *, is_half):
+        hosts = [Host(self) for _ in PHASES_S]
+        wait_for(
+            lambda: all(host.in_force_at(7) for host in hosts), "the first version"
+        )
+        # The last calls of the start are over.
+        eventlet.sleep(3.0)
+        delays = [
+            eventlet.spawn(host.measure_delay, phase_s, is_half=is_half)
+            for host, phase_s in zip(hosts, PHASES_S, strict=True)
+        ]
+        delays = [delay.wait() for delay in delays]
+        self.assertLess(max(delays), CONTACT_S, delays)
+
+    def test_silent_connection_is_replaced_within_the_contact_time(self):
+        """Guards against a host that believes its copy current during a lost watch."""
+        self.check_bound(is_half=False)
+
+    def test_half_of_an_answer_does_not_extend_the_call(self):
+        """Guards against a time-out that begins again with the body of an answer."""
+        self.check_bound(is_half=True)
