Follow the lateness of the platform with the time left for its answers

A fixed margin of 0.5 s alone would give up each call to a platform that answers later than that, so that a host would not hear it at all.

Fix: AnswerMargin begins with 0.5 s (an eighth of ContactMs if that is less), grows by half with each call that timed out, up to 0.3 of ContactMs (1 s at least), and stays at twice the lateness of the answers; it shrinks by a tenth of the excess with each answer, so that it does not flap. The end of a call does not move, a greater margin shortens its wait. The client tells time-outs from other failures.

Tests of answers without end had to finish in 20 s; they now have the time-out of the call and half a second.

--- a/cicadalever/freshness/__init__.py
+++ b/cicadalever/freshness/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from ._contact import Outage, PlatformContact
+from ._margin import AnswerMargin
 from ._timing import PlannedCall, WatchTiming
 
-__all__ = ["Outage", "PlannedCall", "PlatformContact", "WatchTiming"]
+__all__ = ["AnswerMargin", "Outage", "PlannedCall", "PlatformContact", "WatchTiming"]
--- /dev/null
+++ b/cicadalever/freshness/_margin.py
@@ -0,0 +1,44 @@
+"""Time that is left for the answer to a call."""
+
+# The margin is multiplied by this after a call that timed out.
+GROWTH = 1.5
+# Share of the excess that is taken off after each answer.
+DECAY = 0.1
+# A platform that was this late may be late by as much again.
+LATENESS_FACTOR = 2.0
+
+
+class AnswerMargin:
+    """Time that is left for an answer after the wait of a call.
+
+    It grows with each call that timed out, so that a slower platform is heard, and
+    follows the lateness of the answers down again slowly.
+
+    >>> margin = AnswerMargin(min_s=0.5, max_s=1.2)
+    >>> margin.record_timeout()
+    >>> margin.seconds
+    0.75
+    >>> margin.record_answer(late_s=0.5)
+    >>> margin.seconds
+    1.0
+    """
+
+    def __init__(self, min_s: float, max_s: float):
+        self.min_s = min_s
+        self.max_s = max_s
+        self._seconds = min_s
+
+    @property
+    def seconds(self) -> float:
+        """Current margin."""
+        return self._seconds
+
+    def record_timeout(self) -> None:
+        """Record that no answer came in time."""
+        self._seconds = min(self.max_s, GROWTH * self._seconds)
+
+    def record_answer(self, late_s: float) -> None:
+        """Record an answer that came ``late_s`` seconds after the end of the wait."""
+        target_s = min(self.max_s, max(self.min_s, LATENESS_FACTOR * late_s))
+        excess_s = max(0.0, self._seconds - target_s)
+        self._seconds = target_s + (1.0 - DECAY) * excess_s
--- a/cicadalever/freshness/_timing.py
+++ b/cicadalever/freshness/_timing.py
@@ -23,9 +23,12 @@
 MAX_POLL_MARGIN_S = 0.4
 # Time for the answer of a slow platform to a host that relays changes to others.
 SLOW_ANSWER_S = 0.4
-# Time for an answer after the wait of a call.
+# Bounds of ``AnswerMargin``. The greatest one admits the answer of a slow platform on
+# a new connection, whatever the contact time.
 MIN_MARGIN_SHARE = 0.125
 MIN_MARGIN_RANGE_S = (0.25, 0.5)
+MAX_MARGIN_SHARE = 0.3
+LEAST_MAX_MARGIN_S = 1.0
 # Time-out for each page of a complete read.
 READ_TIMEOUT_SHARE = 0.5
 READ_TIMEOUT_RANGE_S = (1.0, 2.5)
@@ -60,8 +63,9 @@
     # Longest time for which a source holds a poll, and time-out of one.
     long_poll_s: float
     poll_timeout_s: float
-    # Least time for an answer after the wait of a call.
+    # Bounds of ``AnswerMargin``.
     min_margin_s: float
+    max_margin_s: float
     # Time-out for each page of a complete read.
     read_timeout_s: float
 
@@ -89,6 +93,7 @@
             long_poll_s,
             long_poll_s + min(MAX_POLL_MARGIN_S, POLL_MARGIN_SHARE * bound_s),
             _clamp(MIN_MARGIN_SHARE * contact_s, *MIN_MARGIN_RANGE_S),
+            max(LEAST_MAX_MARGIN_S, MAX_MARGIN_SHARE * contact_s),
             _clamp(READ_TIMEOUT_SHARE * contact_s, *READ_TIMEOUT_RANGE_S),
         )
 
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -6,7 +6,12 @@
 import eventlet
 import eventlet.event
 
-from cicadalever.freshness import PlannedCall, PlatformContact, WatchTiming
+from cicadalever.freshness import (
+    AnswerMargin,
+    PlannedCall,
+    PlatformContact,
+    WatchTiming,
+)
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.peers import Position, RelayedChanges
 from cicadalever.wire import EventLoop
@@ -91,6 +96,7 @@
         self._thread = None
         self._pause: eventlet.event.Event | None = None
         self._contact = PlatformContact(loop.now())
+        self._margin = AnswerMargin(timing.min_margin_s, timing.max_margin_s)
         # When the latest call to the platform began.
         self._called_at = loop.now()
 
@@ -139,6 +145,7 @@
             called_at = self._called_at = self.loop.now()
             call = self._plan_call(called_at)
             result = self.client.watch(self._revision, *call)
+            self._record_lateness(result, called_at + call.wait_s)
             if isinstance(result, HistoryLost) or not self._can_go_on(result):
                 self.events.emit("history_lost", revision=self._revision, era=self._era)
                 if was_history_lost:
@@ -225,7 +232,7 @@
         return self.timing.plan_call(
             now,
             self._contact.answered_at,
-            self.timing.min_margin_s,
+            self._margin.seconds,
             self._longest_wait_s(),
         )
 
@@ -333,6 +340,15 @@
     def _sleep_with_jitter(self, seconds: float) -> None:
         eventlet.sleep(seconds * (1.0 + 0.5 * self.rng.random()))
 
+    def _record_lateness(self, result: object, due_at: float) -> None:
+        """Record how late a watch call was answered, if it was not answered early."""
+        late_s = self.loop.now() - due_at
+        if isinstance(result, Failure):
+            if result.code is FailureCode.TIMEOUT:
+                self._margin.record_timeout()
+        elif late_s >= 0.0:
+            self._margin.record_answer(late_s)
+
     def _record_failure(self, failure: Failure) -> None:
         now = self.loop.now()
         answered_s = now - self._contact.answered_at
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from cicadalever.freshness import Outage, PlatformContact
+from cicadalever.freshness import AnswerMargin, Outage, PlatformContact
 
 
 class TestPlatformContact(unittest.TestCase):
@@ -23,3 +23,37 @@
         for called_at in (2.0, 3.0, 4.0):
             contact.record_failure(called_at)
         self.assertEqual(contact.record_answer(now=4.5), Outage(0.0, 4.0, 4.5))
+
+
+class TestAnswerMargin(unittest.TestCase):
+    """The time that is left for the answer of a platform that may be slow."""
+
+    def test_slower_platform_is_heard(self):
+        """Guards against calls that are given up just before each answer."""
+        margin = AnswerMargin(min_s=0.5, max_s=1.2)
+        for _ in range(3):
+            margin.record_timeout()
+        self.assertGreater(margin.seconds, 1.1)
+        margin.record_timeout()
+        self.assertEqual(margin.seconds, 1.2)
+
+    def test_steady_lateness_causes_no_time_out(self):
+        """Guards against a margin that shrinks until the next call is lost."""
+        for late_s in (0.1, 0.25, 0.5, 0.6):
+            margin = AnswerMargin(min_s=0.5, max_s=1.2)
+            for _ in range(200):
+                if late_s < margin.seconds:
+                    margin.record_answer(late_s)
+                else:
+                    margin.record_timeout()
+            self.assertGreaterEqual(margin.seconds, min(1.2, 2.0 * late_s))
+
+    def test_margin_shrinks_slowly(self):
+        """Guards against a host that stays slow to notice a lost call."""
+        margin = AnswerMargin(min_s=0.5, max_s=1.2)
+        margin.record_answer(0.6)
+        margin.record_answer(0.0)
+        self.assertGreater(margin.seconds, 1.0)
+        for _ in range(40):
+            margin.record_answer(0.0)
+        self.assertLess(margin.seconds, 0.52)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -311,6 +311,8 @@
     def __init__(self, results):
         self.results = list(results)
         self.calls_made = []
+        # Wait and time-out of each watch call.
+        self.planned = []
 
     def close(self):
         """Do nothing."""
@@ -319,6 +321,7 @@
         return self._next(("read_all", allow_stale))
 
     def watch(self, after, wait_s, timeout_s):
+        self.planned.append((wait_s, timeout_s))
         return self._next(("watch", after))
 
     def _next(self, call):
@@ -436,7 +439,7 @@
 
     def follow(self, results, interval_s=0.001):
         client, events = FakeClient(results), FakeEvents()
-        self.updates, self.returned = [], []
+        self.client, self.updates, self.returned = client, [], []
         follower = PlatformFollower(
             client,
             PATIENT._replace(interval_s=interval_s),
@@ -498,6 +501,15 @@
         # Pauses begin at ``MIN_BACKOFF_S`` and double.
         self.assertLessEqual(reads, 3 + elapsed_s / MIN_BACKOFF_S)
 
+    def test_calls_to_a_slow_platform_last_longer(self):
+        """Guards against a slow platform whose answers are given up each time."""
+        late = Failure(FailureCode.TIMEOUT, "late")
+        self.follow([update(5, True), update(6), late, late, late, update(7)])
+        margins = [timeout_s - wait_s for wait_s, timeout_s in self.client.planned]
+        self.assertEqual(margins[1], PATIENT.min_margin_s)
+        self.assertGreater(margins[4], 2.0 * PATIENT.min_margin_s)
+        self.assertEqual(margins, sorted(margins))
+
     def test_lost_contact_is_logged_once_and_starts_a_grace_period(self):
         """Guards against removing entries that expired during an outage."""
         failure = Failure(FailureCode.UNREACHABLE, "reset")
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import sys
+import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -11,7 +12,7 @@
 from eventlet.green import socket as green_socket
 
 from cicadalever.gateway import HistoryLost, PlatformUpdate
-from cicadalever.outcomes import Failure
+from cicadalever.outcomes import Failure, FailureCode
 
 PLATFORM = str(Path(__file__).parents[1] / "platform")
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -104,9 +105,9 @@
                 eventlet.sleep(0.05)
 
         self.serve(send)
-        with eventlet.Timeout(20.0, AssertionError("the call never ended")):
+        with eventlet.Timeout(2.1, AssertionError("the call outlasted its time-out")):
             result = self.client().watch(5, 0.1, 1.6)
-        self.assertIsInstance(result, Failure)
+        self.assertIs(result.code, FailureCode.TIMEOUT)
 
     def test_drip_in_the_head_is_a_failure(self):
         """Guards against a head that never ends."""
@@ -118,9 +119,23 @@
                 eventlet.sleep(0.05)
 
         self.serve(send)
-        with eventlet.Timeout(20.0, AssertionError("the call never ended")):
+        with eventlet.Timeout(2.1, AssertionError("the call outlasted its time-out")):
             result = self.client().watch(5, 0.1, 1.6)
-        self.assertIsInstance(result, Failure)
+        self.assertIs(result.code, FailureCode.TIMEOUT)
+
+    def test_time_out_covers_all_parts_of_a_call(self):
+        """Guards against a time-out that begins again with each part of an answer."""
+
+        def send(sock):
+            for part in (HEAD, b"Content-Length: 9\r\n\r\n", b"{"):
+                eventlet.sleep(0.15)
+                sock.sendall(part)
+
+        self.serve(send)
+        begun_at = time.monotonic()
+        result = self.client().watch(5, 0.1, 0.5)
+        self.assertIs(result.code, FailureCode.TIMEOUT)
+        self.assertAlmostEqual(time.monotonic() - begun_at, 0.5, delta=0.1)
 
     def test_probes_are_not_cut_short(self):
         """Guards against a watch that is lost with a single keep-alive probe.
