Scale the pauses between failed calls by ContactMs

What callers saw: after the platform had been away, a host stayed out of date for up to 2.2 s more, so that entries which had expired or been removed meanwhile were handled late.

Cause: pauses of up to 1.5 s came on top of time-outs of 1.6 s or more, whatever ContactMs is.

Fix: Backoff counts the time that a failed call took, and its longest pause is a share of ContactMs less the 2.5 s in which replicas publish entries again (0.6 s plus half at ContactMs 4 s, 1.0 s at most). The first call after a failure asks for no wait.

--- a/cicadalever/freshness/__init__.py
+++ b/cicadalever/freshness/__init__.py
@@ -4,8 +4,16 @@
 they ended.
 """
 
+from ._backoff import Backoff
 from ._contact import Outage, PlatformContact
 from ._margin import AnswerMargin
 from ._timing import PlannedCall, WatchTiming
 
-__all__ = ["AnswerMargin", "Outage", "PlannedCall", "PlatformContact", "WatchTiming"]
+__all__ = [
+    "Backoff",
+    "AnswerMargin",
+    "Outage",
+    "PlannedCall",
+    "PlatformContact",
+    "WatchTiming",
+]
--- a/cicadalever/freshness/_timing.py
+++ b/cicadalever/freshness/_timing.py
@@ -4,8 +4,7 @@
 
 # Longest wait that the platform allows for a watch call.
 MAX_WATCH_WAIT_S = 30.0
-# Least wait of a watch call, and the wait after a failure: its answer soon shows that
-# the platform is reachable again.
+# Least wait of a watch call while the platform answers.
 MIN_WATCH_WAIT_S = 0.1
 # An unanswered call is given up at this share of the contact time after the last
 # answer. The rest is left for a call on a new connection and for a busy host.
@@ -29,6 +28,13 @@
 MIN_MARGIN_RANGE_S = (0.25, 0.5)
 MAX_MARGIN_SHARE = 0.3
 LEAST_MAX_MARGIN_S = 1.0
+# Time that replicas have to publish their entries again when the platform has returned.
+# A host must be in contact by the end of the contact time less this.
+PUBLISHING_S = 2.5
+# Longest pause between failed calls as a share of the rest, before a part of the pause
+# is added at random.
+MAX_BACKOFF_SHARE = 0.4
+MAX_BACKOFF_RANGE_S = (0.3, 1.0)
 # Time-out for each page of a complete read.
 READ_TIMEOUT_SHARE = 0.5
 READ_TIMEOUT_RANGE_S = (1.0, 2.5)
@@ -68,6 +74,8 @@
     max_margin_s: float
     # Time-out for each page of a complete read.
     read_timeout_s: float
+    # Longest pause of ``Backoff``.
+    max_backoff_s: float
 
     @property
     def followed_wait_s(self) -> float:
@@ -95,6 +103,9 @@
             _clamp(MIN_MARGIN_SHARE * contact_s, *MIN_MARGIN_RANGE_S),
             max(LEAST_MAX_MARGIN_S, MAX_MARGIN_SHARE * contact_s),
             _clamp(READ_TIMEOUT_SHARE * contact_s, *READ_TIMEOUT_RANGE_S),
+            _clamp(
+                MAX_BACKOFF_SHARE * (contact_s - PUBLISHING_S), *MAX_BACKOFF_RANGE_S
+            ),
         )
 
     def plan_call(
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -8,6 +8,7 @@
 
 from cicadalever.freshness import (
     AnswerMargin,
+    Backoff,
     PlannedCall,
     PlatformContact,
     WatchTiming,
@@ -27,18 +28,14 @@
 MAX_UNCONFIRMED_S = 2.0
 # Least pause between two calls when another host has a newer version.
 MIN_PAUSE_S = 0.2
-# Wait of the watch call after a failure: short, so that its answer soon shows that the
-# platform is reachable again.
-RECONNECT_WAIT_S = 0.1
+# Wait of the watch call after a failure: its answer shows at once that the platform is
+# reachable again.
+RECONNECT_WAIT_S = 0.0
 # The platform limits the answer to a watch to a few hundred changes. After an answer
 # with at least this many, more may be pending, so the next call follows after this
 # share of the interval.
 CATCH_UP_MIN_CHANGES = 100
 CATCH_UP_INTERVAL_SHARE = 0.2
-# Exponential back-off after failed calls. Up to half of it is added at random, so that
-# hosts do not call the platform at the same moment.
-MIN_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 1.0
 
 
 class PlatformFollower:
@@ -127,20 +124,19 @@
         After an unexpected error, the full state is read again: an update may have been
         applied in part only.
         """
-        backoff_s = MIN_BACKOFF_S
+        backoff = self._new_backoff()
         while not self.loop.run_guarded(self._follow):
             self._is_incomplete = True
-            self._sleep_with_jitter(backoff_s)
-            backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
+            eventlet.sleep(backoff.next_pause_s(elapsed_s=0.0))
 
     def _follow(self) -> None:
         if self._revision is None or self._is_incomplete:
             self._read_all(allow_stale=self._revision is None)
             self._is_incomplete = False
-        backoff_s, was_history_lost = MIN_BACKOFF_S, False
+        backoff, was_history_lost = self._new_backoff(), False
         while True:
             if self._follow_peer():
-                backoff_s = MIN_BACKOFF_S
+                backoff.reset()
                 continue
             called_at = self._called_at = self.loop.now()
             call = self._plan_call(called_at)
@@ -150,8 +146,7 @@
                 self.events.emit("history_lost", revision=self._revision, era=self._era)
                 if was_history_lost:
                     # Complete reads do not help and load the platform.
-                    self._sleep_with_jitter(backoff_s)
-                    backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
+                    eventlet.sleep(backoff.next_pause_s(elapsed_s=0.0))
                 was_history_lost = True
                 # A stale read may return a revision that is older than the history of
                 # changes that the platform still has.
@@ -163,10 +158,10 @@
                 if self._unconfirmed is not None and age_s >= MAX_UNCONFIRMED_S:
                     self.events.emit("started_unconfirmed", age_s=round(age_s, 2))
                     self._deliver_unconfirmed()
-                self._sleep_with_jitter(backoff_s)
-                backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
+                eventlet.sleep(backoff.next_pause_s(self.loop.now() - called_at))
                 continue
-            backoff_s, was_history_lost = MIN_BACKOFF_S, False
+            backoff.reset()
+            was_history_lost = False
             self._record_contact()
             self._is_stale = self._is_resuming = False
             self._apply(result)
@@ -199,7 +194,7 @@
         self._pause = None
 
     def _read_all(self, *, allow_stale: bool) -> None:
-        backoff_s = MIN_BACKOFF_S
+        backoff = self._new_backoff()
         while True:
             self._called_at = self.loop.now()
             result = self.client.read_all(
@@ -211,8 +206,7 @@
             # The platform may be coming back from an older copy, which a read that may
             # be out of date does not show.
             allow_stale = False
-            self._sleep_with_jitter(backoff_s)
-            backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
+            eventlet.sleep(backoff.next_pause_s(self.loop.now() - self._called_at))
         self._record_contact()
         self._begin_era(result.era)
         self._revision = result.revision
@@ -337,8 +331,8 @@
             self._source = host
             self.events.emit("source_changed", source=host or "platform", reason=reason)
 
-    def _sleep_with_jitter(self, seconds: float) -> None:
-        eventlet.sleep(seconds * (1.0 + 0.5 * self.rng.random()))
+    def _new_backoff(self) -> Backoff:
+        return Backoff(self.timing.max_backoff_s, self.rng)
 
     def _record_lateness(self, result: object, due_at: float) -> None:
         """Record how late a watch call was answered, if it was not answered early."""
