Give up a lost watch when a peer has a newer version

What callers saw: a host whose watch was lost served the old version until the call timed out, while hosts beside it told it of the new one in heartbeats.

Cause: news of a newer version ended only a pause between two calls.

Fix: if a watch call still waits for the time of an answer after such news (0.5 s, more while the platform is slow), it is lost: call_given_up is logged, the failure recorded like a time-out, and a new connection used. Each version ends one call at most, since a host may have rejected it as invalid. This only shortens the time; the bound does not depend on news.

--- a/bench/fleet/_host.py
+++ b/bench/fleet/_host.py
@@ -263,7 +263,7 @@
     def record_fellow_answer(self, peer: SimulatedPeer) -> None:
         """Do nothing; simulated hosts do not fail."""
 
-    def on_newer_version(self) -> None:
+    def on_newer_version(self, version: int) -> None:
         """Do nothing; the configuration never changes."""
 
 
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -96,6 +96,11 @@
         self._margin = AnswerMargin(timing.min_margin_s, timing.max_margin_s)
         # When the latest call to the platform began.
         self._called_at = loop.now()
+        # Whether a watch call is waiting for its answer, when the latest one began that
+        # was checked for being lost, and the version for which one was given up.
+        self._is_watching = False
+        self._checked_call_at = float("-inf")
+        self._given_up_for = 0
 
     @property
     def contact_age_s(self) -> float:
@@ -140,7 +145,7 @@
                 continue
             called_at = self._called_at = self.loop.now()
             call = self._plan_call(called_at)
-            result = self.client.watch(self._revision, *call)
+            result = self._watch(call)
             self._record_lateness(result, called_at + call.wait_s)
             if isinstance(result, HistoryLost) or not self._can_go_on(result):
                 self.events.emit("history_lost", revision=self._revision, era=self._era)
@@ -170,13 +175,39 @@
                 pause_s *= CATCH_UP_INTERVAL_SHARE
             self._pause_until(called_at + pause_s)
 
-    def hurry(self) -> None:
-        """End the pause before the next call: another host has a newer version.
+    def _watch(self, call: PlannedCall) -> PlatformUpdate | HistoryLost | Failure:
+        self._is_watching = True
+        try:
+            return self.client.watch(self._revision, *call)
+        finally:
+            self._is_watching = False
 
-        Hosts with different versions cannot gather queries for each other.
+    def hurry(self, version: int) -> None:
+        """End the pause before the next call: another host has a newer ``version``.
+
+        Hosts with different versions cannot gather queries for each other. A watch call
+        that still waits when its answer should have come is lost, and given up once for
+        each version: this host may have rejected the version as invalid.
         """
         if self._pause is not None and not self._pause.ready():
             self._pause.send()
+        is_checked = self._checked_call_at == self._called_at
+        if self._is_watching and not is_checked and version > self._given_up_for:
+            self._checked_call_at = self._called_at
+            self.loop.call_later(
+                self._margin.seconds, self._check_call, version, self._called_at
+            )
+
+    def _check_call(self, version: int, called_at: float) -> None:
+        """Give up a watch call if it still waits."""
+        if not self._is_watching or self._called_at != called_at:
+            return
+        self._given_up_for = version
+        called_s = round(self.loop.now() - called_at, 2)
+        self.events.emit("call_given_up", version=version, called_s=called_s)
+        reason = f"no answer although a peer has version {version}"
+        self._record_failure(Failure(FailureCode.TIMEOUT, reason))
+        self.restart()
 
     def _pause_until(self, when: float) -> None:
         """Wait until a monotonic time, or until ``hurry`` is called.
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -101,8 +101,8 @@
         self.events = events
         self.rng = rng
         self.memory = memory or ReceiveMemory()
-        # Called when a peer has a newer version of the configuration than this host.
-        self.on_newer_version: Callable[[], None] = lambda: None
+        # Called with the version of the configuration of a peer that has a newer one.
+        self.on_newer_version: Callable[[int], None] = lambda version: None
         # Called with the ids of replicas that another host found late.
         self.on_late_replicas: Callable[[list[str]], None] = lambda replica_ids: None
         self.on_crash_report: Callable[[CrashReport], None] = lambda report: None
@@ -440,7 +440,7 @@
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self.loop.now()
         if 0 < self._version < heartbeat.version:
-            self.on_newer_version()
+            self.on_newer_version(heartbeat.version)
         if self.peer_table.record_heartbeat(heartbeat, now):
             self.events.emit(
                 "gatherer_found",
--- a/cicadalever/gateway/_service.py
+++ b/cicadalever/gateway/_service.py
@@ -653,7 +653,7 @@
         version = parse_number(request.header(PEER_VERSION))
         if version != self.table.version:
             if version is not None and version > self.table.version:
-                self.link.on_newer_version()
+                self.link.on_newer_version(version)
             return None
         return self._find_route(request)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 import eventlet
+import eventlet.event
 
 from cicadalever.freshness import Backoff, WatchTiming
 from cicadalever.freshness._backoff import MIN_PAUSE_S
@@ -352,9 +353,14 @@
     def _next(self, call):
         self.calls_made.append(call)
         if not self.results:
-            eventlet.sleep(60)
+            self._waiting = eventlet.event.Event()
+            return self._waiting.wait()
         return self.results.pop(0)
 
+    def answer_after(self, seconds, result):
+        """Answer the waiting call some time from now."""
+        eventlet.spawn_after(seconds, self._waiting.send, result)
+
 
 class FakeEvents:
     """Event log that records the names of the events."""
@@ -459,6 +465,46 @@
             self.assertGreater(times.followed_wait_s, 0.0)
 
 
+class TestNewerVersion(unittest.TestCase):
+    """Versions that peers name while a watch call waits."""
+
+    def setUp(self):
+        client = self.client = FakeClient([update(5, True), update(6)])
+        self.events = FakeEvents()
+        self.follower = PlatformFollower(
+            client,
+            PATIENT._replace(min_margin_s=0.02),
+            EventLoop(),
+            Random(1),
+            self.events,
+            lambda update: None,
+            lambda grace_s: None,
+        )
+        self.follower.start()
+        self.addCleanup(self.follower.stop)
+        eventlet.sleep(0.02)
+
+    def hear(self, version, times):
+        for _ in range(times):
+            self.follower.hurry(version)
+            eventlet.sleep(0.01)
+
+    def test_rejected_version_ends_one_call_only(self):
+        """Guards against calls without end for a version that this host rejects."""
+        self.hear(8, 30)
+        self.assertEqual(self.events.names.count("call_given_up"), 1)
+        self.assertEqual(len(self.client.planned), 3)
+        self.hear(9, 30)
+        self.assertEqual(self.events.names.count("call_given_up"), 2)
+
+    def test_answered_call_is_not_given_up(self):
+        """Guards against a second call for a version that is on its way."""
+        self.client.answer_after(0.01, update(7))
+        self.hear(8, 1)
+        eventlet.sleep(0.1)
+        self.assertEqual(self.events.names, [])
+
+
 class TestPlatformFollower(unittest.TestCase):
     """Resumption, lost history and lost contact."""
 
--- a/tests/test_unanswered_watch.py
+++ b/tests/test_unanswered_watch.py
@@ -5,7 +5,13 @@
 
 import eventlet
 
-from tests.platform_standins import GatewayProcess, StoreStandIn, _Server, wait_for
+from tests.platform_standins import (
+    GatewayProcess,
+    StoreStandIn,
+    _Server,
+    free_port,
+    wait_for,
+)
 from tests.test_gateway_process import configuration
 
 # Bounds of the settings of ``GatewayProcess``.
@@ -69,12 +75,13 @@
 
 
 class Host:
-    """A host with a store of its own, which it reaches by a proxy."""
+    """A host with a proxy of its own to a store, which may be shared."""
 
-    def __init__(self, test, **options):
-        self.store = StoreStandIn()
-        test.addCleanup(self.store.stop)
-        self.store.put("op/config", configuration(7))
+    def __init__(self, test, store=None, **options):
+        self.store = store or StoreStandIn()
+        if store is None:
+            test.addCleanup(self.store.stop)
+            self.store.put("op/config", configuration(7))
         self.proxy = SilencingProxy(self.store)
         test.addCleanup(self.proxy.stop)
         self.gateway = GatewayProcess(self.proxy, apply_ms=APPLY_MS, **options)
@@ -181,3 +188,37 @@
             host.store.is_down = False
 
         self.check_recovery(begin, end)
+
+
+class TestNewsOfPeers(unittest.TestCase):
+    """A host whose call is lost hears of a newer version from another host."""
+
+    def setUp(self):
+        self.store = StoreStandIn()
+        self.addCleanup(self.store.stop)
+        self.store.put("op/config", configuration(7))
+        port = free_port()
+        options = {"peer_port": port, "seeds": f"127.0.0.2:{port},127.0.0.3:{port}"}
+        self.hosts = [
+            Host(self, self.store, node=host, host=host, **options)
+            for host in ("127.0.0.2", "127.0.0.3")
+        ]
+        wait_for(
+            lambda: all(host.in_force_at(7) for host in self.hosts), "the first version"
+        )
+        # Each host knows the other one.
+        eventlet.sleep(3.0)
+
+    def test_newer_version_of_a_peer_ends_a_lost_call(self):
+        """Guards against a lost call that goes on although a peer has its answer."""
+        silent = self.hosts[1]
+        called_at = silent.proxy.called_at
+        wait_for(lambda: silent.proxy.called_at > called_at, "a call")
+        silent.proxy.silence(is_half=False)
+        self.store.put("op/config", configuration(8))
+        changed_at = time.monotonic()
+        wait_for(lambda: silent.in_force_at(8), "the version")
+        # Half a second until the call counts as lost, and as much for the way.
+        self.assertLess(silent.in_force_at(8) - changed_at, 1.2)
+        (event,) = silent.gateway.events("call_given_up")
+        self.assertEqual(event["version"], 8)
