Use a new connection when a host turns from a peer to the platform

A host that follows another one keeps its connection to the platform open without using it. If that falls silent meanwhile, the call that should replace a lost source is lost as well.

Fix: the connections to the platform are closed when a source is found.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -337,11 +337,14 @@
     def __init__(self, results):
         self.results = list(results)
         self.calls_made = []
+        # Number of calls before each time that the connections were closed.
+        self.closed_after = []
         # Wait and time-out of each watch call.
         self.planned = []
 
     def close(self):
-        """Do nothing."""
+        """Note that the next call uses a new connection."""
+        self.closed_after.append(len(self.calls_made))
 
     def read_all(self, *, allow_stale, timeout_s):
         return self._next(("read_all", allow_stale))
@@ -407,7 +410,7 @@
     """Changes that come from a larger host instead of the platform."""
 
     def follow(self, answers, results):
-        client = FakeClient([update(5, True), *results])
+        client = self.client = FakeClient([update(5, True), *results])
         self.relay, self.updates, self.returned = FakeRelay(answers), [], []
         follower = PlatformFollower(
             client,
@@ -444,6 +447,14 @@
             self.assertEqual(self.relay.rejected, 1)
             self.assertEqual([each.revision for each in self.updates], [5, 6])
 
+    def test_host_that_leaves_its_source_uses_a_new_connection(self):
+        """Guards against a connection that fell silent while it was not used."""
+        fresh = RelayedChanges(0, 8, 0.1, 0.0, [b"8"])
+        calls = self.follow([fresh, FAILURE], [update(9)])
+        self.assertEqual(calls, [("read_all", True), ("watch", 8)])
+        # The last time is the end of the test.
+        self.assertEqual(self.client.closed_after, [1, 2])
+
     def test_source_of_another_era_falls_back_to_the_platform(self):
         """Guards against changes whose revisions belong to another history."""
         other = RelayedChanges(1, 8, 0.1, 0.0, [b"8"])
