Take a lost call of a follower for no outage of the platform

What callers saw: a host that went back to its source after a lost call of its own kept removed replicas for a full grace period, although its source had been in contact all the time. Its record of the last answer could go backwards.

Cause: the answer of the source ended the outage of the host's own calls and reported it like a return of the platform. The age of relayed data replaced a later answer of the platform.

Fix: with an answer of a source only the source's own grace period counts; the log still has platform_back. The time of the last answer never decreases.

Evidence: without the fix test_own_lost_call_is_no_outage_of_the_platform and test_relayed_answer_does_not_turn_the_time_back failed.

--- a/cicadalever/freshness/_contact.py
+++ b/cicadalever/freshness/_contact.py
@@ -57,10 +57,13 @@
     def record_answer(self, now: float) -> Outage | None:
         """Record an answer that is current as of ``now``.
 
-        Return the outage that it ends, or None if the calls before it were answered.
+        Return the outage that it ends, or None if the calls before it were answered. An
+        answer that another host relays may be older than the latest one.
         """
         outage = None
         if self._failed_at is not None:
-            outage = Outage(self._answered_at, self._failed_at, now)
-        self._answered_at, self._failed_at = now, None
+            returned_at = max(now, self._failed_at)
+            outage = Outage(self._answered_at, self._failed_at, returned_at)
+        self._answered_at = max(self._answered_at, now)
+        self._failed_at = None
         return outage
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -9,6 +9,7 @@
 from cicadalever.freshness import (
     AnswerMargin,
     Backoff,
+    Outage,
     PlannedCall,
     PlatformContact,
     WatchTiming,
@@ -304,7 +305,9 @@
         for update in updates:
             if isinstance(update, Failure):
                 return update.reason
-        self._record_contact(changes.age_s)
+        # Only the source knows whether the platform was away: a call of this host that
+        # failed may have been lost on the way.
+        self._end_outage(changes.age_s)
         if changes.grace_s > 0.0:
             self.on_platform_returned(changes.grace_s)
         self._deliver_unconfirmed()
@@ -388,7 +391,13 @@
                 answered_s=round(answered_s, 2),
             )
 
-    def _record_contact(self, age_s: float = 0.0) -> None:
+    def _record_contact(self) -> None:
+        outage = self._end_outage()
+        if outage is not None:
+            self.on_platform_returned(None)
+
+    def _end_outage(self, age_s: float = 0.0) -> Outage | None:
+        """Record an answer that is current as of ``age_s`` seconds ago."""
         outage = self._contact.record_answer(self.loop.now() - age_s)
         if outage is not None:
             self.events.emit(
@@ -396,4 +405,4 @@
                 away_s=round(outage.returned_at - outage.answered_at, 2),
                 failed_s=round(outage.returned_at - outage.failed_at, 2),
             )
-            self.on_platform_returned(None)
+        return outage
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -24,6 +24,17 @@
             contact.record_failure(called_at)
         self.assertEqual(contact.record_answer(now=4.5), Outage(0.0, 4.0, 4.5))
 
+    def test_relayed_answer_does_not_turn_the_time_back(self):
+        """Guards against data that seems older after an answer of another host."""
+        contact = PlatformContact(now=0.0)
+        contact.record_answer(now=5.0)
+        contact.record_answer(now=4.0)
+        self.assertEqual(contact.answered_at, 5.0)
+        contact.record_failure(called_at=6.0)
+        contact.record_failure(called_at=7.0)
+        outage = contact.record_answer(now=6.5)
+        self.assertEqual(outage, Outage(5.0, 7.0, 7.0))
+
 
 class TestAnswerMargin(unittest.TestCase):
     """The time that is left for the answer of a platform that may be slow."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -409,7 +409,7 @@
 class TestRelayedChanges(unittest.TestCase):
     """Changes that come from a larger host instead of the platform."""
 
-    def follow(self, answers, results):
+    def follow(self, answers, results, seconds=0.05):
         client = self.client = FakeClient([update(5, True), *results])
         self.relay, self.updates, self.returned = FakeRelay(answers), [], []
         follower = PlatformFollower(
@@ -424,7 +424,7 @@
             lambda data: update(int(data)) if data.isdigit() else FAILURE,
         )
         follower.start()
-        eventlet.sleep(0.05)
+        eventlet.sleep(seconds)
         follower.stop()
         return client.calls_made
 
@@ -467,6 +467,13 @@
         self.follow([RelayedChanges(0, 7, 0.1, 1.5, [b"7"])], [])
         self.assertEqual(self.returned, [1.5])
 
+    def test_own_lost_call_is_no_outage_of_the_platform(self):
+        """Guards against keeping removed replicas after a call that only got lost."""
+        fresh = RelayedChanges(0, 8, 0.1, 0.0, [b"8"])
+        self.follow([FAILURE, fresh], [FAILURE], seconds=0.3)
+        self.assertEqual([each.revision for each in self.updates], [5, 8])
+        self.assertEqual(self.returned, [])
+
     def test_followed_host_calls_again_before_its_data_is_old(self):
         """Guards against followers that reject their source while nothing changes."""
         for apply_s in (3.0, 5.0, 8.0):
