Count the time on the way in the age of relayed data

A host took data of its source for as old as it was when the source sent it, or when the answer of the platform arrived there, however long both had been on the way or in a buffer. A first read that may be out of date counted as fresh.

Cause: the age counted from arrivals, which prove nothing about the time of sending.

Fix: the age counts from what an answer proves: an empty one that the platform knew of no change at the end of the wait, another one at the begin of the call, and a read that may be out of date nothing. A source tells how long it held a poll (new last field, optional), and the follower adds the rest of the time since it sent the poll. Plans of calls still go from the arrival of the last answer: its connection was sound then.

--- a/cicadalever/freshness/_contact.py
+++ b/cicadalever/freshness/_contact.py
@@ -32,13 +32,22 @@
 
     def __init__(self, now: float):
         self._answered_at = now
+        self._confirmed_at = float("-inf")
         self._failed_at: float | None = None
 
     @property
     def answered_at(self) -> float:
-        """Time as of which the platform has last confirmed that nothing is missing."""
+        """Time of the last answer; its connection was sound then."""
         return self._answered_at
 
+    @property
+    def confirmed_at(self) -> float:
+        """Time as of which it is proved that nothing is missing; -inf if it never was.
+
+        An answer may have been on the way for any time since the platform sent it.
+        """
+        return self._confirmed_at
+
     @property
     def is_lost(self) -> bool:
         """Whether the latest call has failed."""
@@ -54,8 +63,10 @@
         self._failed_at = self._answered_at if is_first else called_at
         return is_first
 
-    def record_answer(self, now: float) -> Outage | None:
-        """Record an answer that is current as of ``now``.
+    def record_answer(
+        self, now: float, confirmed_at: float = float("-inf")
+    ) -> Outage | None:
+        """Record an answer that proves the data to be complete as of ``confirmed_at``.
 
         Return the outage that it ends, or None if the calls before it were answered. An
         answer that another host relays may be older than the latest one.
@@ -65,5 +76,6 @@
             returned_at = max(now, self._failed_at)
             outage = Outage(self._answered_at, self._failed_at, returned_at)
         self._answered_at = max(self._answered_at, now)
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
         self._failed_at = None
         return outage
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -90,7 +90,7 @@
         loop,
         link,
         timing,
-        age_s=lambda: daemon.follower.contact_age_s,
+        age_s=lambda: daemon.follower.data_age_s,
         grace_s=lambda: directory.remaining_grace_s(loop.now()),
         on_first_follower=lambda: daemon.follower.restart(),
     )
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -108,6 +108,11 @@
         """Seconds since the last answer from the platform."""
         return self.loop.now() - self._contact.answered_at
 
+    @property
+    def data_age_s(self) -> float:
+        """Seconds since the time as of which the data is proved to be complete."""
+        return self.loop.now() - self._contact.confirmed_at
+
     def start(self) -> None:
         """Start the green thread."""
         self._is_resuming = True
@@ -168,7 +173,9 @@
                 continue
             backoff.reset()
             was_history_lost = False
-            self._record_contact()
+            # The platform has waited to the end if nothing has changed.
+            waited_s = 0.0 if result.change_count else call.wait_s
+            self._record_contact(min(self.loop.now(), called_at + waited_s))
             self._is_stale = self._is_resuming = False
             self._apply(result)
             pause_s = self.timing.interval_s
@@ -239,7 +246,7 @@
             # be out of date does not show.
             allow_stale = False
             eventlet.sleep(backoff.next_pause_s(self.loop.now() - self._called_at))
-        self._record_contact()
+        self._record_contact(float("-inf") if allow_stale else self._called_at)
         self._begin_era(result.era)
         self._revision = result.revision
         self._is_stale = allow_stale
@@ -307,7 +314,8 @@
                 return update.reason
         # Only the source knows whether the platform was away: a call of this host that
         # failed may have been lost on the way.
-        self._end_outage(changes.age_s)
+        confirmed_at = self.loop.now() - changes.age_s
+        self._end_outage(confirmed_at, confirmed_at)
         if changes.grace_s > 0.0:
             self.on_platform_returned(changes.grace_s)
         self._deliver_unconfirmed()
@@ -391,14 +399,13 @@
                 answered_s=round(answered_s, 2),
             )
 
-    def _record_contact(self) -> None:
-        outage = self._end_outage()
+    def _record_contact(self, confirmed_at: float) -> None:
+        outage = self._end_outage(self.loop.now(), confirmed_at)
         if outage is not None:
             self.on_platform_returned(None)
 
-    def _end_outage(self, age_s: float = 0.0) -> Outage | None:
-        """Record an answer that is current as of ``age_s`` seconds ago."""
-        outage = self._contact.record_answer(self.loop.now() - age_s)
+    def _end_outage(self, answered_at: float, confirmed_at: float) -> Outage | None:
+        outage = self._contact.record_answer(answered_at, confirmed_at)
         if outage is not None:
             self.events.emit(
                 "platform_back",
--- a/cicadalever/gateway/_relay.py
+++ b/cicadalever/gateway/_relay.py
@@ -8,6 +8,7 @@
 from cicadalever.freshness import WatchTiming
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.peers import (
+    MAX_AGE_S,
     ChangeLog,
     Peer,
     Position,
@@ -35,6 +36,8 @@
 FOLLOWER_TIMEOUT_S = 3.0 * REJECTION_S
 # Polls are sent before queries that wait for a connection to the same host.
 RELAY_RANK = -1
+# Longest time for which a host of an older version holds a poll.
+FORMER_LONG_POLL_S = 0.8
 # Most digits of an era or a revision, which have at most 64 bits.
 MAX_POSITION_DIGITS = 20
 
@@ -44,6 +47,7 @@
 
     connection: CallerConnection
     after: Position
+    arrived_at: float
 
 
 class ChangeRelay:
@@ -102,7 +106,7 @@
         does not reach it in time: the follower may come from another era.
         """
         had_followers = self.has_followers
-        self._last_poll_at = self.loop.now()
+        now = self._last_poll_at = self.loop.now()
         if not had_followers:
             self.on_first_follower()
         after = _parse_position(request.target.removeprefix(RELAY_PATH))
@@ -110,7 +114,7 @@
         if batches is None:
             connection.respond(CallerResponse(410, []))
             return
-        follower = _Follower(connection, after)
+        follower = _Follower(connection, after, now)
         if batches:
             self._respond(follower)
             return
@@ -144,7 +148,14 @@
         if batches is None or revision < follower.after.revision:
             follower.connection.respond(CallerResponse(410, []))
             return
-        changes = RelayedChanges(era, revision, self.age_s(), self.grace_s(), batches)
+        changes = RelayedChanges(
+            era,
+            revision,
+            min(MAX_AGE_S, self.age_s()),
+            self.grace_s(),
+            batches,
+            self.loop.now() - follower.arrived_at,
+        )
         follower.connection.respond(CallerResponse(200, [], encode_changes(changes)))
 
     # Client side: the host that this one follows
@@ -167,6 +178,7 @@
             line = b"GET %s%d-%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
             return line % (RELAY_PATH, *after, host.encode(), port)
 
+        sent_at = self.loop.now()
         exchange = Exchange(encode, b"", RELAY_RANK, answered.send)
         timer = self.loop.call_later(
             self.timing.poll_timeout_s, exchange.cancel, "no answer to the poll"
@@ -180,7 +192,10 @@
             return Failure(
                 FailureCode.UNAVAILABLE, f"poll answered with status {answer.status}"
             )
-        return decode_changes(answer.body)
+        changes = decode_changes(answer.body)
+        if isinstance(changes, Failure):
+            return changes
+        return changes.add_transit(self.loop.now() - sent_at, FORMER_LONG_POLL_S)
 
 
 def _parse_position(value: bytes) -> Position | None:
--- a/cicadalever/peers/__init__.py
+++ b/cicadalever/peers/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from ._changes import (
+    MAX_AGE_S,
     ChangeLog,
     Position,
     RelayedChanges,
@@ -79,6 +80,7 @@
     "encode_observation",
     "Address",
     "Capacity",
+    "MAX_AGE_S",
     "ChangeLog",
     "Heartbeat",
     "HostCount",
--- a/cicadalever/peers/_changes.py
+++ b/cicadalever/peers/_changes.py
@@ -38,7 +38,9 @@
 
     ``age_s`` is the time since the platform confirmed to the sender that there were no
     further changes. ``grace_s`` is the time that is left for expired entries to be
-    published again.
+    published again. ``held_s`` is the time between the arrival of the poll and the
+    answer, which tells the receiver for how long both were on the way. Older hosts do
+    not send it and ignore it.
     """
 
     era: Number
@@ -46,6 +48,22 @@
     age_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_AGE_S)]
     grace_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_GRACE_S)]
     batches: list[bytes]
+    held_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_AGE_S)] | None = None
+
+    def add_transit(self, elapsed_s: float, longest_hold_s: float) -> "RelayedChanges":
+        """Return the changes with the age that they have on arrival.
+
+        ``elapsed_s`` is the time since the poll was sent. What the sender did not hold
+        the poll for was spent on the way. An older host may have held it for
+        ``longest_hold_s``.
+
+        >>> changes = RelayedChanges(1, 7, 0.5, 0.0, [], held_s=0.25)
+        >>> changes.add_transit(elapsed_s=1.0, longest_hold_s=0.8).age_s
+        1.25
+        """
+        held_s = longest_hold_s if self.held_s is None else self.held_s
+        age_s = self.age_s + max(0.0, elapsed_s - held_s)
+        return msgspec.structs.replace(self, age_s=age_s)
 
 
 class Position(NamedTuple):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -20,6 +20,7 @@
 from cicadalever.gateway._follower import PlatformFollower
 from cicadalever.gateway._outbound import OutboundRequest
 from cicadalever.gateway._readiness import Readiness
+from cicadalever.gateway._relay import ChangeRelay
 from cicadalever.gateway._service import (
     AnswerLateness,
     parse_deadline,
@@ -27,7 +28,7 @@
     plan_times,
 )
 from cicadalever.outcomes import Failure, FailureCode
-from cicadalever.peers import RelayedChanges
+from cicadalever.peers import Position, RelayedChanges
 from cicadalever.placement import ReadOutcome
 from cicadalever.routing import Limits, Route, RoutingTable
 from cicadalever.wire import (
@@ -523,6 +524,76 @@
         self.assertEqual(self.events.names, [])
 
 
+class RelayLoop:
+    """Loop with a clock that the test sets, which runs nothing later."""
+
+    def __init__(self):
+        self.time = 100.0
+
+    def now(self):
+        return self.time
+
+    def call_later(self, seconds, callback, *arguments):
+        return SimpleNamespace(cancel=lambda: None)
+
+    def run_guarded(self, function, *arguments):
+        function(*arguments)
+
+
+class TestChangeRelay(unittest.TestCase):
+    """The age of the data that one host gets from another."""
+
+    def setUp(self):
+        self.loop, self.age_s = RelayLoop(), 0.3
+        relays = [
+            ChangeRelay(
+                self.loop,
+                SimpleNamespace(send=self.send),
+                PATIENT,
+                lambda: self.age_s,
+                lambda: 0.0,
+                lambda: None,
+            )
+            for _ in range(2)
+        ]
+        self.source, self.follower = relays
+        self.source.publish(update(5, True))
+        # Times on the way and at the source, in seconds.
+        self.way_there_s = self.held_s = self.way_back_s = 0.0
+
+    def send(self, address, exchange):
+        """Carry a poll to the source and its answer back."""
+        self.loop.time += self.way_there_s
+        target = exchange.encode().split()[1]
+        self.source.handle(
+            SimpleNamespace(respond=self.answers.append),
+            SimpleNamespace(target=target),
+        )
+        self.loop.time += self.held_s
+        self.source.publish(update(6)._replace(raw=b"{}", removed=["i-1"]))
+        self.loop.time += self.way_back_s
+        exchange.end(ReplicaAnswer(200, [], self.answers[0].body))
+
+    def poll(self, way_there_s, held_s, way_back_s):
+        self.way_there_s, self.held_s = way_there_s, held_s
+        self.way_back_s, self.answers = way_back_s, []
+        peer = SimpleNamespace(address=("127.0.0.2", 1))
+        return self.follower.poll(peer, Position(0, 5)).age_s
+
+    def test_time_on_the_way_counts_as_age(self):
+        """Guards against data that grew old in a buffer and is taken for fresh."""
+        self.assertAlmostEqual(self.poll(0.0, 0.7, 2.5), 2.8)
+
+    def test_time_at_the_source_does_not_count_twice(self):
+        """Guards against a sound source that is rejected for holding a poll."""
+        self.assertAlmostEqual(self.poll(0.01, 0.7, 0.01), 0.32)
+
+    def test_data_that_was_never_confirmed_is_old(self):
+        """Guards against a host that relays a read which may be out of date."""
+        self.age_s = float("inf")
+        self.assertGreater(self.poll(0.0, 0.1, 0.0), 1e6)
+
+
 class TestPlatformFollower(unittest.TestCase):
     """Resumption, lost history and lost contact."""
 
@@ -546,6 +617,29 @@
         follower.stop()
         return client.calls_made, events.names
 
+    def test_age_counts_from_what_an_answer_proves(self):
+        """Guards against data that grew old on the way and is relayed as fresh."""
+        client = FakeClient([update(5, True)])
+        follower = PlatformFollower(
+            client,
+            PATIENT,
+            EventLoop(),
+            Random(1),
+            FakeEvents(),
+            lambda update: None,
+            lambda grace_s: None,
+        )
+        follower.start()
+        self.addCleanup(follower.stop)
+        eventlet.sleep(0.05)
+        # A read that may be out of date proves nothing.
+        self.assertGreater(follower.data_age_s, 1e6)
+        client.answer_after(0.3, update(6)._replace(removed=["i-1"]))
+        eventlet.sleep(0.32)
+        # The change may have been sent when the call began.
+        self.assertGreater(follower.data_age_s, 0.3)
+        self.assertLess(follower.contact_age_s, 0.1)
+
     def test_resumes_at_the_last_revision(self):
         """Guards against changes that are missed between two watch calls."""
         calls, _ = self.follow([update(5, True), update(7), update(9)])
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import eventlet
+import msgspec
 
 from bench.fleet._loop import VirtualLoop
 from cicadalever.gateway._delegated_call import DelegatedCall
@@ -442,6 +443,17 @@
         self.assertEqual(decode_changes(encode_changes(sent)), received)
         self.assertIsInstance(decode_changes(b"\xc1"), Failure)
 
+    def test_former_hosts_understand_each_other(self):
+        """Guards against changes that hosts of two versions do not read."""
+        sent = RelayedChanges(1, 7, 0.5, 0.0, [], 0.25)
+        fields = msgspec.msgpack.decode(encode_changes(sent))
+        self.assertEqual(fields, [1, 7, 0.5, 0.0, [], 0.25])
+        former = decode_changes(msgspec.msgpack.encode(fields[:5]))
+        self.assertIsNone(former.held_s)
+        # A sound source of a former version is held for no older than it is.
+        self.assertEqual(former.add_transit(0.8, 0.8).age_s, 0.5)
+        self.assertEqual(former.add_transit(3.8, 0.8).age_s, 3.5)
+
     def test_bad_batches_are_a_failure(self):
         """Guards against a batch that is cut, or that fills the memory."""
         whole = zlib.compress(b"{}" * 1000)
