--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,20 +7,20 @@
 from unittest import mock
 
 import eventlet
+import eventlet.event
 
+from cicadalever.freshness import Backoff, WatchTiming
+from cicadalever.freshness._backoff import MIN_PAUSE_S
 from cicadalever.gateway import HistoryLost, PlatformUpdate
 from cicadalever.gateway._answers import (
     AnswerKind,
     classify_answer,
     classify_read_outcome,
 )
-from cicadalever.gateway._follower import (
-    MIN_BACKOFF_S,
-    PlatformFollower,
-    WatchTiming,
-)
+from cicadalever.gateway._follower import PlatformFollower
 from cicadalever.gateway._outbound import OutboundRequest
 from cicadalever.gateway._readiness import Readiness
+from cicadalever.gateway._relay import ChangeRelay
 from cicadalever.gateway._service import (
     AnswerLateness,
     parse_deadline,
@@ -28,7 +28,7 @@
     plan_times,
 )
 from cicadalever.outcomes import Failure, FailureCode
-from cicadalever.peers import RelayedChanges
+from cicadalever.peers import Position, RelayedChanges
 from cicadalever.placement import ReadOutcome
 from cicadalever.routing import Limits, Route, RoutingTable
 from cicadalever.wire import (
@@ -52,6 +52,18 @@
 )
 SIGNED = [(b"x-id", b"1"), (b"x-signed", b"s")]
 FAILURE = Failure(FailureCode.UNREACHABLE, "reset")
+# Times of a host that waits for long and does not pause between its calls.
+PATIENT = WatchTiming.plan(60.0, 60.0, 60.0)._replace(interval_s=0.001)
+# Bounds of deployments in seconds: contact, apply and drain.
+BOUNDS = [
+    (4.0, 3.0, 3.0),
+    (5.0, 5.0, 5.0),
+    (6.0, 6.0, 6.0),
+    (4.0, 10.0, 10.0),
+    (10.0, 2.0, 2.0),
+    (2.0, 2.0, 2.0),
+    (3.0, 1.0, 1.0),
+]
 
 
 def gather_route(shards, **changes):
@@ -254,17 +266,70 @@
 
     def test_lost_watch_ends_before_the_bounds_apply_again(self):
         """Guards against requests to removed replicas after a watch call was lost."""
-        for contact_s, bound_s in ((4.0, 3.0), (5.0, 5.0)):
-            times = WatchTiming.plan(contact_s, bound_s, bound_s)
-            # A lost watch call times out 1.5 s after its wait, and the next call takes
-            # at most 1 s.
-            self.assertLess(times.wait_s + 1.5 + 1.0, contact_s + bound_s)
-            self.assertLess(times.interval_s, bound_s / 2)
+        for bounds in BOUNDS:
+            times = WatchTiming.plan(*bounds)
+            for delay_s in (0.0, 0.5 * times.interval_s, times.interval_s):
+                call = times.plan_call(delay_s, 0.0, times.min_margin_s)
+                # The next call has a connection of its own and a slow answer.
+                recovery_s = 1.5 * MIN_PAUSE_S + 0.25
+                end_s = delay_s + call.timeout_s + recovery_s
+                self.assertLess(end_s, bounds[0] + 0.001, bounds)
+                self.assertLessEqual(call.timeout_s + delay_s, 0.701 * bounds[0])
+            self.assertLess(times.interval_s, min(bounds) / 2)
+
+    def test_lost_source_is_replaced_within_the_bounds(self):
+        """Guards against a poll that outlasts the time in which changes must apply."""
+        for bounds in BOUNDS:
+            times = WatchTiming.plan(*bounds)
+            end_s = times.max_age_s + times.poll_timeout_s
+            self.assertLess(end_s, 0.9 * min(bounds))
+            # A sound source answers in time, even if it holds the poll to the end.
+            self.assertGreater(times.poll_timeout_s, 1.25 * times.long_poll_s)
+
+    def test_contact_is_back_soon_after_an_outage(self):
+        """Guards against a host that is out of date for long after an outage."""
+        for bounds in BOUNDS:
+            times = WatchTiming.plan(*bounds)
+            refused_s, silent_s, left_s = 0.0, 0.0, bounds[0] - 2.5
+            backoff = Backoff(times.max_backoff_s, Random(1))
+            for _ in range(100):
+                refused_s = max(refused_s, backoff.next_pause_s(elapsed_s=0.0))
+                pause_s = backoff.next_pause_s(elapsed_s=times.max_margin_s)
+                silent_s = max(silent_s, times.max_margin_s + pause_s)
+            self.assertLess(refused_s, max(0.5, 0.7 * left_s))
+            self.assertLess(silent_s, max(1.3, left_s))
+
+    def test_calls_while_the_platform_is_away_are_rare(self):
+        """Guards against a price of calls that fail at once."""
+        for bounds in BOUNDS:
+            times = WatchTiming.plan(*bounds)
+            backoff = Backoff(times.max_backoff_s, Random(1))
+            calls, now = 0, 0.0
+            while now < 10.0:
+                calls, now = calls + 1, now + backoff.next_pause_s(elapsed_s=0.0)
+            # At most two calls a second for the usual bounds.
+            self.assertLessEqual(calls, 20 if bounds[0] >= 4.0 else 40)
 
     def test_wait_stays_in_range(self):
         """Guards against waits that the platform rejects or that amount to polling."""
-        self.assertEqual(WatchTiming.plan(60.0, 60.0, 60.0).wait_s, 30.0)
-        self.assertEqual(WatchTiming.plan(0.5, 0.5, 0.5).wait_s, 1.0)
+        long = WatchTiming.plan(60.0, 60.0, 60.0)
+        self.assertEqual(long.plan_call(0.0, 0.0, long.min_margin_s).wait_s, 30.0)
+        for bounds in BOUNDS:
+            times = WatchTiming.plan(*bounds)
+            call = times.plan_call(0.0, 0.0, times.min_margin_s)
+            self.assertGreaterEqual(call.wait_s, 0.4 * bounds[0])
+            late = times.plan_call(100.0, 0.0, times.min_margin_s)
+            self.assertGreaterEqual(late.wait_s, 0.1)
+
+    def test_calls_without_changes_are_rare(self):
+        """Guards against a price of freshness beyond one call in two seconds."""
+        times = WatchTiming.plan(4.0, 3.0, 3.0)
+        call = times.plan_call(0.0, 0.0, times.min_margin_s)
+        self.assertGreaterEqual(call.wait_s, 2.0)
+        for contact_s, bound_s in ((4.0, 3.0), (5.0, 5.0), (6.0, 6.0), (10.0, 2.0)):
+            followed = WatchTiming.plan(contact_s, bound_s, bound_s)
+            # Hosts that relay changes to others call once in this time.
+            self.assertGreaterEqual(followed.interval_s, 0.35 * bound_s)
 
 
 class FakeClient:
@@ -273,22 +338,33 @@
     def __init__(self, results):
         self.results = list(results)
         self.calls_made = []
+        # Number of calls before each time that the connections were closed.
+        self.closed_after = []
+        # Wait and time-out of each watch call.
+        self.planned = []
 
     def close(self):
-        """Do nothing."""
+        """Note that the next call uses a new connection."""
+        self.closed_after.append(len(self.calls_made))
 
-    def read_all(self, *, allow_stale):
+    def read_all(self, *, allow_stale, timeout_s):
         return self._next(("read_all", allow_stale))
 
-    def watch(self, after, wait_s):
+    def watch(self, after, wait_s, timeout_s):
+        self.planned.append((wait_s, timeout_s))
         return self._next(("watch", after))
 
     def _next(self, call):
         self.calls_made.append(call)
         if not self.results:
-            eventlet.sleep(60)
+            self._waiting = eventlet.event.Event()
+            return self._waiting.wait()
         return self.results.pop(0)
 
+    def answer_after(self, seconds, result):
+        """Answer the waiting call some time from now."""
+        eventlet.spawn_after(seconds, self._waiting.send, result)
+
 
 class FakeEvents:
     """Event log that records the names of the events."""
@@ -334,12 +410,12 @@
 class TestRelayedChanges(unittest.TestCase):
     """Changes that come from a larger host instead of the platform."""
 
-    def follow(self, answers, results):
-        client = FakeClient([update(5, True), *results])
+    def follow(self, answers, results, seconds=0.05):
+        client = self.client = FakeClient([update(5, True), *results])
         self.relay, self.updates, self.returned = FakeRelay(answers), [], []
         follower = PlatformFollower(
             client,
-            WatchTiming(wait_s=30.0, interval_s=0.001, max_age_s=2.5),
+            PATIENT._replace(max_age_s=2.5),
             EventLoop(),
             Random(1),
             FakeEvents(),
@@ -349,7 +425,7 @@
             lambda data: update(int(data)) if data.isdigit() else FAILURE,
         )
         follower.start()
-        eventlet.sleep(0.05)
+        eventlet.sleep(seconds)
         follower.stop()
         return client.calls_made
 
@@ -372,6 +448,14 @@
             self.assertEqual(self.relay.rejected, 1)
             self.assertEqual([each.revision for each in self.updates], [5, 6])
 
+    def test_host_that_leaves_its_source_uses_a_new_connection(self):
+        """Guards against a connection that fell silent while it was not used."""
+        fresh = RelayedChanges(0, 8, 0.1, 0.0, [b"8"])
+        calls = self.follow([fresh, FAILURE], [update(9)])
+        self.assertEqual(calls, [("read_all", True), ("watch", 8)])
+        # The last time is the end of the test.
+        self.assertEqual(self.client.closed_after, [1, 2])
+
     def test_source_of_another_era_falls_back_to_the_platform(self):
         """Guards against changes whose revisions belong to another history."""
         other = RelayedChanges(1, 8, 0.1, 0.0, [b"8"])
@@ -384,6 +468,13 @@
         self.follow([RelayedChanges(0, 7, 0.1, 1.5, [b"7"])], [])
         self.assertEqual(self.returned, [1.5])
 
+    def test_own_lost_call_is_no_outage_of_the_platform(self):
+        """Guards against keeping removed replicas after a call that only got lost."""
+        fresh = RelayedChanges(0, 8, 0.1, 0.0, [b"8"])
+        self.follow([FAILURE, fresh], [FAILURE], seconds=0.3)
+        self.assertEqual([each.revision for each in self.updates], [5, 8])
+        self.assertEqual(self.returned, [])
+
     def test_followed_host_calls_again_before_its_data_is_old(self):
         """Guards against followers that reject their source while nothing changes."""
         for apply_s in (3.0, 5.0, 8.0):
@@ -393,15 +484,125 @@
             self.assertGreater(times.followed_wait_s, 0.0)
 
 
+class TestNewerVersion(unittest.TestCase):
+    """Versions that peers name while a watch call waits."""
+
+    def setUp(self):
+        client = self.client = FakeClient([update(5, True), update(6)])
+        self.events = FakeEvents()
+        self.follower = PlatformFollower(
+            client,
+            PATIENT._replace(min_margin_s=0.02),
+            EventLoop(),
+            Random(1),
+            self.events,
+            lambda update: None,
+            lambda grace_s: None,
+        )
+        self.follower.start()
+        self.addCleanup(self.follower.stop)
+        eventlet.sleep(0.02)
+
+    def hear(self, version, times):
+        for _ in range(times):
+            self.follower.hurry(version)
+            eventlet.sleep(0.01)
+
+    def test_rejected_version_ends_one_call_only(self):
+        """Guards against calls without end for a version that this host rejects."""
+        self.hear(8, 30)
+        self.assertEqual(self.events.names.count("call_given_up"), 1)
+        self.assertEqual(len(self.client.planned), 3)
+        self.hear(9, 30)
+        self.assertEqual(self.events.names.count("call_given_up"), 2)
+
+    def test_answered_call_is_not_given_up(self):
+        """Guards against a second call for a version that is on its way."""
+        self.client.answer_after(0.01, update(7))
+        self.hear(8, 1)
+        eventlet.sleep(0.1)
+        self.assertEqual(self.events.names, [])
+
+
+class RelayLoop:
+    """Loop with a clock that the test sets, which runs nothing later."""
+
+    def __init__(self):
+        self.time = 100.0
+
+    def now(self):
+        return self.time
+
+    def call_later(self, seconds, callback, *arguments):
+        return SimpleNamespace(cancel=lambda: None)
+
+    def run_guarded(self, function, *arguments):
+        function(*arguments)
+
+
+class TestChangeRelay(unittest.TestCase):
+    """The age of the data that one host gets from another."""
+
+    def setUp(self):
+        self.loop, self.age_s = RelayLoop(), 0.3
+        relays = [
+            ChangeRelay(
+                self.loop,
+                SimpleNamespace(send=self.send),
+                PATIENT,
+                lambda: self.age_s,
+                lambda: 0.0,
+                lambda: None,
+            )
+            for _ in range(2)
+        ]
+        self.source, self.follower = relays
+        self.source.publish(update(5, True))
+        # Times on the way and at the source, in seconds.
+        self.way_there_s = self.held_s = self.way_back_s = 0.0
+
+    def send(self, address, exchange):
+        """Carry a poll to the source and its answer back."""
+        self.loop.time += self.way_there_s
+        target = exchange.encode().split()[1]
+        self.source.handle(
+            SimpleNamespace(respond=self.answers.append),
+            SimpleNamespace(target=target),
+        )
+        self.loop.time += self.held_s
+        self.source.publish(update(6)._replace(raw=b"{}", removed=["i-1"]))
+        self.loop.time += self.way_back_s
+        exchange.end(ReplicaAnswer(200, [], self.answers[0].body))
+
+    def poll(self, way_there_s, held_s, way_back_s):
+        self.way_there_s, self.held_s = way_there_s, held_s
+        self.way_back_s, self.answers = way_back_s, []
+        peer = SimpleNamespace(address=("127.0.0.2", 1))
+        return self.follower.poll(peer, Position(0, 5)).age_s
+
+    def test_time_on_the_way_counts_as_age(self):
+        """Guards against data that grew old in a buffer and is taken for fresh."""
+        self.assertAlmostEqual(self.poll(0.0, 0.7, 2.5), 2.8)
+
+    def test_time_at_the_source_does_not_count_twice(self):
+        """Guards against a sound source that is rejected for holding a poll."""
+        self.assertAlmostEqual(self.poll(0.01, 0.7, 0.01), 0.32)
+
+    def test_data_that_was_never_confirmed_is_old(self):
+        """Guards against a host that relays a read which may be out of date."""
+        self.age_s = float("inf")
+        self.assertGreater(self.poll(0.0, 0.1, 0.0), 1e6)
+
+
 class TestPlatformFollower(unittest.TestCase):
     """Resumption, lost history and lost contact."""
 
     def follow(self, results, interval_s=0.001):
         client, events = FakeClient(results), FakeEvents()
-        self.updates, self.returned = [], []
+        self.client, self.updates, self.returned = client, [], []
         follower = PlatformFollower(
             client,
-            WatchTiming(wait_s=30.0, interval_s=interval_s),
+            PATIENT._replace(interval_s=interval_s),
             EventLoop(),
             Random(1),
             events,
@@ -416,6 +617,29 @@
         follower.stop()
         return client.calls_made, events.names
 
+    def test_age_counts_from_what_an_answer_proves(self):
+        """Guards against data that grew old on the way and is relayed as fresh."""
+        client = FakeClient([update(5, True)])
+        follower = PlatformFollower(
+            client,
+            PATIENT,
+            EventLoop(),
+            Random(1),
+            FakeEvents(),
+            lambda update: None,
+            lambda grace_s: None,
+        )
+        follower.start()
+        self.addCleanup(follower.stop)
+        eventlet.sleep(0.05)
+        # A read that may be out of date proves nothing.
+        self.assertGreater(follower.data_age_s, 1e6)
+        client.answer_after(0.3, update(6)._replace(removed=["i-1"]))
+        eventlet.sleep(0.32)
+        # The change may have been sent when the call began.
+        self.assertGreater(follower.data_age_s, 0.3)
+        self.assertLess(follower.contact_age_s, 0.1)
+
     def test_resumes_at_the_last_revision(self):
         """Guards against changes that are missed between two watch calls."""
         calls, _ = self.follow([update(5, True), update(7), update(9)])
@@ -457,8 +681,16 @@
         calls, _ = self.follow([update(5, True), *lost])
         elapsed_s = time.monotonic() - begun_at
         reads = calls.count(("read_all", False))
-        # Pauses begin at ``MIN_BACKOFF_S`` and double.
-        self.assertLessEqual(reads, 3 + elapsed_s / MIN_BACKOFF_S)
+        self.assertLessEqual(reads, 3 + elapsed_s / MIN_PAUSE_S)
+
+    def test_calls_to_a_slow_platform_last_longer(self):
+        """Guards against a slow platform whose answers are given up each time."""
+        late = Failure(FailureCode.TIMEOUT, "late")
+        self.follow([update(5, True), update(6), late, late, late, update(7)])
+        margins = [timeout_s - wait_s for wait_s, timeout_s in self.client.planned]
+        self.assertEqual(margins[1], PATIENT.min_margin_s)
+        self.assertGreater(margins[4], 2.0 * PATIENT.min_margin_s)
+        self.assertEqual(margins[:5], sorted(margins[:5]))
 
     def test_lost_contact_is_logged_once_and_starts_a_grace_period(self):
         """Guards against removing entries that expired during an outage."""
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import sys
+import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -11,7 +12,7 @@
 from eventlet.green import socket as green_socket
 
 from cicadalever.gateway import HistoryLost, PlatformUpdate
-from cicadalever.outcomes import Failure
+from cicadalever.outcomes import Failure, FailureCode
 
 PLATFORM = str(Path(__file__).parents[1] / "platform")
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -73,7 +74,7 @@
         )
         client = self.client()
         for _ in range(3):
-            update = client.watch(5, 0.1)
+            update = client.watch(5, 0.1, 1.6)
             self.assertIsInstance(update, PlatformUpdate)
             self.assertEqual(update.revision, 9)
         self.assertEqual(self.connections, 1)
@@ -89,7 +90,7 @@
                 eventlet.sleep(0)
 
         self.serve(send)
-        result = self.client(max_answer_bytes=1_000_000).watch(5, 0.1)
+        result = self.client(max_answer_bytes=1_000_000).watch(5, 0.1, 1.6)
         self.assertIsInstance(result, Failure)
         self.assertIn("exceeds 1000000 bytes", result.reason)
         self.assertLess(self.sent, 32 * 1024 * 1024)
@@ -104,9 +105,9 @@
                 eventlet.sleep(0.05)
 
         self.serve(send)
-        with eventlet.Timeout(20.0, AssertionError("the call never ended")):
-            result = self.client().watch(5, 0.1)
-        self.assertIsInstance(result, Failure)
+        with eventlet.Timeout(2.1, AssertionError("the call outlasted its time-out")):
+            result = self.client().watch(5, 0.1, 1.6)
+        self.assertIs(result.code, FailureCode.TIMEOUT)
 
     def test_drip_in_the_head_is_a_failure(self):
         """Guards against a head that never ends."""
@@ -118,9 +119,23 @@
                 eventlet.sleep(0.05)
 
         self.serve(send)
-        with eventlet.Timeout(20.0, AssertionError("the call never ended")):
-            result = self.client().watch(5, 0.1)
-        self.assertIsInstance(result, Failure)
+        with eventlet.Timeout(2.1, AssertionError("the call outlasted its time-out")):
+            result = self.client().watch(5, 0.1, 1.6)
+        self.assertIs(result.code, FailureCode.TIMEOUT)
+
+    def test_time_out_covers_all_parts_of_a_call(self):
+        """Guards against a time-out that begins again with each part of an answer."""
+
+        def send(sock):
+            for part in (HEAD, b"Content-Length: 9\r\n\r\n", b"{"):
+                eventlet.sleep(0.15)
+                sock.sendall(part)
+
+        self.serve(send)
+        begun_at = time.monotonic()
+        result = self.client().watch(5, 0.1, 0.5)
+        self.assertIs(result.code, FailureCode.TIMEOUT)
+        self.assertAlmostEqual(time.monotonic() - begun_at, 0.5, delta=0.1)
 
     def test_probes_are_not_cut_short(self):
         """Guards against a watch that is lost with a single keep-alive probe.
@@ -139,4 +154,4 @@
         self.serve(
             lambda sock: sock.sendall(b"HTTP/1.1 410 X\r\nContent-Length: 0\r\n\r\n")
         )
-        self.assertIsInstance(self.client().watch(5, 0.1), HistoryLost)
+        self.assertIsInstance(self.client().watch(5, 0.1, 1.6), HistoryLost)
