Take SIGHUP from the first statements of the gateway on

What callers saw: a host that was told to read its settings again while it was starting ended, and served nothing until it was started again.

Cause: the handler was set after all modules had been loaded and the settings read; until then, SIGHUP has its default action, which ends the process. The class is a start that gives up on what comes a moment later.

The new package cicadalever.startup loads nothing, so that its handler is set before eventlet is imported. It notes the signal; the settings are read again after the start if they may have been read before it. SIGTERM and SIGINT end the process with status 0 meanwhile.

What remains: the interpreter itself starts before the first statement; a SIGHUP in that time still ends the process.

--- a/cicadalever/gateway/_main.py
+++ b/cicadalever/gateway/_main.py
@@ -1,13 +1,13 @@
 """Entry point of the gateway process."""
 
 import gc
-import signal
 import sys
 from random import Random
 
 import eventlet
 
 from cicadalever.outcomes import Failure
+from cicadalever.startup import ProcessSignals
 
 from ._adapter import PlatformAdapter
 
@@ -17,11 +17,12 @@
 GC_THRESHOLD = 20_000
 
 
-def main(adapter: PlatformAdapter) -> None:
+def main(adapter: PlatformAdapter, signals: ProcessSignals) -> None:
     """Run the gateway until SIGTERM or SIGINT; SIGHUP reloads the settings.
 
     Exits with status 2 if the settings cannot be read.
     """
+    signals.forget_reload()
     settings = adapter.load_settings()
     if isinstance(settings, Failure):
         print(f"gateway: {settings.reason}", file=sys.stderr)
@@ -30,9 +31,7 @@
 
     daemon = build_gateway(settings, adapter, Random())
     daemon.components.events.start()
-    signal.signal(signal.SIGTERM, lambda *_: daemon.request_stop())
-    signal.signal(signal.SIGINT, lambda *_: daemon.request_stop())
-    signal.signal(signal.SIGHUP, lambda *_: daemon.request_reload())
+    signals.follow(daemon.request_stop, daemon.request_reload)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
--- /dev/null
+++ b/cicadalever/startup/__init__.py
@@ -0,0 +1,5 @@
+"""First steps of a process, taken before the modules that take long to load."""
+
+from ._signals import ProcessSignals
+
+__all__ = ["ProcessSignals"]
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -645,6 +645,7 @@
         drain_ms=3000,
         data_centre="dc-a",
         root=ROOT,
+        is_started=True,
     ):
         # Folder of the build that is run.
         self.root = root
@@ -670,7 +671,8 @@
         self.settings_path.write_text(settings)
         self.log_path = Path(self.folder.name, "log")
         self.log = open(self.log_path, "ab")  # noqa: SIM115
-        self.start()
+        if is_started:
+            self.start()
 
     def restart_with_unread_output(self):
         """Restart the process with a pipe as standard output that is not read."""
@@ -683,14 +685,20 @@
         self._unread = open(reader, "rb", buffering=0)  # noqa: SIM115
         self.start()
 
-    def start(self):
-        """Start the process; it appends to the log."""
+    def start(self, command=None, **options):
+        """Start the process; it appends to the log.
+
+        ``command`` and ``options`` of ``Popen`` replace the usual ones.
+        """
+        usual = {
+            "cwd": self.root,
+            "env": os.environ | {"CICADALEVER_NODE_FILE": str(self.settings_path)},
+            "stdout": self.log,
+            "stderr": subprocess.STDOUT,
+        }
         self.process = subprocess.Popen(
-            [sys.executable, str(self.root / GATEWAY.relative_to(ROOT))],
-            cwd=self.root,
-            env=os.environ | {"CICADALEVER_NODE_FILE": str(self.settings_path)},
-            stdout=self.log,
-            stderr=subprocess.STDOUT,
+            command or [sys.executable, str(self.root / GATEWAY.relative_to(ROOT))],
+            **usual | options,
         )
 
     def events(self, name=None):
@@ -743,7 +751,8 @@
 
     def stop(self):
         """Kill the process and remove its files."""
-        self.kill()
+        if self.process is not None:
+            self.kill()
         self.log.close()
         if self._unread is not None:
             self._unread.close()
