--- a/cicadalever/gateway/__init__.py
+++ b/cicadalever/gateway/__init__.py
@@ -6,6 +6,7 @@
     PlatformAdapter,
     PlatformUpdate,
     RetryLimits,
+    UnfinishedSettings,
 )
 from ._main import main
 
@@ -15,5 +16,6 @@
     "PlatformAdapter",
     "PlatformUpdate",
     "RetryLimits",
+    "UnfinishedSettings",
     "main",
 ]
--- a/cicadalever/gateway/_adapter.py
+++ b/cicadalever/gateway/_adapter.py
@@ -56,6 +56,12 @@
     is_first_start: bool
 
 
+class UnfinishedSettings(NamedTuple):
+    """Valid settings from a file whose last line may have been cut."""
+
+    settings: HostSettings
+
+
 class PlatformUpdate(NamedTuple):
     """The full state of the platform, or its changes, up to ``revision``.
 
@@ -127,6 +133,6 @@
     header_names: HeaderNames
     readiness_path: bytes
     settings_path: str
-    load_settings: Callable[[], HostSettings | Failure]
+    load_settings: Callable[[], HostSettings | UnfinishedSettings | Failure]
     connect: Callable[[tuple[str, int]], PlatformClient]
     decode_changes: Callable[[bytes], PlatformUpdate | Failure]
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -465,10 +465,9 @@
 
     def _reload(self, cause: str) -> None:
         settings = self.components.adapter.load_settings()
-        if isinstance(settings, Failure):
-            self.components.events.emit(
-                "reload_failed", cause=cause, reason=settings.reason
-            )
+        if not isinstance(settings, HostSettings):
+            reason = getattr(settings, "reason", "the last line may have been cut")
+            self.components.events.emit("reload_failed", cause=cause, reason=reason)
             return
         changed = [
             name
