Open addresses that are taken at the start when they are free

What callers saw: a host whose address for callers or for the readiness check was still in use when it started ended with status 1. A host whose port between hosts was in use worked without peers for as long as it ran, and one whose metrics port was in use had no metrics.

Cause: each address was opened once.

Evidence: tests.test_starts.TestAddressesDuringStart with the former _daemon.py and _peers.py fails in all 4 tests: three processes ended, and "peers_available" did not come within the time limit of the tests.

AddressOpener tries again, five times a second for the addresses without which no caller is served and every second for the others, while the rest of the gateway starts. The first failure and the success are logged. The host is not ready as long as it does not listen for callers, and a stop in this state ends it at once. A failed attempt closes its socket, which used to stay open.

--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -19,6 +19,7 @@
 )
 
 from ._adapter import HostSettings, PlatformAdapter, PlatformUpdate
+from ._address_opener import AddressOpener
 from ._crash_gossip import CrashGossip
 from ._events import EventLog
 from ._follower import PlatformFollower
@@ -44,6 +45,10 @@
 # readiness every second and stops sending requests after two failed checks; one more
 # second covers requests that are already in transit.
 DRAIN_LINGER_S = 3.0
+# Time between two attempts to open an address that is taken. A host works without peers
+# and metrics, but without the other addresses it serves no callers.
+OPEN_PERIOD_S = 0.2
+OPEN_RARELY_PERIOD_S = 1.0
 # The process exits at least this long before the platform would kill it.
 EXIT_MARGIN_S = 0.4
 # Time between two checks whether the last requests have been answered.
@@ -96,18 +101,18 @@
         self._reload_requested = False
         self._draining_since: float | None = None
         self._settings_mtime = self._read_mtime()
+        self._opener = AddressOpener(components.loop, components.events)
 
     def start(self) -> None:
         """Open the sockets and begin to receive updates from the platform."""
         components = self.components
-        components.caller_server.start()
-        components.readiness_server.start()
-        try:
-            components.metrics_server.start()
-        except OSError as error:
-            # The gateway also works without metrics.
-            components.events.emit("metrics_unavailable", reason=str(error))
-        components.link.start()
+        for name, server, period_s in (
+            ("callers", components.caller_server, OPEN_PERIOD_S),
+            ("readiness", components.readiness_server, OPEN_PERIOD_S),
+            ("metrics", components.metrics_server, OPEN_RARELY_PERIOD_S),
+            ("peers", components.link, OPEN_RARELY_PERIOD_S),
+        ):
+            self._opener.open(name, server.start, period_s)
         components.contact.on_change = self._handle_contact_change
         components.contact.on_doubt = components.service.hand_over_overdue
         components.contact.start()
@@ -140,7 +145,10 @@
         if path != self.components.adapter.readiness_path:
             connection.respond(CallerResponse(404, []))
             return
-        is_ready = self.components.readiness.is_ready(self.components.service.table)
+        is_ready = (
+            self.components.caller_server.is_listening
+            and self.components.readiness.is_ready(self.components.service.table)
+        )
         connection.respond(CallerResponse(200 if is_ready else 503, []))
 
     def handle_metrics(
@@ -498,7 +506,10 @@
         components.events.emit(
             "draining", busy=components.caller_server.busy_connections
         )
-        components.loop.call_later(DRAIN_LINGER_S, self._finish_drain)
+        self._opener.is_stopped = True
+        is_listening = components.caller_server.is_listening
+        linger_s = DRAIN_LINGER_S if is_listening else 0.0
+        components.loop.call_later(linger_s, self._finish_drain)
 
     def _finish_drain(self) -> None:
         server, peer_server = self.components.caller_server, self.components.link.server
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -78,8 +78,8 @@
 class PeerLink:
     """Sends and receives the heartbeats and requests between this host and its peers.
 
-    If the port cannot be opened, for example because another process holds it, the host
-    works without peers.
+    As long as the port cannot be opened, for example because another process holds it,
+    the host works without peers.
     """
 
     def __init__(
@@ -132,16 +132,18 @@
         self._ticked_at = loop.now()
 
     def start(self) -> None:
-        """Open the UDP socket and the HTTP server."""
+        """Open the UDP socket and the HTTP server.
+
+        Raises ``OSError`` if the port is taken; then nothing is open.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
         try:
             sock.bind(self.peer_table.address)
             self.server.start()
-        except OSError as error:
+        except OSError:
             sock.close()
-            self.events.emit("peers_unavailable", reason=str(error))
-            return
+            raise
         self._socket = sock
         self.loop.watch_read(sock.fileno(), self._read_heartbeats)
 
--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -381,13 +381,27 @@
         """Number of connections with a request in progress."""
         return sum(connection.is_busy for connection in self.connections)
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self._reader is not None
+
     def start(self) -> None:
-        """Start to accept connections."""
-        sock = self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(self.address)
-        sock.listen(BACKLOG)
+        """Start to accept connections.
+
+        Raises ``OSError`` if the address cannot be opened; ``start`` may be called
+        again.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(self.address)
+            sock.listen(BACKLOG)
+        except OSError:
+            sock.close()
+            raise
+        self._socket = sock
         self._reader = self.loop.watch_read(sock.fileno(), self._accept)
 
     def close_idle(self) -> None:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -651,10 +651,11 @@
         self.root = root
         self.caller_address = (host, free_port())
         self.readiness_address = (host, free_port())
+        self.peer_port = peer_port or free_port()
         settings = SETTINGS.format(
             front=self.caller_address[1],
             ready=self.readiness_address[1],
-            peers=peer_port or free_port(),
+            peers=self.peer_port,
             node=node,
             host=host,
             seeds=seeds,
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -1,6 +1,8 @@
 """Tests of starts of a gateway process while something is missing or in the way."""
 
+import os
 import signal
+import socket
 import sys
 import time
 import unittest
@@ -16,8 +18,15 @@
 )
 from cicadalever.outcomes import Failure
 from cicadalever.startup import ProcessSignals
-from tests.platform_standins import GATEWAY, GatewayProcess, StoreStandIn, wait_for
-from tests.test_gateway_process import configuration
+from cicadalever.wire import CallerServer, EventLoop
+from tests.platform_standins import (
+    GATEWAY,
+    GatewayProcess,
+    ReplicaStandIn,
+    StoreStandIn,
+    wait_for,
+)
+from tests.test_gateway_process import SHARDS, configuration
 
 # Runs a program and sends a signal to it each time one of the modules is imported.
 SIGNAL_AT_IMPORT = """
@@ -47,6 +56,10 @@
         self.store = StoreStandIn()
         self.addCleanup(self.store.stop)
         self.store.put("op/config", configuration(7))
+        for service in [*SHARDS, "one"]:
+            replica = ReplicaStandIn(service, f"i-{service}", bytes(16))
+            self.addCleanup(replica.stop)
+            self.store.put(f"servers/{replica.id}", replica.entry())
         self.gateway = GatewayProcess(self.store, is_started=False)
         self.addCleanup(self.gateway.stop)
 
@@ -261,3 +274,84 @@
             read = self.read(self.text.replace("GraceS=6", f"GraceS={value}"))
             self.assertIsInstance(read, Failure)
             self.assertIn("Bounds.GraceS", read.reason)
+
+
+class TestAddressesDuringStart(StartTestCase):
+    """Addresses that another socket holds for a while."""
+
+    def take(self, address, kind=socket.SOCK_STREAM):
+        """Take an address and return the socket that holds it."""
+        sock = socket.socket(type=kind)
+        self.addCleanup(sock.close)
+        sock.bind(address)
+        if kind == socket.SOCK_STREAM:
+            sock.listen()
+        return sock
+
+    def wait_for_event(self, name):
+        wait_for(lambda: self.gateway.events(name) or self.has_ended(), name)
+        self.assertFalse(self.has_ended(), self.read_log())
+
+    def check_start(self, name, *taken):
+        """Start the process while its addresses are taken; it opens them later."""
+        self.gateway.start()
+        self.wait_for_event(f"{name}_unavailable")
+        wait_for(lambda: self.gateway.events("configuration_in_force"), "the table")
+        eventlet.sleep(0.5)
+        self.assertFalse(self.gateway.events(f"{name}_available"))
+        for sock in taken:
+            sock.close()
+        self.wait_for_event(f"{name}_available")
+        self.wait_until_ready()
+        self.assertEqual(len(self.gateway.events(f"{name}_unavailable")), 1)
+
+    def test_address_of_callers(self):
+        """Guards against a start that ends since its address is free a moment later."""
+        taken = self.take(self.gateway.caller_address)
+        self.gateway.start()
+        self.wait_for_event("callers_unavailable")
+        wait_for(lambda: self.gateway.events("configuration_in_force"), "the table")
+        status, _, _ = self.gateway.ask(
+            "/cicadalever/readiness", address=self.gateway.readiness_address
+        )
+        self.assertEqual(status, 503)
+        taken.close()
+        self.wait_until_ready()
+        self.assertEqual(self.gateway.ask("/nowhere/x")[0], 404)
+
+    def test_address_of_readiness(self):
+        """Guards against a start that ends since its address is free a moment later."""
+        self.check_start("readiness", self.take(self.gateway.readiness_address))
+
+    def test_addresses_between_hosts(self):
+        """Guards against a host that works without peers for good."""
+        for kinds in ([socket.SOCK_STREAM], [socket.SOCK_DGRAM]):
+            with self.subTest(kinds=kinds):
+                address = ("127.0.0.1", self.gateway.peer_port)
+                self.check_start("peers", *(self.take(address, k) for k in kinds))
+                self.gateway.kill()
+                self.gateway.log_path.write_text("")
+
+    def test_stop_while_waiting(self):
+        """Guards against a process that waits for an address and cannot be stopped."""
+        self.take(self.gateway.caller_address)
+        self.gateway.start()
+        self.wait_for_event("callers_unavailable")
+        self.finish()
+
+
+class TestCallerServerStart(unittest.TestCase):
+    """A listener that could not be opened at once."""
+
+    def test_failed_attempts_leave_no_descriptors(self):
+        """Guards against a process that runs out of descriptors while it waits."""
+        taken = socket.socket()
+        self.addCleanup(taken.close)
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        server = CallerServer(EventLoop(), taken.getsockname(), print, None)
+        before = os.listdir("/proc/self/fd")
+        for _ in range(3):
+            self.assertRaises(OSError, server.start)
+        self.assertEqual(len(os.listdir("/proc/self/fd")), len(before))
+        self.assertFalse(server.is_listening)
