Start without standard input, output and error

What callers saw: a host whose process was started with standard output closed ended with status 1; with others closed, sockets took the descriptors 0 to 2.

Cause: switching a closed descriptor to non-blocking mode raised an error that nothing handled, and descriptors that are free at the start are given to the first sockets.

The event log ignores an output that cannot be switched.

--- a/cicadalever/gateway/_events.py
+++ b/cicadalever/gateway/_events.py
@@ -1,5 +1,6 @@
 """The event log: one JSON object per line on standard output."""
 
+import contextlib
 import os
 import time
 from collections import Counter
@@ -34,7 +35,8 @@
 
     def start(self) -> None:
         """Send the output of loguru to standard output, in non-blocking mode."""
-        os.set_blocking(STDOUT_FD, False)
+        with contextlib.suppress(OSError):
+            os.set_blocking(STDOUT_FD, False)
         logger.remove()
         logger.add(self._write, format="{message}", level="INFO", catch=False)
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -6,6 +6,8 @@
 import sys
 import time
 import unittest
+from functools import partial
+from pathlib import Path
 from unittest import mock
 
 import eventlet
@@ -49,6 +51,12 @@
     return load_host_settings(str(path))
 
 
+def close_all(descriptors):
+    """Close some descriptors."""
+    for descriptor in descriptors:
+        os.close(descriptor)
+
+
 class StartTestCase(unittest.TestCase):
     """Starts one gateway process when a test has prepared its surroundings."""
 
@@ -340,6 +348,34 @@
         self.finish()
 
 
+class TestStandardStreams(StartTestCase):
+    """Standard streams that are closed or that nobody reads."""
+
+    def test_closed_streams(self):
+        """Guards against a start that ends, or sockets that get the log lines."""
+        for number in range(1, 8):
+            closed = [each for each in (0, 1, 2) if number >> each & 1]
+            with self.subTest(closed=closed):
+                self.gateway.start(preexec_fn=partial(close_all, closed))
+                self.wait_until_ready()
+                self.gateway.process.send_signal(signal.SIGHUP)
+                self.assertEqual(self.gateway.ask("/nowhere/x")[0], 404)
+                for descriptor in (0, 1, 2):
+                    path = f"/proc/{self.gateway.process.pid}/fd/{descriptor}"
+                    self.assertNotIn("socket", os.readlink(path))
+                self.gateway.kill()
+        self.assertNotIn("Traceback", self.read_log())
+
+    def test_closed_streams_without_settings(self):
+        """Guards against an error message that ends the process."""
+        self.gateway.settings_path.rename(f"{self.gateway.settings_path}.later")
+        self.gateway.start(preexec_fn=lambda: os.closerange(0, 3))
+        eventlet.sleep(0.7)
+        self.assertFalse(self.has_ended())
+        Path(f"{self.gateway.settings_path}.later").rename(self.gateway.settings_path)
+        self.wait_until_ready()
+
+
 class TestCallerServerStart(unittest.TestCase):
     """A listener that could not be opened at once."""
 
