--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -276,12 +276,51 @@
         review.record(read, 0.0)
         self.assertEqual(review.record(read, UNFINISHED_SETTLE_S), self.complete)
 
-    def test_values_that_are_no_numbers(self):
-        """Guards against values that never equal themselves, and so never settle."""
-        for value in ("nan", "inf", "", "6s"):
-            read = self.read(self.text.replace("GraceS=6", f"GraceS={value}"))
-            self.assertIsInstance(read, Failure)
-            self.assertIn("Bounds.GraceS", read.reason)
+    def test_values_that_cannot_be_used_are_named(self):
+        """Guards against values that end the process, or never settle, such as nan."""
+        cases = (
+            ("Bounds.GraceS", "nan", "must be in [0, inf], got nan"),
+            ("Bounds.GraceS", "", "'' is not a number"),
+            ("Bounds.GraceS", "6s", "'6s' is not a number"),
+            ("Bounds.DrainMs", "-1", "must be in [0, inf], got -1"),
+            ("Bounds.ContactMs", "inf", "must be in [0, inf], got inf"),
+            ("Bounds.RetryBudgetRatio", "2", "must be in [0, 1.0], got 2"),
+            ("Bounds.RetryWindowS", "0", "must be in (0, inf], got 0"),
+            ("Limits.MaxFds", "0", "must be in (0, inf], got 0"),
+            ("Listen.Front", "127.0.0.1:99999", "must be in [1, 65535], got '99999'"),
+            ("Listen.Ready", "host:80", "'host:80' is not ip:port"),
+            ("platform.Address", "10.1.0.:80", "'10.1.0.:80' is not ip:port"),
+            ("InternalPorts", "", "must be in [1, 65535], got ''"),
+            ("InternalPorts", "0,7395", "must be in [1, 65535], got '0'"),
+        )
+        for name, value, expected in cases:
+            with self.subTest(name=name, value=value):
+                read = self.read(self.replace(name, value))
+                self.assertIsInstance(read, Failure)
+                self.assertIn(f"{name}: ", read.reason)
+                self.assertIn(expected, read.reason)
+
+    def test_files_that_mean_the_same(self):
+        """Guards against a start that unknown or optional settings prevent."""
+        for text in (
+            self.text.replace("\n", "\r\n"),
+            self.text.replace("\n", "\n\n").replace("=", " = "),
+            "# a comment = 1\n=\n==\nnew.Key=a=b\nFaultTolerance.Zones=\n" + self.text,
+            self.replace("Seeds", "10.1.0.9:7380,, odd,[::1]:80,host:80,:,"),
+            self.text + "Limits.CpuShare=\nLimits.Cores=\nBootstrap=true\n",
+        ):
+            self.assertEqual(self.read(text), self.complete, text)
+        read = self.read(self.replace("Seeds", ""))
+        self.assertEqual(read, self.complete._replace(seeds=()))
+        self.assertFalse(self.read(f"{self.text}Bootstrap=false\n").is_first_start)
+
+    def replace(self, name, value):
+        """Return the settings with another value of a field."""
+        lines = self.text.splitlines()
+        return "".join(
+            f"{name}={value}\n" if line.startswith(f"{name}=") else f"{line}\n"
+            for line in lines
+        )
 
 
 class TestAddressesDuringStart(StartTestCase):
