Read settings again until they can be used, and apply bounds

What callers saw: a host that was told to read its settings while the file was being written kept the old ones until the file changed once more, or followed the cut address of the platform. New bounds for updates, leaving replicas and retries were reported as changed, but the host kept those of its start.

Cause: one attempt for each signal or change, any file that could be decoded was applied, and only addresses of platform and seeds reached the components that use them.

A reload now goes on, with SettingsReview as at the start, until the settings can be used; a failure is logged once. The file counts as changed if its time in nanoseconds, its size or its inode differs from what it was before the last read; the first check after the start always reads it. apply_settings puts every bound into force that a component uses, and names what needs a restart.

The watch that is under way keeps its wait; the next one has the new.

--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -28,6 +28,8 @@
 from ._readiness import Readiness
 from ._reads import ReadRunner
 from ._service import GatewayService
+from ._settings_review import SettingsReview
+from ._settings_update import apply_settings
 from ._suspension import SUSPENSION_THRESHOLD_S, SuspensionMonitor
 from ._upstream_contact import UpstreamContact
 
@@ -100,7 +102,13 @@
         self._stop_requested = False
         self._reload_requested = False
         self._draining_since: float | None = None
-        self._settings_mtime = self._read_mtime()
+        # Why the settings are being read again, and the failure that was reported.
+        self._reload_cause: str | None = None
+        self._failure_reported: str | None = None
+        self._review = SettingsReview()
+        # State of the settings file when it was last read. It is unknown at first: the
+        # file may have changed since the settings were read.
+        self._file_state: tuple[int, ...] | None = None
         self._opener = AddressOpener(components.loop, components.events)
 
     def start(self) -> None:
@@ -335,7 +343,8 @@
     def _follow_signals(self) -> None:
         if self._reload_requested:
             self._reload_requested = False
-            self.components.loop.run_guarded(self._reload, "signal")
+            self._begin_reload("signal")
+        self.components.loop.run_guarded(self._continue_reload)
         if self._stop_requested and self._draining_since is None:
             self._begin_drain()
 
@@ -459,36 +468,50 @@
             server.close_idle()
 
     def _check_settings_file(self) -> None:
-        mtime = self._read_mtime()
-        if mtime != self._settings_mtime:
-            self._settings_mtime = mtime
-            self._reload("file changed")
+        is_reading = self._reload_cause is not None
+        if not is_reading and self._read_file_state() != self._file_state:
+            self._begin_reload("file changed")
 
-    def _read_mtime(self) -> float | None:
+    def _read_file_state(self) -> tuple[int, ...] | None:
+        """Return what differs if the settings file was written or replaced."""
+        if self.settings_path is None:
+            return None
         try:
-            return os.stat(self.settings_path).st_mtime if self.settings_path else None
+            state = os.stat(self.settings_path)
         except OSError:
             # The file is being replaced; the next check finds it.
             return None
+        return state.st_mtime_ns, state.st_size, state.st_ino
+
+    def _begin_reload(self, cause: str) -> None:
+        self._reload_cause = cause
+        self._failure_reported = None
+        self._review = SettingsReview()
 
-    def _reload(self, cause: str) -> None:
-        settings = self.components.adapter.load_settings()
-        if not isinstance(settings, HostSettings):
-            reason = getattr(settings, "reason", "the last line may have been cut")
-            self.components.events.emit("reload_failed", cause=cause, reason=reason)
+    def _continue_reload(self) -> None:
+        """Read the settings until they can be used; see ``SettingsReview``."""
+        if self._reload_cause is None:
+            return
+        if self._failure_reported and self._ticks % TICKS_PER_SETTINGS_CHECK != 0:
             return
-        changed = [
-            name
-            for name, value in settings._asdict().items()
-            if value != getattr(self.settings, name)
-        ]
-        if settings.platform_address != self.settings.platform_address:
-            client = self.components.adapter.connect(settings.platform_address)
-            self.follower.restart(client)
-        if settings.seeds != self.settings.seeds:
-            self.components.link.peer_table.set_seeds(settings.seeds)
+        # Before the file is read, so that a later change is noticed.
+        self._file_state = self._read_file_state()
+        read = self.components.adapter.load_settings()
+        settings = self._review.record(read, self.components.loop.now())
+        if settings is not None:
+            cause, self._reload_cause = self._reload_cause, None
+            self._reload(settings, cause)
+        elif isinstance(read, Failure) and read.reason != self._failure_reported:
+            self._failure_reported = read.reason
+            self.components.events.emit(
+                "reload_failed", cause=self._reload_cause, reason=read.reason
+            )
+
+    def _reload(self, settings: HostSettings, cause: str) -> None:
+        change = apply_settings(self.components, self.follower, settings, self.settings)
         self.settings = settings
-        self.components.events.emit("reloaded", cause=cause, changed=changed)
+        if change.changed or cause == "signal":
+            self.components.events.emit("reloaded", cause=cause, **change._asdict())
 
     # Shutdown
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -8,16 +8,20 @@
 import unittest
 from functools import partial
 from pathlib import Path
+from random import Random
 from unittest import mock
 
 import eventlet
 
-from cicadalever.gateway import HostSettings, UnfinishedSettings
+from cicadalever.gateway import HostSettings, RetryLimits, UnfinishedSettings
+from cicadalever.gateway._composition import build_gateway
+from cicadalever.gateway._follower import WatchTiming
 from cicadalever.gateway._settings_review import (
     SETTLE_S,
     UNFINISHED_SETTLE_S,
     SettingsReview,
 )
+from cicadalever.gateway._settings_update import apply_settings
 from cicadalever.outcomes import Failure
 from cicadalever.startup import ProcessSignals
 from cicadalever.wire import CallerServer, EventLoop
@@ -28,6 +32,7 @@
     StoreStandIn,
     wait_for,
 )
+from tests.test_gateway import NAMES
 from tests.test_gateway_process import SHARDS, configuration
 
 # Runs a program and sends a signal to it each time one of the modules is imported.
@@ -387,6 +392,127 @@
         self.finish()
 
 
+class TestReload(StartTestCase):
+    """Settings that change while the gateway runs."""
+
+    def setUp(self):
+        super().setUp()
+        self.path = self.gateway.settings_path
+        self.settings = self.path.read_text()
+        self.gateway.start()
+        self.wait_until_ready()
+
+    def request_reload(self):
+        self.gateway.process.send_signal(signal.SIGHUP)
+
+    def wait_for_reload(self):
+        wait_for(lambda: self.gateway.events("reloaded"), "the reload")
+        (event,) = self.gateway.events("reloaded")
+        return event
+
+    def test_half_written_file_is_read_again(self):
+        """Guards against a signal that is forgotten because it came too early."""
+        state = self.path.stat()
+        self.path.write_text(self.settings[: len(self.settings) // 2])
+        self.request_reload()
+        wait_for(lambda: self.gateway.events("reload_failed"), "the failure")
+        eventlet.sleep(0.5)
+        self.path.write_text(self.settings.replace("GraceS=6", "GraceS=7"))
+        # The state of the file alone does not tell that it was completed.
+        os.utime(self.path, ns=(state.st_atime_ns, state.st_mtime_ns))
+        event = self.wait_for_reload()
+        self.assertEqual((event["cause"], event["changed"]), ("signal", ["grace_s"]))
+        self.assertEqual(len(self.gateway.events("reload_failed")), 1)
+
+    def test_cut_address_is_not_used(self):
+        """Guards against a host that follows a wrong address of the platform."""
+        end = self.settings.index(self.store.address) + len(self.store.address) - 1
+        self.path.write_text(self.settings[:end])
+        self.request_reload()
+        eventlet.sleep(1.0)
+        self.path.write_text(self.settings)
+        self.assertEqual(self.wait_for_reload()["changed"], [])
+        self.assertEqual(self.gateway.events("platform_lost"), [])
+
+    def test_change_without_a_signal(self):
+        """Guards against overlooking a file that is written shortly after the start."""
+        text = self.settings.replace("Listen.Front=", "Seeds=10.1.0.9:1\nListen.Front=")
+        self.path.write_text(text.replace("MaxFds=4100", "MaxFds=9"))
+        event = self.wait_for_reload()
+        self.assertEqual(event["cause"], "file changed")
+        self.assertEqual(event["changed"], ["max_descriptors"])
+        self.assertEqual(event["needs_restart"], ["max_descriptors"])
+
+    def test_series_of_signals_and_a_stop(self):
+        """Guards against signals that end a process before its drain is over."""
+        for _ in range(20):
+            self.request_reload()
+            eventlet.sleep(0.03)
+        for number in range(20):
+            if number in (3, 5, 6):
+                self.gateway.process.send_signal(signal.SIGTERM)
+            self.request_reload()
+            eventlet.sleep(0.03)
+        wait_for(self.has_ended, "the end")
+        self.assertEqual(self.gateway.process.returncode, 0)
+        self.assertEqual(len(self.gateway.events("draining")), 1)
+
+
+class TestAppliedSettings(unittest.TestCase):
+    """Which settings are in force after a reload."""
+
+    def setUp(self):
+        gateway = GatewayProcess(mock.Mock(address="127.0.0.1:9"), is_started=False)
+        self.addCleanup(gateway.stop)
+        self.settings = load_settings(gateway.settings_path)
+        self.adapter = mock.Mock(settings_path=None, header_names=NAMES)
+        self.daemon = build_gateway(self.settings, self.adapter, Random(1))
+        self.daemon.follower = mock.Mock()
+
+    def apply(self, **changes):
+        return apply_settings(
+            self.daemon.components,
+            self.daemon.follower,
+            self.settings._replace(**changes),
+            self.settings,
+        )
+
+    def test_bounds_are_in_force(self):
+        """Guards against bounds that are stored but not kept."""
+        change = self.apply(
+            contact_s=9.0,
+            apply_s=8.0,
+            drain_s=7.0,
+            data_centres=1,
+            retries=RetryLimits(ratio=0.1, window_s=5.0, slack=1.0),
+        )
+        self.assertEqual(
+            change.changed,
+            ["data_centres", "contact_s", "apply_s", "drain_s", "retries"],
+        )
+        self.assertEqual(change.needs_restart, [])
+        runner = self.daemon.components.runner
+        self.assertEqual(self.daemon.follower.timing, WatchTiming.plan(9.0, 8.0, 7.0))
+        self.assertEqual(runner.notices.drain_s, 7.0)
+        budget = runner.retry_budget
+        self.assertEqual((budget.ratio, budget.window_s, budget.slack), (0.1, 5.0, 1.0))
+        self.assertFalse(self.daemon.components.contact.has_other_data_centres)
+        self.daemon.follower.restart.assert_not_called()
+
+    def test_platform_and_seeds_are_in_force(self):
+        """Guards against a host that keeps calling an address that has moved."""
+        self.apply(platform_address=("127.0.0.1", 10), seeds=(("10.1.0.9", 1),))
+        self.adapter.connect.assert_called_with(("127.0.0.1", 10))
+        self.daemon.follower.restart.assert_called_once_with(
+            self.adapter.connect.return_value
+        )
+
+    def test_settings_that_need_a_restart_are_named(self):
+        """Guards against a change without effect that looks applied."""
+        change = self.apply(caller_address=("127.0.0.1", 1), memory_bytes=10**9)
+        self.assertEqual(change.needs_restart, ["caller_address", "memory_bytes"])
+
+
 class TestStandardStreams(StartTestCase):
     """Standard streams that are closed or that nobody reads."""
 
