Let settings settle for a shorter time at the start

A start waited for up to 0.2 s, since the other modules are loaded sooner than that. A file is usually written at once; one that stays cut for longer and still has all required fields is reloaded when it changes.

--- a/cicadalever/gateway/_settings_review.py
+++ b/cicadalever/gateway/_settings_review.py
@@ -8,7 +8,7 @@
 
 # Time for which settings must not change before they are used, when the file is
 # complete by all signs, and when its last line may have been cut.
-SETTLE_S = 0.2
+SETTLE_S = 0.1
 UNFINISHED_SETTLE_S = 3.0
 
 
