Do not end cicadaleverd on SIGHUP

What callers saw (found by a test, not reported): a SIGHUP ends a running cicadaleverd, which neither finishes its requests nor announces that it leaves. Class and cause are those of the gateway at its start: the default action of a signal that means "read the settings again".

Evidence: tests.test_starts.TestDaemonSignals ends with -1 without this change.

Its settings need a restart by design, so the signal is ignored from the first statement of main on.

--- a/cicadalever/daemon/_main.py
+++ b/cicadalever/daemon/_main.py
@@ -3,6 +3,7 @@
 import faulthandler
 import gc
 import os
+import signal
 import sys
 import warnings
 from pathlib import Path
@@ -37,6 +38,8 @@
 
 def main() -> None:
     """Parse the command line and run the daemon."""
+    # Changes of the settings need a restart; the default action would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # eventlet patches the locks of all modules that are loaded already. pydantic, which
     # the settings and typer load later, does not work with patched locks.
     _patch_blocking_calls()
@@ -64,8 +67,6 @@
 
 
 def _serve(settings: "Settings") -> None:
-    import signal
-
     from ._composition import build_daemon
 
     daemon, admin_server = build_daemon(settings)
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -1,9 +1,12 @@
 """Tests of starts of a gateway process while something is missing or in the way."""
 
+import json
 import os
 import signal
 import socket
+import subprocess
 import sys
+import tempfile
 import time
 import unittest
 from functools import partial
@@ -30,6 +33,7 @@
     GatewayProcess,
     ReplicaStandIn,
     StoreStandIn,
+    free_port,
     wait_for,
 )
 from tests.test_gateway import NAMES
@@ -556,3 +560,35 @@
             self.assertRaises(OSError, server.start)
         self.assertEqual(len(os.listdir("/proc/self/fd")), len(before))
         self.assertFalse(server.is_listening)
+
+
+class TestDaemonSignals(unittest.TestCase):
+    """Signals to ``cicadaleverd``."""
+
+    def test_reload_request_does_not_end_the_process(self):
+        """Guards against SIGHUP with its default action, which ends a daemon."""
+        addresses = ("caller_address", "admin_address", "peer_address")
+        settings = {name: f"127.0.0.1:{free_port()}" for name in addresses} | {
+            "host_id": "h1",
+            "data_centre": "dc1",
+            "region": "south",
+            "platform_url": f"http://127.0.0.1:{free_port()}",
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            path, log_path = Path(folder, "h1.json"), Path(folder, "log")
+            path.write_text(json.dumps(settings))
+            with log_path.open("wb") as log:
+                process = subprocess.Popen(
+                    [sys.executable, "-m", "cicadalever.daemon", "--settings", path],
+                    stderr=log,
+                )
+            self.addCleanup(process.wait)
+            self.addCleanup(process.kill)
+            wait_for(lambda: "listening" in log_path.read_text(), "the start")
+            for _ in range(5):
+                process.send_signal(signal.SIGHUP)
+                eventlet.sleep(0.05)
+            self.assertIsNone(process.poll())
+            process.send_signal(signal.SIGTERM)
+            wait_for(lambda: process.poll() is not None, "the end")
+            self.assertEqual(process.returncode, 0)
