--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -19,6 +19,7 @@
 )
 
 from ._adapter import HostSettings, PlatformAdapter, PlatformUpdate
+from ._address_opener import AddressOpener
 from ._crash_gossip import CrashGossip
 from ._events import EventLog
 from ._follower import PlatformFollower
@@ -27,6 +28,8 @@
 from ._readiness import Readiness
 from ._reads import ReadRunner
 from ._service import GatewayService
+from ._settings_review import SettingsReview
+from ._settings_update import apply_settings
 from ._suspension import SUSPENSION_THRESHOLD_S, SuspensionMonitor
 from ._upstream_contact import UpstreamContact
 
@@ -44,6 +47,10 @@
 # readiness every second and stops sending requests after two failed checks; one more
 # second covers requests that are already in transit.
 DRAIN_LINGER_S = 3.0
+# Time between two attempts to open an address that is taken. A host works without peers
+# and metrics, but without the other addresses it serves no callers.
+OPEN_PERIOD_S = 0.2
+OPEN_RARELY_PERIOD_S = 1.0
 # The process exits at least this long before the platform would kill it.
 EXIT_MARGIN_S = 0.4
 # Time between two checks whether the last requests have been answered.
@@ -95,19 +102,25 @@
         self._stop_requested = False
         self._reload_requested = False
         self._draining_since: float | None = None
-        self._settings_mtime = self._read_mtime()
+        # Why the settings are being read again, and the failure that was reported.
+        self._reload_cause: str | None = None
+        self._failure_reported: str | None = None
+        self._review = SettingsReview()
+        # State of the settings file when it was last read. It is unknown at first: the
+        # file may have changed since the settings were read.
+        self._file_state: tuple[int, ...] | None = None
+        self._opener = AddressOpener(components.loop, components.events)
 
     def start(self) -> None:
         """Open the sockets and begin to receive updates from the platform."""
         components = self.components
-        components.caller_server.start()
-        components.readiness_server.start()
-        try:
-            components.metrics_server.start()
-        except OSError as error:
-            # The gateway also works without metrics.
-            components.events.emit("metrics_unavailable", reason=str(error))
-        components.link.start()
+        for name, server, period_s in (
+            ("callers", components.caller_server, OPEN_PERIOD_S),
+            ("readiness", components.readiness_server, OPEN_PERIOD_S),
+            ("metrics", components.metrics_server, OPEN_RARELY_PERIOD_S),
+            ("peers", components.link, OPEN_RARELY_PERIOD_S),
+        ):
+            self._opener.open(name, server.start, period_s)
         components.contact.on_change = self._handle_contact_change
         components.contact.on_doubt = components.service.hand_over_overdue
         components.contact.start()
@@ -140,7 +153,10 @@
         if path != self.components.adapter.readiness_path:
             connection.respond(CallerResponse(404, []))
             return
-        is_ready = self.components.readiness.is_ready(self.components.service.table)
+        is_ready = (
+            self.components.caller_server.is_listening
+            and self.components.readiness.is_ready(self.components.service.table)
+        )
         connection.respond(CallerResponse(200 if is_ready else 503, []))
 
     def handle_metrics(
@@ -327,7 +343,8 @@
     def _follow_signals(self) -> None:
         if self._reload_requested:
             self._reload_requested = False
-            self.components.loop.run_guarded(self._reload, "signal")
+            self._begin_reload("signal")
+        self.components.loop.run_guarded(self._continue_reload)
         if self._stop_requested and self._draining_since is None:
             self._begin_drain()
 
@@ -451,37 +468,50 @@
             server.close_idle()
 
     def _check_settings_file(self) -> None:
-        mtime = self._read_mtime()
-        if mtime != self._settings_mtime:
-            self._settings_mtime = mtime
-            self._reload("file changed")
+        is_reading = self._reload_cause is not None
+        if not is_reading and self._read_file_state() != self._file_state:
+            self._begin_reload("file changed")
 
-    def _read_mtime(self) -> float | None:
+    def _read_file_state(self) -> tuple[int, ...] | None:
+        """Return what differs if the settings file was written or replaced."""
+        if self.settings_path is None:
+            return None
         try:
-            return os.stat(self.settings_path).st_mtime if self.settings_path else None
+            state = os.stat(self.settings_path)
         except OSError:
             # The file is being replaced; the next check finds it.
             return None
+        return state.st_mtime_ns, state.st_size, state.st_ino
+
+    def _begin_reload(self, cause: str) -> None:
+        self._reload_cause = cause
+        self._failure_reported = None
+        self._review = SettingsReview()
 
-    def _reload(self, cause: str) -> None:
-        settings = self.components.adapter.load_settings()
-        if isinstance(settings, Failure):
+    def _continue_reload(self) -> None:
+        """Read the settings until they can be used; see ``SettingsReview``."""
+        if self._reload_cause is None:
+            return
+        if self._failure_reported and self._ticks % TICKS_PER_SETTINGS_CHECK != 0:
+            return
+        # Before the file is read, so that a later change is noticed.
+        self._file_state = self._read_file_state()
+        read = self.components.adapter.load_settings()
+        settings = self._review.record(read, self.components.loop.now())
+        if settings is not None:
+            cause, self._reload_cause = self._reload_cause, None
+            self._reload(settings, cause)
+        elif isinstance(read, Failure) and read.reason != self._failure_reported:
+            self._failure_reported = read.reason
             self.components.events.emit(
-                "reload_failed", cause=cause, reason=settings.reason
+                "reload_failed", cause=self._reload_cause, reason=read.reason
             )
-            return
-        changed = [
-            name
-            for name, value in settings._asdict().items()
-            if value != getattr(self.settings, name)
-        ]
-        if settings.platform_address != self.settings.platform_address:
-            client = self.components.adapter.connect(settings.platform_address)
-            self.follower.restart(client)
-        if settings.seeds != self.settings.seeds:
-            self.components.link.peer_table.set_seeds(settings.seeds)
+
+    def _reload(self, settings: HostSettings, cause: str) -> None:
+        change = apply_settings(self.components, self.follower, settings, self.settings)
         self.settings = settings
-        self.components.events.emit("reloaded", cause=cause, changed=changed)
+        if change.changed or cause == "signal":
+            self.components.events.emit("reloaded", cause=cause, **change._asdict())
 
     # Shutdown
 
@@ -499,7 +529,10 @@
         components.events.emit(
             "draining", busy=components.caller_server.busy_connections
         )
-        components.loop.call_later(DRAIN_LINGER_S, self._finish_drain)
+        self._opener.is_stopped = True
+        is_listening = components.caller_server.is_listening
+        linger_s = DRAIN_LINGER_S if is_listening else 0.0
+        components.loop.call_later(linger_s, self._finish_drain)
 
     def _finish_drain(self) -> None:
         server, peer_server = self.components.caller_server, self.components.link.server
