End the grace for missing entries by the bounds of the deployment

Cause: the grace for entries that expired during an outage began when a host noticed that the platform was back, however late that was and whether it had been away at all. The same after an answer of a new era.

The end is now decided by GraceBounds.end_of_grace from what the calls tell of the outage: 2.5 s after the return was noticed, but at the latest ContactMs after the last time at which the platform was certainly out of reach, or DrainMs after the answer before the outage, less a slack. A removal that is found later in the grace was acknowledged after that answer as well, so that the same end holds for it. A first read that may be stale proves nothing about when the entries that it lacks were removed.

TestUpstreamDirectory gives the end of the grace instead of its start and also checks that the replica is kept until shortly before it.

--- a/cicadalever/discovery/_directory.py
+++ b/cicadalever/discovery/_directory.py
@@ -5,10 +5,6 @@
 
 from ._entry import ReplicaEntry, ReplicaState
 
-# Time for which missing entries are kept after the platform was unavailable. The
-# platform guarantees that entries whose lease expired meanwhile are published again
-# within about two seconds of its return; the rest covers the delay of reading them.
-MISSING_ENTRY_GRACE_S = 2.5
 # Most removed replicas that are remembered; the oldest are forgotten first.
 MAX_REMOVED = 4096
 
@@ -78,11 +74,9 @@
         """Note that the platform gives out its revisions again from now on."""
         self._of_earlier_era = {*self._entries, *self._removed}
 
-    def start_grace_period(
-        self, now: float, grace_s: float = MISSING_ENTRY_GRACE_S
-    ) -> None:
-        """Keep missing entries for ``grace_s`` seconds from ``now``."""
-        self._grace_until = max(self._grace_until, now + grace_s)
+    def start_grace_period(self, until: float) -> None:
+        """Keep entries that are found to be missing before ``until`` till then."""
+        self._grace_until = max(self._grace_until, until)
 
     def remaining_grace_s(self, now: float) -> float:
         """Return for how many seconds missing entries are still kept."""
--- a/cicadalever/freshness/__init__.py
+++ b/cicadalever/freshness/__init__.py
@@ -5,5 +5,6 @@
 """
 
 from ._contact import Outage, PlatformContact
+from ._grace import MISSING_ENTRY_GRACE_S, GraceBounds
 
-__all__ = ["Outage", "PlatformContact"]
+__all__ = ["MISSING_ENTRY_GRACE_S", "GraceBounds", "Outage", "PlatformContact"]
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from cicadalever.discovery import RejectedEntries, UpstreamDirectory
+from cicadalever.freshness import MISSING_ENTRY_GRACE_S, GraceBounds, Outage
 from cicadalever.outcomes import Failure
 from cicadalever.peers import COUNT_AFTER_S
 from cicadalever.placement import HostCounts
@@ -224,19 +225,21 @@
                 "entry_unreadable", replica=replica_id, reason=reason
             )
 
-    def start_grace_period(self, grace_s: float | None) -> None:
-        """Give replicas ``grace_s`` seconds to publish expired entries again.
+    def start_grace_period(self, outage: Outage, grace_s: float | None) -> None:
+        """Give replicas time to publish entries again that expired in an outage.
 
-        None stands for the full grace period of the directory.
+        ``grace_s`` is what is left of it for the larger host that this one follows, or
+        None if this host has reached the platform itself.
         """
         directory, now = self.components.directory, self.components.loop.now()
         previous_s = directory.remaining_grace_s(now)
-        if grace_s is None:
-            directory.start_grace_period(now)
-        else:
-            directory.start_grace_period(now, grace_s)
+        bounds = GraceBounds(self.settings.contact_s, self.settings.drain_s)
+        full_s = MISSING_ENTRY_GRACE_S if grace_s is None else grace_s
+        directory.start_grace_period(bounds.end_of_grace(outage, full_s))
         remaining_s = directory.remaining_grace_s(now)
-        if remaining_s > previous_s:
+        # Each poll of a larger host names the rest of the same grace period.
+        is_new = grace_s is None or previous_s == 0.0
+        if is_new and remaining_s > previous_s:
             self.components.events.emit(
                 "grace_started",
                 seconds=round(remaining_s, 2),
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -7,7 +7,7 @@
 import eventlet
 import eventlet.event
 
-from cicadalever.freshness import PlatformContact
+from cicadalever.freshness import Outage, PlatformContact
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.peers import Position, RelayedChanges
 from cicadalever.wire import EventLoop
@@ -100,8 +100,9 @@
     The source is a larger host of the data centre as long as there is one with fresh
     data (``relay``), and a watch of the platform otherwise. ``on_update`` gets each
     update. When the platform is reachable again, for this host or for the larger one,
-    ``on_platform_returned`` is called before the next update with the seconds in which
-    expired entries may still be published again, or None for the full grace period.
+    ``on_platform_returned`` is called before the next update with what this host knows
+    of the outage, and with the seconds in which expired entries may still be published
+    again, or None for the full grace period.
     """
 
     def __init__(
@@ -112,7 +113,7 @@
         rng: Random,
         events: EventLog,
         on_update: Callable[[PlatformUpdate], None],
-        on_platform_returned: Callable[[float | None], None],
+        on_platform_returned: Callable[[Outage, float | None], None],
         relay: ChangeRelay | None = None,
         decode: Callable[[bytes], PlatformUpdate | Failure] | None = None,
     ):
@@ -141,6 +142,8 @@
         self._thread = None
         self._pause: eventlet.event.Event | None = None
         self._contact = PlatformContact(loop.now())
+        # Time as of which nothing was missing before the latest answer.
+        self._previously_current_at = loop.now()
         # When the latest call to the platform began.
         self._called_at = loop.now()
 
@@ -313,7 +316,9 @@
                 return update.reason
         self._record_contact(changes.age_s)
         if changes.grace_s > 0.0:
-            self.on_platform_returned(changes.grace_s)
+            since = self._previously_current_at
+            outage = Outage(since, float("-inf"), self.loop.now())
+            self.on_platform_returned(outage, changes.grace_s)
         self._deliver_unconfirmed()
         self._is_stale = self._is_resuming = False
         for update in updates:
@@ -361,7 +366,8 @@
             self.events.emit(
                 "era_changed", era=era, previous=self._era, revision=self._revision
             )
-            self.on_platform_returned(None)
+            since = self._previously_current_at
+            self.on_platform_returned(Outage(since, since, self.loop.now()), None)
         self._era = era
 
     def _set_source(self, host: str | None, reason: str) -> None:
@@ -384,11 +390,15 @@
             )
 
     def _record_contact(self, age_s: float = 0.0) -> None:
-        outage = self._contact.record_answer(self.loop.now() - age_s)
+        now = self.loop.now()
+        previous = float("-inf") if self._is_stale else self._contact.answered_at
+        self._previously_current_at = previous
+        outage = self._contact.record_answer(now - age_s)
         if outage is not None:
             self.events.emit(
                 "platform_back",
                 away_s=round(outage.returned_at - outage.answered_at, 2),
                 failed_s=round(outage.returned_at - outage.failed_at, 2),
             )
-            self.on_platform_returned(None)
+            outage = outage._replace(answered_at=previous)
+            self.on_platform_returned(outage, None)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -96,11 +96,12 @@
         """Guards against losing all replicas whose leases expired in an outage."""
         self.directory.apply(entry())
         self.directory.apply(entry("i-2"))
-        self.directory.start_grace_period(now=10.0)
+        self.directory.start_grace_period(until=12.5)
         self.assertIsNone(self.directory.remove("i-1", now=10.1))
         self.assertIsNone(self.directory.remove("i-2", now=10.1))
         self.assertEqual(self.ids(), ["i-1", "i-2"])
         self.directory.apply(entry("i-2", sequence=7))
+        self.assertEqual(self.directory.expire(now=12.4), [])
         changes = self.directory.expire(now=12.6)
         self.assertEqual([change.replica_id for change in changes], ["i-1"])
         self.assertEqual(self.ids(), ["i-2"])
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -133,7 +133,7 @@
             Random(1),
             FakeEvents(),
             apply,
-            lambda grace_s: None,
+            lambda outage, grace_s: None,
         )
         follower.start()
         self.addCleanup(follower.stop)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -1,8 +1,9 @@
 """Tests of the record of calls to the platform."""
 
 import unittest
+from itertools import product
 
-from cicadalever.freshness import Outage, PlatformContact
+from cicadalever.freshness import GraceBounds, Outage, PlatformContact
 
 
 class TestPlatformContact(unittest.TestCase):
@@ -23,3 +24,31 @@
         for called_at in (2.0, 3.0, 4.0):
             contact.record_failure(called_at)
         self.assertEqual(contact.record_answer(now=4.5), Outage(0.0, 4.0, 4.5))
+
+
+class TestGraceBounds(unittest.TestCase):
+    """Until when entries are kept that are missing after an outage."""
+
+    def test_removed_replica_is_not_used_beyond_the_bounds(self):
+        """Guards against a grace that counts from when a host notices the return."""
+        for contact_s, drain_s in product((0.5, 2.0, 4.0, 9.0), (0.2, 1.0, 3.0, 8.0)):
+            bounds = GraceBounds(contact_s, drain_s)
+            for failed_at, returned_at in product((0.0, 1.0, 7.0), (7.0, 12.0)):
+                outage = Outage(0.0, failed_at, returned_at)
+                # The earliest return and removal that the outage allows.
+                must_end = max(drain_s, failed_at + contact_s)
+                self.assertLess(bounds.end_of_grace(outage), must_end)
+
+    def test_expired_entries_have_time_to_come_back(self):
+        """Guards against dropping the replicas of an outage that was seen to end."""
+        for drain_s in (0.5, 3.0):
+            bounds = GraceBounds(4.0, drain_s)
+            for failed_s in (0.1, 1.5):
+                outage = Outage(0.0, 20.0 - failed_s, 20.0)
+                self.assertGreaterEqual(bounds.end_of_grace(outage), 22.0)
+
+    def test_grace_is_not_longer_than_entries_need(self):
+        """Guards against removed replicas in use while long bounds last."""
+        outage = Outage(0.0, 19.0, 20.0)
+        self.assertEqual(GraceBounds(60.0, 60.0).end_of_grace(outage), 22.5)
+        self.assertEqual(GraceBounds(60.0, 60.0).end_of_grace(outage, 0.5), 20.5)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -344,7 +344,7 @@
             Random(1),
             FakeEvents(),
             self.updates.append,
-            self.returned.append,
+            lambda *reported: self.returned.append(reported),
             self.relay,
             lambda data: update(int(data)) if data.isdigit() else FAILURE,
         )
@@ -382,7 +382,7 @@
     def test_grace_period_of_the_larger_host_applies(self):
         """Guards against removing entries after an outage that only the source saw."""
         self.follow([RelayedChanges(0, 7, 0.1, 1.5, [b"7"])], [])
-        self.assertEqual(self.returned, [1.5])
+        self.assertEqual([grace_s for _, grace_s in self.returned], [1.5])
 
     def test_followed_host_calls_again_before_its_data_is_old(self):
         """Guards against followers that reject their source while nothing changes."""
@@ -406,7 +406,7 @@
             Random(1),
             events,
             self.updates.append,
-            lambda grace_s: self.returned.append(grace_s),
+            lambda *reported: self.returned.append(reported),
         )
         follower.start()
         with eventlet.Timeout(3, False):
@@ -465,5 +465,20 @@
         failure = Failure(FailureCode.UNREACHABLE, "reset")
         calls, events = self.follow([update(5, True), failure, failure, update(6)])
         self.assertEqual(events, ["platform_lost", "platform_back"])
-        self.assertEqual(self.returned, [None])
+        self.assertEqual([grace_s for _, grace_s in self.returned], [None])
         self.assertEqual(calls[1:4], [("watch", 5)] * 3)
+
+    def test_grace_after_a_new_era_is_bounded_by_the_answer_before(self):
+        """Guards against a grace that counts from when a restore was noticed."""
+        other = update(5, True)._replace(era=1)
+        self.follow([update(5, True), update(6), HistoryLost(), other])
+        ((outage, grace_s),) = self.returned
+        self.assertIsNone(grace_s)
+        self.assertEqual(outage.failed_at, outage.answered_at)
+        self.assertLess(outage.answered_at, outage.returned_at)
+
+    def test_what_a_stale_read_lacks_may_have_been_removed_before_it(self):
+        """Guards against a grace that takes a stale first read for a current one."""
+        self.follow([update(5, True), FAILURE, update(6)])
+        ((outage, _),) = self.returned
+        self.assertEqual(outage.answered_at, float("-inf"))
