Let only the larger host start a grace period on one that follows it

What callers saw (suspected, not reproduced with processes): a host that takes its data from a larger one could use a removed replica for a grace period though the platform was never away: its own failed call counted as an outage as soon as the larger host answered. A grace period that the larger host named was taken over whole, again with each poll.

Cause: an answer that another host relays was recorded like one to this host's own call. It neither shows that an outage of this host was one of the platform, nor that the connection of this host worked at that time.

Relayed answers now start a grace period only if the larger host names one. A connection may have been dead since the last answer to a call of this host.

--- a/cicadalever/freshness/_contact.py
+++ b/cicadalever/freshness/_contact.py
@@ -32,6 +32,8 @@
 
     def __init__(self, now: float):
         self._answered_at = now
+        # The same for answers to this host's own calls.
+        self._own_answered_at = now
         self._failed_at: float | None = None
 
     @property
@@ -47,20 +49,24 @@
     def record_failure(self, called_at: float) -> bool:
         """Record the failure of a call; return whether it is the first one.
 
-        The connection of the first one may have been dead since the last answer. The
-        next calls use new connections.
+        The connection of the first one may have been dead since the last answer to a
+        call of this host. The next calls use new connections.
         """
         is_first = self._failed_at is None
-        self._failed_at = self._answered_at if is_first else called_at
+        self._failed_at = self._own_answered_at if is_first else called_at
         return is_first
 
-    def record_answer(self, now: float) -> Outage | None:
+    def record_answer(self, now: float, *, is_relayed: bool = False) -> Outage | None:
         """Record an answer that is current as of ``now``.
 
-        Return the outage that it ends, or None if the calls before it were answered.
+        One that ``is_relayed`` was given to another host and says nothing about the
+        connection of this one. Return the outage that it ends, or None if the calls
+        before it were answered.
         """
         outage = None
         if self._failed_at is not None:
             outage = Outage(self._answered_at, self._failed_at, now)
         self._answered_at, self._failed_at = now, None
+        if not is_relayed:
+            self._own_answered_at = now
         return outage
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -314,11 +314,7 @@
         for update in updates:
             if isinstance(update, Failure):
                 return update.reason
-        self._record_contact(changes.age_s)
-        if changes.grace_s > 0.0:
-            since = self._previously_current_at
-            outage = Outage(since, float("-inf"), self.loop.now())
-            self.on_platform_returned(outage, changes.grace_s)
+        self._record_contact(changes.age_s, changes.grace_s)
         self._deliver_unconfirmed()
         self._is_stale = self._is_resuming = False
         for update in updates:
@@ -389,16 +385,27 @@
                 answered_s=round(answered_s, 2),
             )
 
-    def _record_contact(self, age_s: float = 0.0) -> None:
+    def _record_contact(self, age_s: float = 0.0, grace_s: float | None = None) -> None:
+        """Record an answer, relayed by another host if that gave ``grace_s``.
+
+        Only the other host knows whether the platform was away: this one may have
+        failed to reach it for reasons of its own.
+        """
         now = self.loop.now()
         previous = float("-inf") if self._is_stale else self._contact.answered_at
         self._previously_current_at = previous
-        outage = self._contact.record_answer(now - age_s)
+        outage = self._contact.record_answer(
+            now - age_s, is_relayed=grace_s is not None
+        )
         if outage is not None:
             self.events.emit(
                 "platform_back",
                 away_s=round(outage.returned_at - outage.answered_at, 2),
                 failed_s=round(outage.returned_at - outage.failed_at, 2),
             )
+        if grace_s:
+            failed_at = float("-inf") if outage is None else outage.failed_at
+            self.on_platform_returned(Outage(previous, failed_at, now), grace_s)
+        elif outage is not None and grace_s is None:
             outage = outage._replace(answered_at=previous)
             self.on_platform_returned(outage, None)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -25,6 +25,13 @@
             contact.record_failure(called_at)
         self.assertEqual(contact.record_answer(now=4.5), Outage(0.0, 4.0, 4.5))
 
+    def test_failure_after_relayed_answers(self):
+        """Guards against a silent connection whose loss is dated too late."""
+        contact = PlatformContact(now=0.0)
+        contact.record_answer(now=6.0, is_relayed=True)
+        contact.record_failure(called_at=6.5)
+        self.assertEqual(contact.record_answer(now=8.0), Outage(6.0, 0.0, 8.0))
+
 
 class TestGraceBounds(unittest.TestCase):
     """Until when entries are kept that are missing after an outage."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from cicadalever.freshness import GraceBounds
 from cicadalever.gateway import HistoryLost, PlatformUpdate
 from cicadalever.gateway._answers import (
     AnswerKind,
@@ -334,7 +335,7 @@
 class TestRelayedChanges(unittest.TestCase):
     """Changes that come from a larger host instead of the platform."""
 
-    def follow(self, answers, results):
+    def follow(self, answers, results, seconds=0.05):
         client = FakeClient([update(5, True), *results])
         self.relay, self.updates, self.returned = FakeRelay(answers), [], []
         follower = PlatformFollower(
@@ -349,7 +350,7 @@
             lambda data: update(int(data)) if data.isdigit() else FAILURE,
         )
         follower.start()
-        eventlet.sleep(0.05)
+        eventlet.sleep(seconds)
         follower.stop()
         return client.calls_made
 
@@ -384,6 +385,22 @@
         self.follow([RelayedChanges(0, 7, 0.1, 1.5, [b"7"])], [])
         self.assertEqual([grace_s for _, grace_s in self.returned], [1.5])
 
+    def test_failed_call_while_the_larger_host_has_contact(self):
+        """Guards against a grace period on a host that has only failed itself."""
+        answers = [FAILURE, RelayedChanges(0, 7, 0.1, 0.0, [b"7"])]
+        self.follow(answers, [FAILURE], seconds=0.3)
+        self.assertEqual([each.revision for each in self.updates], [5, 7])
+        self.assertEqual(self.returned, [])
+
+    def test_relayed_grace_is_bounded_by_what_this_host_knows(self):
+        """Guards against a grace that lasts as long as another host says."""
+        begun_at = time.monotonic()
+        answers = [RelayedChanges(0, 7, 0.1, 60.0, []) for _ in range(2)]
+        self.follow(answers, [])
+        ends = [GraceBounds(4.0, 1.0).end_of_grace(*each) for each in self.returned]
+        self.assertEqual(len(ends), 2)
+        self.assertLess(max(ends), begun_at + 1.0)
+
     def test_followed_host_calls_again_before_its_data_is_old(self):
         """Guards against followers that reject their source while nothing changes."""
         for apply_s in (3.0, 5.0, 8.0):
