Remove a draining replica at once, also in a grace period

A replica that had published that it drains and whose entry was then removed counted as one whose entry has expired: for up to 2.5 s more, this host kept its connections, and knew it as a replica that exists. It got no new reads, which only ready replicas get.

The grace is for replicas that may come back. One that was draining has left.

--- a/cicadalever/discovery/_directory.py
+++ b/cicadalever/discovery/_directory.py
@@ -105,12 +105,13 @@
     ) -> DirectoryChange | None:
         """Remove an entry, or schedule its removal at the end of the grace period.
 
-        ``revision`` is one at which the platform had no entry. The result is None
-        unless the entry was removed at once.
+        A replica that was draining has left. ``revision`` is one at which the platform
+        had no entry. The result is None unless the entry was removed at once.
         """
-        if replica_id not in self._entries:
+        entry = self._entries.get(replica_id)
+        if entry is None:
             return None
-        if now < self._grace_until:
+        if now < self._grace_until and entry.state is ReplicaState.READY:
             if replica_id not in self._removal_times:
                 self._removal_times[replica_id] = self._grace_until
                 self._unreported_removals.add(replica_id)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -106,6 +106,15 @@
         self.assertEqual([change.replica_id for change in changes], ["i-1"])
         self.assertEqual(self.ids(), ["i-2"])
 
+    def test_draining_replica_gets_no_grace(self):
+        """Guards against connections and warm-ups of a replica that has left."""
+        self.directory.apply(entry(state=ReplicaState.DRAINING))
+        self.directory.apply(entry("i-2", state=ReplicaState.DRAINING))
+        self.directory.start_grace_period(until=12.5)
+        self.assertIsNotNone(self.directory.remove("i-1", now=10.1))
+        self.assertEqual(len(self.directory.replace_all([], set(), now=10.2)), 1)
+        self.assertEqual(len(self.directory), 0)
+
     def test_complete_list_removes_missing_replicas(self):
         """Guards against keeping a replica whose removal was missed."""
         self.directory.apply(entry())
