--- a/tests/test_removed_replicas.py
+++ b/tests/test_removed_replicas.py
@@ -60,10 +60,7 @@
         self.addCleanup(self.store.stop)
         self.replicas = [self.add_replica(name) for name in ("leaving", "staying")]
         self.leaving = self.replicas[0]
-        document = configuration(7)
-        routes = [each for each in document["Routes"] if "Service" in each]
-        services = [each for each in document["Services"] if each["Name"] == "one"]
-        self.store.put("op/config", document | {"Routes": routes, "Services": services})
+        self.store.put("op/config", self.configuration(7))
         peer_port = free_port()
         self.proxies, self.gateways = [], []
         for number, link_mbps in enumerate(self.LINKS, start=2):
@@ -86,6 +83,12 @@
             wait_for(gateway.is_ready, "readiness")
         (self.proxy, *_), (self.gateway, *_) = self.proxies, self.gateways
 
+    def configuration(self, version):
+        document = configuration(version)
+        routes = [each for each in document["Routes"] if "Service" in each]
+        services = [each for each in document["Services"] if each["Name"] == "one"]
+        return document | {"Routes": routes, "Services": services}
+
     def add_replica(self, name):
         replica = ReplicaStandIn("one", f"i-{name}", b"one".ljust(16, b"."))
         replica.delay_s = 0.05
@@ -229,3 +232,43 @@
         lost_at, removed_at = self.lose_answer()
         self.check_not_used_from(removed_at + 3.0, [self.small])
         self.check_not_used_from(lost_at + CONTACT_S)
+
+
+class TestWaitingRequests(RemovedReplicaTestCase):
+    """Requests that wait for the only connection to a replica that leaves."""
+
+    DRAIN_MS = 1000
+
+    def configuration(self, version):
+        document = super().configuration(version)
+        for route in document["Routes"]:
+            route["TimeoutMs"] = 9000
+        document["Services"][0]["MaxConns"] = 1
+        return document
+
+    def check_waiting(self, leave):
+        for replica in self.replicas:
+            replica.delay_s = 0.7
+
+        def ask(number):
+            request_id = f"w{number}"
+            return self.gateway.ask(
+                "/order/x", request_id=request_id, deadline_ms=9000
+            )[0]
+
+        callers = [eventlet.spawn(ask, number) for number in range(8)]
+        wait_for(lambda: self.leaving.arrivals, "the first request")
+        leave()
+        bound = time.monotonic() + 1.0 + TRANSIT_S
+        self.assertEqual({caller.wait() for caller in callers}, {200})
+        self.assertEqual([at for at in self.leaving.arrivals if at >= bound], [])
+
+    def test_replica_is_removed(self):
+        """Guards against requests that still wait for a replica that has left."""
+        self.check_waiting(lambda: self.remove(self.leaving))
+
+    def test_replica_drains(self):
+        """Guards against requests that still wait for a replica that will leave."""
+        entry = self.leaving.entry(State="draining", Seq=2)
+        key = f"servers/{self.leaving.id}"
+        self.check_waiting(lambda: self.store.put(key, entry))
