--- a/cicadalever/freshness/__init__.py
+++ b/cicadalever/freshness/__init__.py
@@ -6,12 +6,15 @@
 
 from ._backoff import Backoff
 from ._contact import Outage, PlatformContact
+from ._grace import MISSING_ENTRY_GRACE_S, GraceBounds
 from ._margin import AnswerMargin
 from ._timing import PlannedCall, WatchTiming
 
 __all__ = [
-    "Backoff",
+    "MISSING_ENTRY_GRACE_S",
     "AnswerMargin",
+    "Backoff",
+    "GraceBounds",
     "Outage",
     "PlannedCall",
     "PlatformContact",
--- a/cicadalever/freshness/_contact.py
+++ b/cicadalever/freshness/_contact.py
@@ -33,6 +33,8 @@
     def __init__(self, now: float):
         self._answered_at = now
         self._confirmed_at = float("-inf")
+        # The same for answers to this host's own calls.
+        self._own_answered_at = now
         self._failed_at: float | None = None
 
     @property
@@ -56,20 +58,25 @@
     def record_failure(self, called_at: float) -> bool:
         """Record the failure of a call; return whether it is the first one.
 
-        The connection of the first one may have been dead since the last answer. The
-        next calls use new connections.
+        The connection of the first one may have been dead since the last answer to a
+        call of this host. The next calls use new connections.
         """
         is_first = self._failed_at is None
-        self._failed_at = self._answered_at if is_first else called_at
+        self._failed_at = self._own_answered_at if is_first else called_at
         return is_first
 
     def record_answer(
-        self, now: float, confirmed_at: float = float("-inf")
+        self,
+        now: float,
+        confirmed_at: float = float("-inf"),
+        *,
+        is_relayed: bool = False,
     ) -> Outage | None:
         """Record an answer that proves the data to be complete as of ``confirmed_at``.
 
-        Return the outage that it ends, or None if the calls before it were answered. An
-        answer that another host relays may be older than the latest one.
+        Return the outage that it ends, or None if the calls before it were answered.
+        An answer that ``is_relayed`` was given to another host: it may be older than
+        the latest one, and says nothing about the connection of this host.
         """
         outage = None
         if self._failed_at is not None:
@@ -78,4 +85,6 @@
         self._answered_at = max(self._answered_at, now)
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
         self._failed_at = None
+        if not is_relayed:
+            self._own_answered_at = now
         return outage
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -53,8 +53,9 @@
     The source is a larger host of the data centre as long as there is one with fresh
     data (``relay``), and a watch of the platform otherwise. ``on_update`` gets each
     update. When the platform is reachable again, for this host or for the larger one,
-    ``on_platform_returned`` is called before the next update with the seconds in which
-    expired entries may still be published again, or None for the full grace period.
+    ``on_platform_returned`` is called before the next update with what this host knows
+    of the outage, and with the seconds in which expired entries may still be published
+    again, or None for the full grace period.
     """
 
     def __init__(
@@ -65,7 +66,7 @@
         rng: Random,
         events: EventLog,
         on_update: Callable[[PlatformUpdate], None],
-        on_platform_returned: Callable[[float | None], None],
+        on_platform_returned: Callable[[Outage, float | None], None],
         relay: ChangeRelay | None = None,
         decode: Callable[[bytes], PlatformUpdate | Failure] | None = None,
     ):
@@ -95,6 +96,8 @@
         self._pause: eventlet.event.Event | None = None
         self._contact = PlatformContact(loop.now())
         self._margin = AnswerMargin(timing.min_margin_s, timing.max_margin_s)
+        # Time as of which nothing was missing before the latest answer.
+        self._previously_confirmed_at = float("-inf")
         # When the latest call to the platform began.
         self._called_at = loop.now()
         # Whether a watch call is waiting for its answer, when the latest one began that
@@ -312,12 +315,7 @@
         for update in updates:
             if isinstance(update, Failure):
                 return update.reason
-        # Only the source knows whether the platform was away: a call of this host that
-        # failed may have been lost on the way.
-        confirmed_at = self.loop.now() - changes.age_s
-        self._end_outage(confirmed_at, confirmed_at)
-        if changes.grace_s > 0.0:
-            self.on_platform_returned(changes.grace_s)
+        self._record_contact(self.loop.now() - changes.age_s, changes.grace_s)
         self._deliver_unconfirmed()
         self._is_stale = self._is_resuming = False
         for update in updates:
@@ -365,7 +363,8 @@
             self.events.emit(
                 "era_changed", era=era, previous=self._era, revision=self._revision
             )
-            self.on_platform_returned(None)
+            since = self._previously_confirmed_at
+            self.on_platform_returned(Outage(since, since, self.loop.now()), None)
         self._era = era
 
     def _set_source(self, host: str | None, reason: str) -> None:
@@ -399,17 +398,28 @@
                 answered_s=round(answered_s, 2),
             )
 
-    def _record_contact(self, confirmed_at: float) -> None:
-        outage = self._end_outage(self.loop.now(), confirmed_at)
-        if outage is not None:
-            self.on_platform_returned(None)
+    def _record_contact(
+        self, confirmed_at: float, grace_s: float | None = None
+    ) -> None:
+        """Record an answer, relayed by another host if that gave ``grace_s``.
 
-    def _end_outage(self, answered_at: float, confirmed_at: float) -> Outage | None:
-        outage = self._contact.record_answer(answered_at, confirmed_at)
+        Only the other host knows whether the platform was away: a call of this host
+        that failed may have been lost on the way.
+        """
+        now, is_relayed = self.loop.now(), grace_s is not None
+        previous = self._previously_confirmed_at = self._contact.confirmed_at
+        outage = self._contact.record_answer(
+            confirmed_at if is_relayed else now, confirmed_at, is_relayed=is_relayed
+        )
         if outage is not None:
             self.events.emit(
                 "platform_back",
                 away_s=round(outage.returned_at - outage.answered_at, 2),
                 failed_s=round(outage.returned_at - outage.failed_at, 2),
             )
-        return outage
+        if grace_s:
+            failed_at = float("-inf") if outage is None else outage.failed_at
+            self.on_platform_returned(Outage(previous, failed_at, now), grace_s)
+        elif outage is not None and not is_relayed:
+            outage = outage._replace(answered_at=previous)
+            self.on_platform_returned(outage, None)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -96,15 +96,25 @@
         """Guards against losing all replicas whose leases expired in an outage."""
         self.directory.apply(entry())
         self.directory.apply(entry("i-2"))
-        self.directory.start_grace_period(now=10.0)
+        self.directory.start_grace_period(until=12.5)
         self.assertIsNone(self.directory.remove("i-1", now=10.1))
         self.assertIsNone(self.directory.remove("i-2", now=10.1))
         self.assertEqual(self.ids(), ["i-1", "i-2"])
         self.directory.apply(entry("i-2", sequence=7))
+        self.assertEqual(self.directory.expire(now=12.4), [])
         changes = self.directory.expire(now=12.6)
         self.assertEqual([change.replica_id for change in changes], ["i-1"])
         self.assertEqual(self.ids(), ["i-2"])
 
+    def test_draining_replica_gets_no_grace(self):
+        """Guards against connections and warm-ups of a replica that has left."""
+        self.directory.apply(entry(state=ReplicaState.DRAINING))
+        self.directory.apply(entry("i-2", state=ReplicaState.DRAINING))
+        self.directory.start_grace_period(until=12.5)
+        self.assertIsNotNone(self.directory.remove("i-1", now=10.1))
+        self.assertEqual(len(self.directory.replace_all([], set(), now=10.2)), 1)
+        self.assertEqual(len(self.directory), 0)
+
     def test_complete_list_removes_missing_replicas(self):
         """Guards against keeping a replica whose removal was missed."""
         self.directory.apply(entry())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,7 +9,7 @@
 import eventlet
 import eventlet.event
 
-from cicadalever.freshness import Backoff, WatchTiming
+from cicadalever.freshness import Backoff, GraceBounds, WatchTiming
 from cicadalever.freshness._backoff import MIN_PAUSE_S
 from cicadalever.gateway import HistoryLost, PlatformUpdate
 from cicadalever.gateway._answers import (
@@ -420,7 +420,7 @@
             Random(1),
             FakeEvents(),
             self.updates.append,
-            self.returned.append,
+            lambda *reported: self.returned.append(reported),
             self.relay,
             lambda data: update(int(data)) if data.isdigit() else FAILURE,
         )
@@ -466,15 +466,24 @@
     def test_grace_period_of_the_larger_host_applies(self):
         """Guards against removing entries after an outage that only the source saw."""
         self.follow([RelayedChanges(0, 7, 0.1, 1.5, [b"7"])], [])
-        self.assertEqual(self.returned, [1.5])
+        self.assertEqual([grace_s for _, grace_s in self.returned], [1.5])
 
-    def test_own_lost_call_is_no_outage_of_the_platform(self):
-        """Guards against keeping removed replicas after a call that only got lost."""
-        fresh = RelayedChanges(0, 8, 0.1, 0.0, [b"8"])
-        self.follow([FAILURE, fresh], [FAILURE], seconds=0.3)
-        self.assertEqual([each.revision for each in self.updates], [5, 8])
+    def test_failed_call_while_the_larger_host_has_contact(self):
+        """Guards against a grace period on a host that has only failed itself."""
+        answers = [FAILURE, RelayedChanges(0, 7, 0.1, 0.0, [b"7"])]
+        self.follow(answers, [FAILURE], seconds=0.3)
+        self.assertEqual([each.revision for each in self.updates], [5, 7])
         self.assertEqual(self.returned, [])
 
+    def test_relayed_grace_is_bounded_by_what_this_host_knows(self):
+        """Guards against a grace that lasts as long as another host says."""
+        begun_at = time.monotonic()
+        answers = [RelayedChanges(0, 7, 0.1, 60.0, []) for _ in range(2)]
+        self.follow(answers, [])
+        ends = [GraceBounds(4.0, 1.0).end_of_grace(*each) for each in self.returned]
+        self.assertEqual(len(ends), 2)
+        self.assertLess(max(ends), begun_at + 1.0)
+
     def test_followed_host_calls_again_before_its_data_is_old(self):
         """Guards against followers that reject their source while nothing changes."""
         for apply_s in (3.0, 5.0, 8.0):
@@ -607,7 +616,7 @@
             Random(1),
             events,
             self.updates.append,
-            lambda grace_s: self.returned.append(grace_s),
+            lambda *reported: self.returned.append(reported),
         )
         follower.start()
         with eventlet.Timeout(3, False):
@@ -697,5 +706,20 @@
         failure = Failure(FailureCode.UNREACHABLE, "reset")
         calls, events = self.follow([update(5, True), failure, failure, update(6)])
         self.assertEqual(events, ["platform_lost", "platform_back"])
-        self.assertEqual(self.returned, [None])
+        self.assertEqual([grace_s for _, grace_s in self.returned], [None])
         self.assertEqual(calls[1:4], [("watch", 5)] * 3)
+
+    def test_grace_after_a_new_era_is_bounded_by_the_answer_before(self):
+        """Guards against a grace that counts from when a restore was noticed."""
+        other = update(5, True)._replace(era=1)
+        self.follow([update(5, True), update(6), HistoryLost(), other])
+        ((outage, grace_s),) = self.returned
+        self.assertIsNone(grace_s)
+        self.assertEqual(outage.failed_at, outage.answered_at)
+        self.assertLess(outage.answered_at, outage.returned_at)
+
+    def test_what_a_stale_read_lacks_may_have_been_removed_before_it(self):
+        """Guards against a grace that takes a stale first read for a current one."""
+        self.follow([update(5, True), FAILURE, update(6)])
+        ((outage, _),) = self.returned
+        self.assertEqual(outage.answered_at, float("-inf"))
