Withdraw requests that wait for a replica which drains or has left

Requests of callers reached replicas later than the bound for draining: what waited in this host for a free connection when the entry changed to draining or was removed was still sent as soon as a connection became idle, up to the deadline of the request later. A pool that was closed gave its connections to waiting requests before it closed them, and a change to draining did not touch the pool at all; only what a replica says in its answers withdrew them.

Both withdraw them now. None was sent, so that the calls choose another replica without using an attempt or the retry budget.

Without the change, test_removed_replica_gets_no_waiting_requests fails (all three requests are answered by the removed replica) and test_waiting_read_is_withdrawn times out.

--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -6,7 +6,12 @@
 from typing import NamedTuple
 
 from cicadalever.crashes import CrashLedger
-from cicadalever.discovery import DirectoryChange, ReplicaEntry, UpstreamDirectory
+from cicadalever.discovery import (
+    DirectoryChange,
+    ReplicaEntry,
+    ReplicaState,
+    UpstreamDirectory,
+)
 from cicadalever.notices import (
     ReplicaNotices,
 )
@@ -481,7 +486,10 @@
         self.probe(replica, CONNECT_TIMEOUT_S, lambda is_reached: None)
 
     def directory_changed(self, change: DirectoryChange) -> None:
-        """Drop the connections and health data of a replica that restarted or left."""
+        """Drop the connections and health data of a replica that restarted or left.
+
+        What waits here for a connection to a replica that drains goes to others.
+        """
         previous, current = change.previous, change.current
         self.notices.record_entry(change.replica_id, current)
         if current is not None and current.data_centre == self.selector.data_centre:
@@ -494,6 +502,8 @@
             and current.started_at_ms == previous.started_at_ms
         )
         if is_same_process:
+            if current.state is not ReplicaState.READY:
+                self._withdraw_waiting(current.id, "the replica is draining")
             return
         pool = self._pools.pop(change.replica_id, None)
         if pool is not None:
--- a/cicadalever/wire/_replica_pool.py
+++ b/cicadalever/wire/_replica_pool.py
@@ -143,8 +143,12 @@
             connection.close("idle")
 
     def close(self) -> None:
-        """Close the idle connections now and the others after their answers."""
+        """Close the idle connections now and the others after their answers.
+
+        Requests that wait for a connection are withdrawn: none of them was sent.
+        """
         self._is_closing = True
+        self.withdraw_waiting("replica removed")
         for connection in self._idle[:]:
             connection.close("replica removed")
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,15 +1,24 @@
 """Tests of the gateway's calls in virtual time, with simulated hosts and replicas."""
 
 import unittest
+from random import Random
 from types import SimpleNamespace
+from unittest import mock
 
 from bench.fleet import Fleet, FleetSite, Policy
 from bench.fleet._host import HEADER_NAMES
+from cicadalever.discovery import ReplicaState, UpstreamDirectory
+from cicadalever.gateway._answers import AnswerKind
 from cicadalever.gateway._delegated_call import DelegatedCall
 from cicadalever.gateway._gather_call import GatherCall
 from cicadalever.gateway._outbound import PEER_SHARD_ATTEMPTS, OutboundRequest
+from cicadalever.gateway._reads import ReadRunner
+from cicadalever.placement import LeastCostSelector
 from cicadalever.routing import Limits, RoutingTable
-from cicadalever.wire import AnswerFault, CallerRequest, ReplicaAnswer
+from cicadalever.wire import AnswerFault, CallerRequest, EventLoop, ReplicaAnswer
+from tests.test_discovery import entry
+from tests.test_gateway import gather_route
+from tests.test_wire import ScriptedReplica, wait_for
 
 SITE = FleetSite(data_centres=1, hosts=1, shards=4, replicas=2, pause_s=0.0)
 # What a host tells that has read no shard more than once, and what another one must
@@ -78,6 +87,36 @@
         self.assertEqual(sum(runs), SITE.shards)
 
 
+class TestDrainingReplica(unittest.TestCase):
+    """Reads that wait for a connection to a replica when its entry changes."""
+
+    def test_waiting_read_is_withdrawn(self):
+        """Guards against reads that reach a replica after the time of its drain."""
+        replica = ScriptedReplica()
+        self.addCleanup(replica.stop)
+        directory, ended = UpstreamDirectory(), []
+        runner = ReadRunner(
+            EventLoop(), HEADER_NAMES, directory, LeastCostSelector("a", Random(1)),
+            mock.Mock(), mock.Mock(), mock.Mock(),
+        )  # fmt: skip
+        ready = entry(address=replica.address)
+        directory.apply(ready)
+        route = gather_route(["s"])
+        table = RoutingTable(
+            1, [route], {"s": SimpleNamespace(max_connections=1)}, Limits()
+        )
+        outbound = mock.Mock(encode=lambda *arguments: b"GET / HTTP/1.1\r\n\r\n")
+        for _ in range(2):
+            read = runner.start(
+                ready, outbound, route, table, lambda _, result: ended.append(result)
+            )
+            self.addCleanup(read.exchange.cancel, "end of the test")
+        draining = ready._replace(state=ReplicaState.DRAINING, sequence=9, revision=9)
+        runner.directory_changed(directory.apply(draining))
+        wait_for(lambda: ended)
+        self.assertEqual([each.kind for each in ended], [AnswerKind.NOT_SENT])
+
+
 class TestCancelledBeforeStart(CallTestCase):
     """A peer that closes its connection while its query is acknowledged."""
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -317,6 +317,18 @@
         self.assertEqual({each.fault for each in answers}, {AnswerFault.WITHDRAWN})
         self.assertEqual(len(replica.requests), 1)
 
+    def test_removed_replica_gets_no_waiting_requests(self):
+        """Guards against requests that reach a replica after it has left."""
+        replica, pool = self.start(*[answer(b"1")] * 3)
+        pool.max_connections = 1
+        answers = []
+        self.send(pool, 3, answers)
+        pool.close()
+        wait_for(lambda: len(answers) == 3)
+        faults = [each.fault for each in answers]
+        self.assertEqual(sorted(faults, key=str), [None, *[AnswerFault.WITHDRAWN] * 2])
+        self.assertEqual(len(replica.requests), 1)
+
 
 class TestCallerServer(unittest.TestCase):
     """Requests that arrive whole, in pieces, pipelined or beyond the limits."""
