Do not read replicas that left after they were chosen

Queries were read from replicas that had left or were draining: a query whose reads wait for a canary read chooses their replicas in advance, to connect to them, and used them seconds later as long as neither a limit nor a notice forbade it.

The entry is compared before the read now; a replica that has left, drains or has started again is replaced by another one.

--- a/bench/fleet/_replica.py
+++ b/bench/fleet/_replica.py
@@ -150,6 +150,12 @@
             return
         self.replica.loop.call_later(self.one_way_s, self.replica.receive, read)
 
+    def warm_up(self) -> None:
+        """Do nothing; simulated connections need no handshake."""
+
+    def withdraw_waiting(self, detail: str) -> None:
+        """Do nothing; no request waits for a simulated connection."""
+
     def close(self) -> None:
         """Do nothing; the simulated replicas stay."""
 
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -386,7 +386,12 @@
 
     def _read(self, shard: int) -> bool:
         replica = self._chosen_replicas.pop(shard, None)
-        if replica is None or not self.runner.may_read(replica, self.route):
+        is_usable = (
+            replica is not None
+            and self.runner.is_current(replica)
+            and self.runner.may_read(replica, self.route)
+        )
+        if not is_usable:
             service = self.route.shards[shard]
             replica = self.runner.choose_replica(
                 service, self.route, self._tried[shard]
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -216,6 +216,15 @@
             and self._has_room(replica, route, now)
         )
 
+    def is_current(self, replica: ReplicaEntry) -> bool:
+        """Return whether a replica that was chosen before is still to be read."""
+        entry = self.directory.get(replica.id)
+        return (
+            entry is not None
+            and entry.state is ReplicaState.READY
+            and _is_same_process(entry, replica)
+        )
+
     def _is_last_resort(self, replica: ReplicaEntry) -> bool:
         return replica.id in self.limits or self.notices.is_leaving(replica)
 
@@ -496,12 +505,7 @@
             self._new_replicas.append(current.id)
         if previous is None:
             return
-        is_same_process = (
-            current is not None
-            and current.address == previous.address
-            and current.started_at_ms == previous.started_at_ms
-        )
-        if is_same_process:
+        if current is not None and _is_same_process(current, previous):
             if current.state is not ReplicaState.READY:
                 self._withdraw_waiting(current.id, "the replica is draining")
             return
@@ -626,3 +630,9 @@
             self._contact_at = self.loop.now()
             self.guard.record_life(replica_id, connection.started_at)
         self.on_handshake(replica_id, connection)
+
+
+def _is_same_process(entry: ReplicaEntry, other: ReplicaEntry) -> bool:
+    """Return whether two entries of one id come from one process."""
+    process = (entry.address, entry.started_at_ms)
+    return process == (other.address, other.started_at_ms)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -117,6 +117,28 @@
         self.assertEqual([each.kind for each in ended], [AnswerKind.NOT_SENT])
 
 
+class TestHeldReads(CallTestCase):
+    """Reads that wait until a replica has survived the query."""
+
+    def test_replica_that_has_left_meanwhile_is_not_read(self):
+        """Guards against reads of replicas that were chosen before they left."""
+        runner = self.host.runner
+        arguments = self.call_arguments()
+        fingerprint = arguments[4].fingerprint
+        runner.guard.ledger.record_loss(fingerprint, "s", "i-lost", self.loop.now())
+        call = GatherCall(*arguments, on_late=lambda late_s: None)
+        call.start(1.0)
+        left = [each.id for each in call._chosen_replicas.values()]
+        for replica_id in left:
+            runner.directory_changed(runner.directory.remove(replica_id, 0.0))
+        self.loop.run_until(2.0)
+        [(_, response)] = self.responses
+        self.assertEqual(response.status, 200)
+        self.assertEqual(len(left), SITE.shards - 1)
+        runs = [self.fleet.replicas[each].executed_ids for each in left]
+        self.assertEqual(runs, [[]] * len(left))
+
+
 class TestCancelledBeforeStart(CallTestCase):
     """A peer that closes its connection while its query is acknowledged."""
 
