--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -72,3 +72,20 @@
         round_robin = WeightedRoundRobin()
         services = [WeightedService("a", 0), WeightedService("b", 5)]
         self.assertEqual({round_robin.next("r", services) for _ in range(50)}, {"b"})
+
+    def test_shares_hold_at_once_when_the_scale_of_weights_changes(self):
+        """Guards against one service that gets all requests after a new version."""
+        round_robin = WeightedRoundRobin()
+        for _ in range(3):
+            round_robin.next("r", [WeightedService("a", 7000), WeightedService("b", 3)])
+        services = [WeightedService("a", 0.5), WeightedService("b", 0.5)]
+        counts = Counter(round_robin.next("r", services) for _ in range(20))
+        self.assertEqual(counts, {"a": 10, "b": 10})
+
+    def test_service_whose_weight_becomes_zero_gets_nothing(self):
+        """Guards against the credit of an older version."""
+        round_robin = WeightedRoundRobin()
+        for _ in range(2):
+            round_robin.next("r", [WeightedService("a", 70), WeightedService("b", 30)])
+        services = [WeightedService("a", 0), WeightedService("b", 5)]
+        self.assertEqual({round_robin.next("r", services) for _ in range(50)}, {"b"})
