Tell a host that reports a loss what refutes it

Callers got 503 from one host for up to a minute (crashes_replicas), while another host served the same request: a host that had seen a replica survive the request after the reported loss, before the report reached it, dropped the loss without a word. Such a report was no news, so that it was not passed on either, and what one host asks of another left out requests without evidence at that one.

The receiver now answers a report with the signs of life that refute its losses. The answer has no losses, so that it is never answered in turn.

Whether this is what tests.test_upgrades saw once is not shown.

--- a/cicadalever/crashes/_ledger.py
+++ b/cicadalever/crashes/_ledger.py
@@ -184,6 +184,11 @@
         suspicion.set_canaries(self.host, own_reads)
         return is_news
 
+    def refute(self, record: CrashRecord, now: float) -> CrashRecord | None:
+        """Return what the sender of a report lacks to refute its losses, or None."""
+        suspicion = self._suspicions.get(record.fingerprint)
+        return None if suspicion is None else suspicion.refute(record, now)
+
     def report(self, fingerprint: int, now: float) -> CrashRecord | None:
         """Return what other hosts should know about a request, or None."""
         suspicion = self._suspicions.get(fingerprint)
--- a/cicadalever/crashes/_suspicion.py
+++ b/cicadalever/crashes/_suspicion.py
@@ -257,6 +257,31 @@
         self.active_at = max(self.active_at, now - record.active_age_ms / 1000)
         return is_news
 
+    def refute(self, record: CrashRecord, now: float) -> CrashRecord | None:
+        """Return the signs of life that refute losses of a report, or None.
+
+        The result has no losses, so that it is not refuted in turn.
+        """
+        services: dict[str, float] = {}
+        replicas: dict[str, float] = {}
+        for each in record.losses:
+            at = now - each.age_ms / 1000
+            for times, name, found in (
+                (self._services_cleared_at, each.service, services),
+                (self._replicas_alive_at, each.replica_id, replicas),
+            ):
+                if at <= times.get(name, float("-inf")):
+                    found[name] = times[name]
+        if not services and not replicas:
+            return None
+        return CrashRecord(
+            record.fingerprint,
+            _age_ms(self.active_at, now),
+            [],
+            _report_newest(services, now),
+            _report_newest(replicas, now),
+        )
+
     def _settled_at(self) -> float:
         """Return when the requests that ran beside this one have ended."""
         plain = [each.at for each in self._losses if not each.is_canary]
--- a/cicadalever/gateway/_crash_gossip.py
+++ b/cicadalever/gateway/_crash_gossip.py
@@ -38,8 +38,9 @@
     """Sends news of requests that may crash replicas, and asks for what was missed.
 
     News goes to the seeds and to the hosts that gather queries; seeds pass on what is
-    news to them. Besides, each host now and then exchanges all it knows with another
-    one, so that a host which was restarted, cut off or missed a datagram catches up.
+    news to them. A host that knows a loss to be refuted tells the sender. Besides, each
+    host now and then exchanges all it knows with another one, so that a host which was
+    restarted, cut off or missed a datagram catches up.
     """
 
     def __init__(
@@ -194,5 +195,12 @@
             if self.link.peer_table.is_seed:
                 self.announce_once(fingerprint)
         self.on_news(news.host, changed)
+        refuting = [
+            signs
+            for record in news.records
+            if (signs := self.ledger.refute(record, now)) is not None
+        ]
+        if refuting:
+            self._send(refuting, [news.address])
         if news.wants_reply:
             self._send(self.ledger.report_all(now), [news.address])
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -146,6 +146,19 @@
         self.loop.run_until(15.0 + CONTACT_S)
         self.assertEqual(self.network.count_refusing(), 10)
 
+    def test_survival_reaches_a_host_whose_news_came_after_it(self):
+        """Guards against a refusal that only one host holds for a minute."""
+        network = self.network
+        refusing, serving = network.addresses[8:]
+        network.hosts[serving].ledger.record_loss(7, "s0", "i-0", 9.0)
+        network.hosts[serving].ledger.record_survival(7, "s0", 10.0)
+        refusing_ledger = network.hosts[refusing].ledger
+        for number, at in enumerate((8.0, 9.0)):
+            refusing_ledger.record_loss(7, "s0", f"i-{number}", at, is_canary=True)
+        network.hosts[refusing].announce(7, is_urgent=True)
+        self.loop.run_until(10.0 + CONTACT_S)
+        self.assertEqual(network.count_refusing(), 0)
+
     def test_memory_of_the_fleet(self):
         """Guards against hosts that take a common restart for a calm past."""
         hosts = self.network.hosts
