Bound the round trip that is planned for between hosts

After a suspension of a host, groups of shards that others read for it were answered early and with few shards for dozens of queries: the acknowledgement that is read after the suspension counted as a round trip of its whole length, which is taken off the time of later groups and added to the time after which a silent host is given up.

A round trip counts with 0.1 s at most, as the one to callers does.

Without the change, test_suspension_does_not_shorten_later_groups fails (2.0 s are planned for after one of 10 s); that acknowledgements are read then is by reading. With it, tests.test_peers.TestFellows and test_shard_groups pass (21).

--- a/cicadalever/peers/_peer.py
+++ b/cicadalever/peers/_peer.py
@@ -19,6 +19,8 @@
 # the newest measurement.
 INITIAL_ROUND_TRIP_S = 0.005
 ROUND_TRIP_WEIGHT = 0.2
+# Longest round trip that is planned for.
+MAX_ROUND_TRIP_S = 0.1
 
 
 class Capacity(NamedTuple):
@@ -68,7 +70,11 @@
         )
 
     def observe_round_trip(self, seconds: float) -> None:
-        """Add a measured time until the peer acknowledged a query."""
+        """Add a measured time until the peer acknowledged a query.
+
+        A longer one than ``MAX_ROUND_TRIP_S`` comes from a suspension of either host.
+        """
+        seconds = min(MAX_ROUND_TRIP_S, seconds)
         self.round_trip_s += ROUND_TRIP_WEIGHT * (seconds - self.round_trip_s)
 
     def is_alive(self, now: float) -> bool:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -320,6 +320,12 @@
         self.assertEqual(table.choose_fellows(7, 1.5, Random(1)), {})
         self.assertEqual(list(table.choose_fellows(7, 2.5, Random(1))), ["dc-d"])
 
+    def test_suspension_does_not_shorten_later_groups(self):
+        """Guards against groups that answer early with few shards for a long time."""
+        peer = Peer(("10.0.0.1", 7))
+        peer.observe_round_trip(10.0)
+        self.assertLess(peer.round_trip_s, 0.03)
+
     def test_data_centre_out_of_reach_is_asked_rarely(self):
         """Guards against queries that wait for a cut-off data centre each second."""
         table = PeerTable(OWN, "dc-a", SMALL_HOST, 0.0)
