Close the kept connections to a host that has become silent

After a time in which the links between hosts were silent, one query after the other was late: connections that go silent stay open, a query that is not acknowledged closes only its own, and the next one took another of up to 32 kept ones, waited a quarter of its time in vain and gathered its shards again from the retry budget.

When a gatherer or a host of another data centre does not acknowledge, or is silent, the idle connections to it are closed with that of the request; the next request opens a new one. Requests in progress are not touched.

Without the change, test_queries_do_not_wait_on_its_other_connections fails (the next request goes out on the second kept connection).

--- a/bench/fleet/_host.py
+++ b/bench/fleet/_host.py
@@ -210,6 +210,9 @@
             for data_centre, peers in self.peers.items()
         }
 
+    def close_idle(self, address) -> None:
+        """Do nothing; simulated connections between hosts are not kept."""
+
     def ask_contact(self, replica_ids: Collection[str], number: int) -> None:
         """Ask other hosts to connect to some replicas."""
         count = min(MAX_QUERIED_REPLICAS, len(replica_ids))
--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -187,6 +187,7 @@
 
     def _handle_peer_failure(self, reason: str, *, may_have_begun: bool) -> None:
         self._link.peer_table.record_failure(self._peer, self.loop.now())
+        self._link.close_idle(self._peer.address)
         self._fall_back(reason, may_have_begun=may_have_begun)
 
     def _fall_back(self, reason: str, *, may_have_begun: bool) -> None:
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -315,6 +315,15 @@
             )
         pool.send(exchange)
 
+    def close_idle(self, address: Address) -> None:
+        """Close the idle connections to a host that has become silent.
+
+        What silenced one of its connections has mostly silenced all.
+        """
+        pool = self._pools.get(address)
+        if pool is not None:
+            pool.close_idle("the host is silent")
+
     def close_expired(self) -> None:
         """Close the connections whose idle time has expired."""
         for pool in self._pools.values():
--- a/cicadalever/gateway/_shard_group.py
+++ b/cicadalever/gateway/_shard_group.py
@@ -131,6 +131,7 @@
         may_have_begun = self._exchange.was_sent
         self._exchange.cancel(reason)
         self.link.peer_table.record_fellow_failure(self.peer, self.call.loop.now())
+        self.link.close_idle(self.peer.address)
         self.call.group_failed(self, reason, may_have_begun=may_have_begun)
 
     def _end(self) -> None:
--- a/cicadalever/wire/_replica_pool.py
+++ b/cicadalever/wire/_replica_pool.py
@@ -142,6 +142,11 @@
         for connection in [each for each in self._idle if each.idle_until <= now]:
             connection.close("idle")
 
+    def close_idle(self, detail: str) -> None:
+        """Close the idle connections, so that the next requests use new ones."""
+        for connection in self._idle[:]:
+            connection.close(detail)
+
     def close(self) -> None:
         """Close the idle connections now and the others after their answers.
 
@@ -149,8 +154,7 @@
         """
         self._is_closing = True
         self.withdraw_waiting("replica removed")
-        for connection in self._idle[:]:
-            connection.close("replica removed")
+        self.close_idle("replica removed")
 
     def limit_requests(self, most: int | None) -> None:
         """Have at most ``most`` requests in progress; None removes the limit.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,6 +11,8 @@
 
 from bench.fleet._loop import VirtualLoop
 from cicadalever.gateway._delegated_call import DelegatedCall
+from cicadalever.gateway._outbound import OutboundRequest
+from cicadalever.gateway._peers import PeerLink
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
     COUNT_AFTER_S,
@@ -35,6 +37,7 @@
     MAX_LOG_BYTES,
 )
 from cicadalever.routing import Limits, RoutingTable
+from cicadalever.wire import CallerRequest, EventLoop, Exchange
 from tests.platform_standins import (
     GatewayProcess,
     ReplicaStandIn,
@@ -44,6 +47,8 @@
 )
 from tests.test_gateway import gather_route
 from tests.test_gateway_process import configuration
+from tests.test_wire import NAMES, ScriptedReplica, answer
+from tests.test_wire import wait_for as wait_until
 
 OWN = ("10.0.0.1", 7000)
 SEED = ("10.0.0.9", 7000)
@@ -630,3 +635,38 @@
         ((ended_at, status),) = ended
         self.assertEqual(status, 504)
         self.assertLessEqual(ended_at, 0.45)
+
+
+class TestSilentPeer(unittest.TestCase):
+    """A host whose kept connections have become silent."""
+
+    def test_queries_do_not_wait_on_its_other_connections(self):
+        """Guards against one late query for each connection that was kept."""
+        peer_host = ScriptedReplica(answer(), answer())
+        self.addCleanup(peer_host.stop)
+        loop, answers, ended = EventLoop(), [], []
+        table = PeerTable(OWN, "dc-a", SMALL_HOST, 0.0)
+        link = PeerLink(loop, NAMES, "small", table, None, mock.Mock(), Random(1))
+
+        def exchange():
+            return Exchange(lambda: b"GET / HTTP/1.1\r\n\r\n", b"1", 0, answers.append)
+
+        for _ in range(2):
+            link.send(peer_host.address, exchange())
+        wait_until(lambda: len(answers) == 2)
+        peer = Peer(peer_host.address)
+        peer.heartbeat = heartbeat()
+        route = gather_route("abcd")
+        now = loop.now()
+        request = CallerRequest(b"GET", b"/q", [], b"", now, False, True)
+        call = DelegatedCall(
+            request, route, RoutingTable(1, [route], {}, Limits()),
+            mock.Mock(loop=loop), OutboundRequest(request, NAMES, now + 1.0, b"1"),
+            self.fail, link=link, fall_back=ended.append,
+        )  # fmt: skip
+        call.start(peer, now + 0.1)
+        wait_until(lambda: ended)
+        peer_host.script.append(answer())
+        link.send(peer_host.address, exchange())
+        wait_until(lambda: len(answers) == 3)
+        self.assertEqual(peer_host.accepted, 3)
