--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -417,6 +417,7 @@
             return
         if report.heartbeat.address == self.peer_table.address:
             return
+        self._observe_version(report.heartbeat)
         self.peer_table.refuges.record_report(report.heartbeat, self.loop.now())
         self.on_contact_report(report)
 
@@ -448,8 +449,7 @@
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self.loop.now()
-        if 0 < self._version < heartbeat.version:
-            self.on_newer_version()
+        self._observe_version(heartbeat)
         if self.peer_table.record_heartbeat(heartbeat, now):
             self.events.emit(
                 "gatherer_found",
@@ -471,3 +471,7 @@
                     else None
                 ),
             )
+
+    def _observe_version(self, heartbeat: Heartbeat) -> None:
+        if 0 < self._version < heartbeat.version:
+            self.on_newer_version()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,10 +15,12 @@
 from cicadalever.gateway._peers import PeerLink
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
+    CONTACT_REPORT_PREFIX,
     COUNT_AFTER_S,
     OBSERVATION_PREFIX,
     Capacity,
     ChangeLog,
+    ContactReport,
     Heartbeat,
     Peer,
     PeerTable,
@@ -28,6 +30,7 @@
     decode_heartbeat,
     decode_observation,
     encode_changes,
+    encode_contact_report,
     encode_heartbeat,
     encode_observation,
 )
@@ -637,6 +640,22 @@
         self.assertLessEqual(ended_at, 0.45)
 
 
+class TestNewerVersion(unittest.TestCase):
+    """A newer version of the configuration that another host has in force."""
+
+    def test_report_of_a_host_that_can_take_over_is_heeded(self):
+        """Guards against a host that hands nothing over until it polls again."""
+        table = PeerTable(OWN, "dc-a", SMALL_HOST, 0.0)
+        events = mock.Mock()
+        link = PeerLink(VirtualLoop(), NAMES, "small", table, None, events, Random(1))
+        link.on_newer_version = mock.Mock()
+        link.tick(7, is_serving=False, is_cut_off=True)
+        for version, calls in ((7, 0), (8, 1)):
+            report = ContactReport(heartbeat(version=version), 1)
+            link.handlers[CONTACT_REPORT_PREFIX](encode_contact_report(report))
+            self.assertEqual(link.on_newer_version.call_count, calls)
+
+
 class TestSilentPeer(unittest.TestCase):
     """A host whose kept connections have become silent."""
 
