Prefer other hosts to one that has not answered for its shards

While a host of another data centre was dead, groups of shards were sent to it again and again, for up to 9 s after its last heartbeat: a failure pauses its data centre, after which the host with the fewest requests in progress is chosen, which is the dead one. The queries then read the shards from far, from the retry budget.

A host that has failed since its last heartbeat comes last among those of its data centre; a heartbeat shows that it is alive.

Without the change, test_failed_fellow_comes_last_until_it_shows_life fails.

--- a/cicadalever/peers/_peer.py
+++ b/cicadalever/peers/_peer.py
@@ -56,6 +56,8 @@
         # When this host should send the next heartbeat to the peer.
         self.heartbeat_due_at = float("-inf")
         self.no_queries_until = float("-inf")
+        # When the peer last did not answer for shards that it should read.
+        self.failed_at = float("-inf")
         # Until then the peer is not chosen as the source of platform changes.
         self.not_followed_until = float("-inf")
 
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -298,7 +298,8 @@
     def choose_fellows(self, version: int, now: float, rng: Random) -> dict[str, Peer]:
         """Return a host of each other data centre that can read shards for this one.
 
-        It must have the same ``version`` of the configuration in force.
+        It must have the same ``version`` of the configuration in force. Hosts that have
+        failed since their last heartbeat come last.
         """
         candidates: dict[str, list[Peer]] = {}
         for peer in self._peers.values():
@@ -311,13 +312,21 @@
             ):
                 candidates.setdefault(peer.heartbeat.data_centre, []).append(peer)
         return {
-            data_centre: min(peers, key=lambda peer: (peer.in_flight, rng.random()))
+            data_centre: min(
+                peers,
+                key=lambda peer: (
+                    peer.failed_at >= peer.last_heartbeat_at,
+                    peer.in_flight,
+                    rng.random(),
+                ),
+            )
             for data_centre, peers in candidates.items()
             if now >= self._fellow_paused_until.get(data_centre, 0.0)
         }
 
     def record_fellow_failure(self, peer: Peer, now: float) -> None:
         """Pause queries to the data centre of a peer that did not answer one."""
+        peer.failed_at = now
         data_centre = peer.heartbeat.data_centre
         if now < self._fellow_paused_until.get(data_centre, 0.0):
             # Several queries that were sent together count as one failure.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -328,6 +328,21 @@
         self.assertEqual(table.choose_fellows(7, 1.5, Random(1)), {})
         self.assertEqual(list(table.choose_fellows(7, 2.5, Random(1))), ["dc-d"])
 
+    def test_failed_fellow_comes_last_until_it_shows_life(self):
+        """Guards against a dead host that gets the groups of each new attempt."""
+        table = PeerTable(OWN, "dc-a", SMALL_HOST, 0.0)
+        addresses = [("10.2.0.1", number) for number in range(2)]
+        table.record_heartbeat(heartbeat(SEED, fellows=addresses), 0.0)
+        for address in addresses:
+            table.record_heartbeat(heartbeat(address, data_centre="dc-b"), 0.0)
+        dead, live = map(table.get, addresses)
+        live.in_flight = 5
+        table.record_fellow_failure(dead, 0.5)
+        table.record_fellow_answer(live)
+        self.assertIs(table.choose_fellows(7, 2.0, Random(1))["dc-b"], live)
+        table.record_heartbeat(heartbeat(dead.address, data_centre="dc-b"), 2.5)
+        self.assertIs(table.choose_fellows(7, 2.5, Random(1))["dc-b"], dead)
+
     def test_suspension_does_not_shorten_later_groups(self):
         """Guards against groups that answer early with few shards for a long time."""
         peer = Peer(("10.0.0.1", 7))
