--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -317,6 +317,15 @@
             )
         pool.send(exchange)
 
+    def close_idle(self, address: Address) -> None:
+        """Close the idle connections to a host that has become silent.
+
+        What silenced one of its connections has mostly silenced all.
+        """
+        pool = self._pools.get(address)
+        if pool is not None:
+            pool.close_idle("the host is silent")
+
     def close_expired(self) -> None:
         """Close the connections whose idle time has expired."""
         for pool in self._pools.values():
@@ -410,6 +419,7 @@
             return
         if report.heartbeat.address == self.peer_table.address:
             return
+        self._observe_version(report.heartbeat)
         self.peer_table.refuges.record_report(report.heartbeat, self.loop.now())
         self.on_contact_report(report)
 
@@ -441,8 +451,7 @@
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self.loop.now()
-        if 0 < self._version < heartbeat.version:
-            self.on_newer_version(heartbeat.version)
+        self._observe_version(heartbeat)
         if self.peer_table.record_heartbeat(heartbeat, now):
             self.events.emit(
                 "gatherer_found",
@@ -464,3 +473,7 @@
                     else None
                 ),
             )
+
+    def _observe_version(self, heartbeat: Heartbeat) -> None:
+        if 0 < self._version < heartbeat.version:
+            self.on_newer_version(heartbeat.version)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,12 +12,16 @@
 
 from bench.fleet._loop import VirtualLoop
 from cicadalever.gateway._delegated_call import DelegatedCall
+from cicadalever.gateway._outbound import OutboundRequest
+from cicadalever.gateway._peers import PeerLink
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
+    CONTACT_REPORT_PREFIX,
     COUNT_AFTER_S,
     OBSERVATION_PREFIX,
     Capacity,
     ChangeLog,
+    ContactReport,
     Heartbeat,
     Peer,
     PeerTable,
@@ -27,6 +31,7 @@
     decode_heartbeat,
     decode_observation,
     encode_changes,
+    encode_contact_report,
     encode_heartbeat,
     encode_observation,
 )
@@ -36,6 +41,7 @@
     MAX_LOG_BYTES,
 )
 from cicadalever.routing import Limits, RoutingTable
+from cicadalever.wire import CallerRequest, EventLoop, Exchange
 from tests.platform_standins import (
     GatewayProcess,
     ReplicaStandIn,
@@ -45,6 +51,8 @@
 )
 from tests.test_gateway import gather_route
 from tests.test_gateway_process import configuration
+from tests.test_wire import NAMES, ScriptedReplica, answer
+from tests.test_wire import wait_for as wait_until
 
 OWN = ("10.0.0.1", 7000)
 SEED = ("10.0.0.9", 7000)
@@ -321,6 +329,27 @@
         self.assertEqual(table.choose_fellows(7, 1.5, Random(1)), {})
         self.assertEqual(list(table.choose_fellows(7, 2.5, Random(1))), ["dc-d"])
 
+    def test_failed_fellow_comes_last_until_it_shows_life(self):
+        """Guards against a dead host that gets the groups of each new attempt."""
+        table = PeerTable(OWN, "dc-a", SMALL_HOST, 0.0)
+        addresses = [("10.2.0.1", number) for number in range(2)]
+        table.record_heartbeat(heartbeat(SEED, fellows=addresses), 0.0)
+        for address in addresses:
+            table.record_heartbeat(heartbeat(address, data_centre="dc-b"), 0.0)
+        dead, live = map(table.get, addresses)
+        live.in_flight = 5
+        table.record_fellow_failure(dead, 0.5)
+        table.record_fellow_answer(live)
+        self.assertIs(table.choose_fellows(7, 2.0, Random(1))["dc-b"], live)
+        table.record_heartbeat(heartbeat(dead.address, data_centre="dc-b"), 2.5)
+        self.assertIs(table.choose_fellows(7, 2.5, Random(1))["dc-b"], dead)
+
+    def test_suspension_does_not_shorten_later_groups(self):
+        """Guards against groups that answer early with few shards for a long time."""
+        peer = Peer(("10.0.0.1", 7))
+        peer.observe_round_trip(10.0)
+        self.assertLess(peer.round_trip_s, 0.03)
+
     def test_data_centre_out_of_reach_is_asked_rarely(self):
         """Guards against queries that wait for a cut-off data centre each second."""
         table = PeerTable(OWN, "dc-a", SMALL_HOST, 0.0)
@@ -636,3 +665,55 @@
         ((ended_at, status),) = ended
         self.assertEqual(status, 504)
         self.assertLessEqual(ended_at, 0.45)
+
+
+class TestNewerVersion(unittest.TestCase):
+    """A newer version of the configuration that another host has in force."""
+
+    def test_report_of_a_host_that_can_take_over_is_heeded(self):
+        """Guards against a host that hands nothing over until it polls again."""
+        table = PeerTable(OWN, "dc-a", SMALL_HOST, 0.0)
+        events = mock.Mock()
+        link = PeerLink(VirtualLoop(), NAMES, "small", table, None, events, Random(1))
+        link.on_newer_version = mock.Mock()
+        link.tick(7, is_serving=False, is_cut_off=True)
+        for version, calls in ((7, 0), (8, 1)):
+            report = ContactReport(heartbeat(version=version), 1)
+            link.handlers[CONTACT_REPORT_PREFIX](encode_contact_report(report))
+            self.assertEqual(link.on_newer_version.call_count, calls)
+
+
+class TestSilentPeer(unittest.TestCase):
+    """A host whose kept connections have become silent."""
+
+    def test_queries_do_not_wait_on_its_other_connections(self):
+        """Guards against one late query for each connection that was kept."""
+        peer_host = ScriptedReplica(answer(), answer())
+        self.addCleanup(peer_host.stop)
+        loop, answers, ended = EventLoop(), [], []
+        table = PeerTable(OWN, "dc-a", SMALL_HOST, 0.0)
+        link = PeerLink(loop, NAMES, "small", table, None, mock.Mock(), Random(1))
+        self.addCleanup(link.close_idle, peer_host.address)
+
+        def exchange():
+            return Exchange(lambda: b"GET / HTTP/1.1\r\n\r\n", b"1", 0, answers.append)
+
+        for _ in range(2):
+            link.send(peer_host.address, exchange())
+        wait_until(lambda: len(answers) == 2)
+        peer = Peer(peer_host.address)
+        peer.heartbeat = heartbeat()
+        route = gather_route("abcd")
+        now = loop.now()
+        request = CallerRequest(b"GET", b"/q", [], b"", now, False, True)
+        call = DelegatedCall(
+            request, route, RoutingTable(1, [route], {}, Limits()),
+            mock.Mock(loop=loop), OutboundRequest(request, NAMES, now + 1.0, b"1"),
+            self.fail, link=link, fall_back=ended.append,
+        )  # fmt: skip
+        call.start(peer, now + 0.1)
+        wait_until(lambda: ended)
+        peer_host.script.append(answer())
+        link.send(peer_host.address, exchange())
+        wait_until(lambda: len(answers) == 3)
+        self.assertEqual(peer_host.accepted, 3)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -66,11 +66,13 @@
         self.open = []
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.address = self._listener.getsockname()
-        self._thread = eventlet.spawn(self._accept)
+        self._threads = [eventlet.spawn(self._accept)]
 
     def stop(self):
         """Close all sockets."""
-        self._thread.kill()
+        # A thread that waits on a closed descriptor breaks the next test that gets it.
+        for thread in self._threads:
+            thread.kill()
         for sock in [self._listener, *self.open]:
             sock.close()
 
@@ -79,13 +81,13 @@
             sock, _ = self._listener.accept()
             self.accepted += 1
             self.open.append(sock)
-            eventlet.spawn(self._serve, sock)
+            self._threads.append(eventlet.spawn(self._serve, sock))
 
     def _serve(self, sock):
         while True:
             try:
                 data = sock.recv(65536)
-            except OSError:
+            except (OSError, EOFError):
                 return
             if not data:
                 return
@@ -317,6 +319,18 @@
         self.assertEqual({each.fault for each in answers}, {AnswerFault.WITHDRAWN})
         self.assertEqual(len(replica.requests), 1)
 
+    def test_removed_replica_gets_no_waiting_requests(self):
+        """Guards against requests that reach a replica after it has left."""
+        replica, pool = self.start(*[answer(b"1")] * 3)
+        pool.max_connections = 1
+        answers = []
+        self.send(pool, 3, answers)
+        pool.close()
+        wait_for(lambda: len(answers) == 3)
+        faults = [each.fault for each in answers]
+        self.assertEqual(sorted(faults, key=str), [None, *[AnswerFault.WITHDRAWN] * 2])
+        self.assertEqual(len(replica.requests), 1)
+
 
 class TestCallerServer(unittest.TestCase):
     """Requests that arrive whole, in pieces, pipelined or beyond the limits."""
