Close the connections to the platform also when a source is left

A complete read while a source is followed (after an unexpected error, or when the source is in another era) opens a connection that was then kept for the next turn to the platform. It may have fallen silent since; each turn now begins with new ones. The test counts the closing at both turns.

--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -370,9 +370,8 @@
 
     def _set_source(self, host: str | None, reason: str) -> None:
         if host != self._source:
-            if self._source is None:
-                # The connection to the platform may fall silent while it is not used.
-                self.client.close()
+            # A connection to the platform may have fallen silent while it was not used.
+            self.client.close()
             self._source = host
             self.events.emit("source_changed", source=host or "platform", reason=reason)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -453,8 +453,8 @@
         fresh = RelayedChanges(0, 8, 0.1, 0.0, [b"8"])
         calls = self.follow([fresh, FAILURE], [update(9)])
         self.assertEqual(calls, [("read_all", True), ("watch", 8)])
-        # The last time is the end of the test.
-        self.assertEqual(self.client.closed_after, [1, 2])
+        # When the source was found and when it was left, and at the end of the test.
+        self.assertEqual(self.client.closed_after, [1, 1, 2])
 
     def test_source_of_another_era_falls_back_to_the_platform(self):
         """Guards against changes whose revisions belong to another history."""
