--- a/tests/test_unanswered_watch.py
+++ b/tests/test_unanswered_watch.py
@@ -13,6 +13,7 @@
     wait_for,
 )
 from tests.test_gateway_process import configuration
+from tests.test_peers import TwoGatewaysTestCase
 
 # Bounds of the settings of ``GatewayProcess``.
 CONTACT_S = 4.0
@@ -74,6 +75,15 @@
             pass
 
 
+def in_force_at(gateway, version):
+    """Return since when a gateway uses a version, on the monotonic clock, or None."""
+    offset_s = time.monotonic() - time.time()
+    for event in gateway.events("configuration_in_force"):
+        if event["version"] == version:
+            return event["time"] + offset_s
+    return None
+
+
 class Host:
     """A host with a proxy of its own to a store, which may be shared."""
 
@@ -84,16 +94,13 @@
             self.store.put("op/config", configuration(7))
         self.proxy = SilencingProxy(self.store)
         test.addCleanup(self.proxy.stop)
-        self.gateway = GatewayProcess(self.proxy, apply_ms=APPLY_MS, **options)
+        options = {"apply_ms": APPLY_MS} | options
+        self.gateway = GatewayProcess(self.proxy, **options)
         test.addCleanup(self.gateway.stop)
 
     def in_force_at(self, version):
         """Return since when a version is in force, on the monotonic clock, or None."""
-        offset_s = time.monotonic() - time.time()
-        for event in self.gateway.events("configuration_in_force"):
-            if event["version"] == version:
-                return event["time"] + offset_s
-        return None
+        return in_force_at(self.gateway, version)
 
     def measure_delay(self, phase_s, *, is_half):
         """Let the connections fall silent some time after the next call.
@@ -222,3 +229,33 @@
         self.assertLess(silent.in_force_at(8) - changed_at, 1.2)
         (event,) = silent.gateway.events("call_given_up")
         self.assertEqual(event["version"], 8)
+
+
+class TestSilentSource(TwoGatewaysTestCase):
+    """The connections of a host that relays changes to another one fall silent."""
+
+    def start(self, **options):
+        """Start a host that reaches the store by a proxy of its own."""
+        host = Host(self, self.store, **options)
+        host.gateway.proxy = host.proxy
+        wait_for(host.gateway.is_ready, "readiness")
+        return host.gateway
+
+    def follows_larger_host(self):
+        events = self.small.events("source_changed")
+        return [event["source"] for event in events][-1:] == ["large"]
+
+    def test_follower_is_in_time_although_its_source_is_not(self):
+        """Guards against a host that takes the data of its source for current."""
+        wait_for(self.follows_larger_host, "the source")
+        eventlet.sleep(2.0)
+        self.assertTrue(self.follows_larger_host())
+        self.large.proxy.silence(is_half=False)
+        self.store.put("op/config", self.configuration(8))
+        changed_at = time.monotonic()
+        for gateway, bound_s in (
+            (self.small, APPLY_MS / 1000),
+            (self.large, CONTACT_S),
+        ):
+            wait_for(lambda each=gateway: in_force_at(each, 8), "the version")
+            self.assertLess(in_force_at(gateway, 8) - changed_at, bound_s)
