Give a test settings that the parser accepts

test_bound_follows_from_the_settings filled every field of the settings with the same text, so that the host of an address was itself an address ("127.0.0.1:1:127.0.0.1:1"). The parser accepted that until it checked addresses; the test failed since then. Its check and bound stay as they are.

--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -346,10 +346,11 @@
         self.addCleanup(sys.path.remove, str(GATEWAY.parent))
         from cicadalever_platform import adapter
 
-        text = SETTINGS.format_map(defaultdict(lambda: "127.0.0.1:1"))
-        text = text.replace("=127.0.0.1:1,127.0.0.1:1", "=7380,7395")
-        text = text.replace("Mbps=127.0.0.1:1", "Mbps=100")
-        text = text.replace("Ms=127.0.0.1:1", "Ms=800")
+        numbers = {"link_mbps": 100, "apply_ms": 800, "drain_ms": 800}
+        address = {"host": "127.0.0.1", "front": 1, "ready": 2, "peers": 7380}
+        text = SETTINGS.format_map(
+            defaultdict(lambda: "127.0.0.1:1", numbers | address)
+        )
         with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
             file.write(text)
             file.flush()
