Go on when a traceback cannot be printed

What callers saw: nothing that is known; found by a script. If nobody reads standard error any more, an exception that no callback handles ends the process: eventlet prints it, and the error of printing leaves the event loop. No exception that gets there is known in the gateway.

Evidence: the program in tests.test_starts.TestLenientStream ends without the stream, which the test checks as well, and goes on with it.

What cannot be written to standard error is dropped.

--- a/cicadalever/startup/_streams.py
+++ b/cicadalever/startup/_streams.py
@@ -24,3 +24,28 @@
             os.open(os.devnull, flags)
             mode = "r" if flags == os.O_RDONLY else "w"
             setattr(sys, name, open(descriptor, mode, closefd=False))  # noqa: SIM115
+
+
+class LenientStream:
+    """Text stream that drops what cannot be written, instead of raising an exception.
+
+    The event loop prints exceptions that nobody handles to standard error. If that
+    raised another one, because the reader is gone, the process would end.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+
+    def write(self, text: str) -> int:
+        """Write ``text`` if that is possible."""
+        try:
+            return self._stream.write(text)
+        except (OSError, ValueError):
+            return len(text)
+
+    def flush(self) -> None:
+        """Pass on what is buffered if that is possible."""
+        try:
+            self._stream.flush()
+        except (OSError, ValueError):
+            return
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -545,6 +545,38 @@
         self.wait_until_ready()
 
 
+class TestLenientStream(unittest.TestCase):
+    """Standard error that cannot be written."""
+
+    PROGRAM = """
+import os, sys, warnings
+warnings.simplefilter("ignore")
+import eventlet
+from cicadalever.startup import LenientStream
+def fail(): raise ValueError("nobody handles this")
+reader, writer = os.pipe()
+os.close(reader)
+os.dup2(writer, 2)
+sys.stderr = {stream}
+eventlet.spawn(fail)
+eventlet.sleep(0.1)
+print("goes on")
+"""
+
+    def run_program(self, stream):
+        """Run a program whose green thread fails; return what it prints."""
+        return subprocess.run(
+            [sys.executable, "-c", self.PROGRAM.format(stream=stream)],
+            cwd=GATEWAY.parents[1],
+            stdout=subprocess.PIPE,
+        ).stdout
+
+    def test_exception_while_nobody_reads_standard_error(self):
+        """Guards against a process that ends since it cannot print a traceback."""
+        self.assertEqual(self.run_program("LenientStream(sys.stderr)"), b"goes on\n")
+        self.assertEqual(self.run_program("sys.stderr"), b"")
+
+
 class TestCallerServerStart(unittest.TestCase):
     """A listener that could not be opened at once."""
 
