Check that a replica is still listed before a held read is sent

What callers saw (by reading, not reproduced with processes): the first reads of a query are held while one replica shows that it survives the query, or while another host is asked for them. Their replicas are chosen before that. A replica that drained, left or restarted meanwhile still got its read, on a connection to its former address, and a removed one got a connection pool that was never closed.

The replica must now be ready in the directory, as the process that was chosen, when the read is sent; otherwise another one is chosen.

--- a/cicadalever/discovery/_directory.py
+++ b/cicadalever/discovery/_directory.py
@@ -70,6 +70,17 @@
             for replica in replicas.values()
         ]
 
+    def is_ready(self, replica: ReplicaEntry) -> bool:
+        """Return whether the process that has published an entry accepts reads now."""
+        known = self._entries.get(replica.id)
+        return (
+            known is not None
+            and known.state is ReplicaState.READY
+            and known.service == replica.service
+            and known.address == replica.address
+            and known.started_at_ms == replica.started_at_ms
+        )
+
     def begin_era(self) -> None:
         """Note that the platform gives out its revisions again from now on."""
         self._of_earlier_era = {*self._entries, *self._removed}
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -386,7 +386,7 @@
 
     def _read(self, shard: int) -> bool:
         replica = self._chosen_replicas.pop(shard, None)
-        if replica is None or not self.runner.may_read(replica, self.route):
+        if replica is None or not self.runner.may_still_read(replica, self.route):
             service = self.route.shards[shard]
             replica = self.runner.choose_replica(
                 service, self.route, self._tried[shard]
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -216,6 +216,10 @@
             and self._has_room(replica, route, now)
         )
 
+    def may_still_read(self, replica: ReplicaEntry, route: Route) -> bool:
+        """Return whether a replica that was chosen a while ago may get a read now."""
+        return self.directory.is_ready(replica) and self.may_read(replica, route)
+
     def _is_last_resort(self, replica: ReplicaEntry) -> bool:
         return replica.id in self.limits or self.notices.is_leaving(replica)
 
--- a/tests/test_removed_replicas.py
+++ b/tests/test_removed_replicas.py
@@ -2,9 +2,14 @@
 
 import time
 import unittest
+from random import Random
+from unittest import mock
 
 import eventlet
 
+from cicadalever.discovery import ReplicaState, UpstreamDirectory
+from cicadalever.gateway._reads import ReadRunner
+from cicadalever.placement import LeastCostSelector
 from tests.platform_standins import (
     FaultProxy,
     GatewayProcess,
@@ -13,6 +18,8 @@
     free_port,
     wait_for,
 )
+from tests.test_discovery import entry
+from tests.test_gateway import NAMES, gather_route
 from tests.test_gateway_process import configuration
 
 CONTACT_S = 4.0
@@ -272,3 +279,27 @@
         entry = self.leaving.entry(State="draining", Seq=2)
         key = f"servers/{self.leaving.id}"
         self.check_waiting(lambda: self.store.put(key, entry))
+
+
+class TestHeldReads(unittest.TestCase):
+    """Reads whose replica was chosen a while before they are sent."""
+
+    def test_chosen_replica_is_not_read_once_it_leaves(self):
+        """Guards against a held read that is sent to a replica that has left."""
+        directory = UpstreamDirectory()
+        runner = ReadRunner(
+            mock.Mock(now=lambda: 0.0), NAMES, directory,
+            LeastCostSelector("a", Random(1)), mock.Mock(), mock.Mock(), mock.Mock(),
+        )  # fmt: skip
+        chosen, route = entry(), gather_route(["s"])
+        leave = (
+            lambda: directory.remove(chosen.id, now=0.0),
+            lambda: directory.apply(entry(state=ReplicaState.DRAINING, sequence=9)),
+            lambda: directory.apply(entry(started_at_ms=200, sequence=1)),
+        )
+        for step in leave:
+            directory.replace_all([], set(), now=0.0)
+            directory.apply(entry(sequence=8))
+            self.assertTrue(runner.may_still_read(chosen, route))
+            step()
+            self.assertFalse(runner.may_still_read(chosen, route))
