--- a/cicadalever/freshness/__init__.py
+++ b/cicadalever/freshness/__init__.py
@@ -4,7 +4,19 @@
 they ended.
 """
 
+from ._backoff import Backoff
 from ._contact import Outage, PlatformContact
 from ._grace import MISSING_ENTRY_GRACE_S, GraceBounds
+from ._margin import AnswerMargin
+from ._timing import PlannedCall, WatchTiming
 
-__all__ = ["MISSING_ENTRY_GRACE_S", "GraceBounds", "Outage", "PlatformContact"]
+__all__ = [
+    "MISSING_ENTRY_GRACE_S",
+    "AnswerMargin",
+    "Backoff",
+    "GraceBounds",
+    "Outage",
+    "PlannedCall",
+    "PlatformContact",
+    "WatchTiming",
+]
--- a/cicadalever/freshness/_contact.py
+++ b/cicadalever/freshness/_contact.py
@@ -34,13 +34,22 @@
         self._answered_at = now
         # The same for answers to this host's own calls.
         self._own_answered_at = now
+        self._confirmed_at = float("-inf")
         self._failed_at: float | None = None
 
     @property
     def answered_at(self) -> float:
-        """Time as of which the platform has last confirmed that nothing is missing."""
+        """Time of the last answer; its connection was sound then."""
         return self._answered_at
 
+    @property
+    def confirmed_at(self) -> float:
+        """Time as of which it is proved that nothing is missing; -inf if it never was.
+
+        An answer may have been on the way for any time since the platform sent it.
+        """
+        return self._confirmed_at
+
     @property
     def is_lost(self) -> bool:
         """Whether the latest call has failed."""
@@ -56,17 +65,26 @@
         self._failed_at = self._own_answered_at if is_first else called_at
         return is_first
 
-    def record_answer(self, now: float, *, is_relayed: bool = False) -> Outage | None:
-        """Record an answer that is current as of ``now``.
-
-        One that ``is_relayed`` was given to another host and says nothing about the
-        connection of this one. Return the outage that it ends, or None if the calls
-        before it were answered.
+    def record_answer(
+        self,
+        now: float,
+        confirmed_at: float = float("-inf"),
+        *,
+        is_relayed: bool = False,
+    ) -> Outage | None:
+        """Record an answer that proves the data to be complete as of ``confirmed_at``.
+
+        One that ``is_relayed`` was given to another host: it may be older than the
+        latest one, and says nothing about the connection of this host. Return the
+        outage that it ends, or None if the calls before it were answered.
         """
         outage = None
         if self._failed_at is not None:
-            outage = Outage(self._answered_at, self._failed_at, now)
-        self._answered_at, self._failed_at = now, None
+            returned_at = max(now, self._failed_at)
+            outage = Outage(self._answered_at, self._failed_at, returned_at)
+        self._answered_at = max(self._answered_at, now)
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        self._failed_at = None
         if not is_relayed:
             self._own_answered_at = now
         return outage
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -2,12 +2,18 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import NamedTuple
 
 import eventlet
 import eventlet.event
 
-from cicadalever.freshness import Outage, PlatformContact
+from cicadalever.freshness import (
+    AnswerMargin,
+    Backoff,
+    Outage,
+    PlannedCall,
+    PlatformContact,
+    WatchTiming,
+)
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.peers import Position, RelayedChanges
 from cicadalever.wire import EventLoop
@@ -18,72 +24,19 @@
 
 # Longest wait that the platform allows for a watch call.
 MAX_WATCH_WAIT_S = 30.0
-# Time to call the platform again after a watch has timed out, and to apply the answer.
-RECOVERY_MARGIN_S = 3.0
 # Time after which a first read is used although the changes since then cannot be read:
 # without it, this host could serve no request at all.
 MAX_UNCONFIRMED_S = 2.0
 # Least pause between two calls when another host has a newer version.
 MIN_PAUSE_S = 0.2
-# Wait of the watch call after a failure: short, so that its answer soon shows that the
-# platform is reachable again.
-RECONNECT_WAIT_S = 0.1
-# Least time between two watch calls, as a share of the time in which a change must be
-# in force. Changes in quick succession are then fetched by one call.
-INTERVAL_SHARE = 0.35
-# Greatest age of data from another host, as a share of the same time. The rest is left
-# for asking the platform instead.
-MAX_AGE_SHARE = 0.5
-# Time for the answer of a slow platform, and the least wait of a watch call of a host
-# that relays changes to others.
-SLOW_ANSWER_S = 0.4
-MIN_FOLLOWED_WAIT_S = 0.1
+# Wait of the watch call after a failure: its answer shows at once that the platform is
+# reachable again.
+RECONNECT_WAIT_S = 0.0
 # The platform limits the answer to a watch to a few hundred changes. After an answer
 # with at least this many, more may be pending, so the next call follows after this
 # share of the interval.
 CATCH_UP_MIN_CHANGES = 100
 CATCH_UP_INTERVAL_SHARE = 0.2
-# Exponential back-off after failed calls. Up to half of it is added at random, so that
-# hosts do not call the platform at the same moment.
-MIN_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 1.0
-
-
-class WatchTiming(NamedTuple):
-    """Longest wait of a watch call and least time between two calls, in seconds.
-
-    A platform that lost a watch call during a disturbance never answers it, and TCP
-    keep-alive probes do not detect that. The wait therefore ends early enough for this
-    host to be up to date when the bounds of the deployment apply again.
-    """
-
-    wait_s: float
-    interval_s: float
-    # Greatest age of data from another host that is used.
-    max_age_s: float = 0.0
-
-    @property
-    def followed_wait_s(self) -> float:
-        """Longest wait of a watch call of a host that relays changes to others.
-
-        It is short enough that the data of this host does not become older than
-        ``max_age_s`` while nothing changes.
-        """
-        return max(
-            MIN_FOLLOWED_WAIT_S,
-            self.max_age_s - self.interval_s - SLOW_ANSWER_S,
-        )
-
-    @classmethod
-    def plan(cls, contact_s: float, apply_s: float, drain_s: float) -> "WatchTiming":
-        """Return the timing for the bounds of a deployment; see ``HostSettings``."""
-        bound_s = min(apply_s, drain_s)
-        wait_s = contact_s + bound_s - RECOVERY_MARGIN_S
-        return cls(
-            min(MAX_WATCH_WAIT_S, max(1.0, wait_s)),
-            INTERVAL_SHARE * bound_s,
-            MAX_AGE_SHARE * bound_s,
-        )
 
 
 class PlatformFollower:
@@ -143,15 +96,26 @@
         self._pause: eventlet.event.Event | None = None
         self._contact = PlatformContact(loop.now())
         # Time as of which nothing was missing before the latest answer.
-        self._previously_current_at = loop.now()
+        self._previously_confirmed_at = float("-inf")
+        self._margin = AnswerMargin(timing.min_margin_s, timing.max_margin_s)
         # When the latest call to the platform began.
         self._called_at = loop.now()
+        # Whether a watch call is waiting for its answer, when the latest one began that
+        # was checked for being lost, and the version for which one was given up.
+        self._is_watching = False
+        self._checked_call_at = float("-inf")
+        self._given_up_for = 0
 
     @property
     def contact_age_s(self) -> float:
         """Seconds since the last answer from the platform."""
         return self.loop.now() - self._contact.answered_at
 
+    @property
+    def data_age_s(self) -> float:
+        """Seconds since the time as of which the data is proved to be complete."""
+        return self.loop.now() - self._contact.confirmed_at
+
     def start(self) -> None:
         """Start the green thread."""
         self._is_resuming = True
@@ -174,30 +138,29 @@
         After an unexpected error, the full state is read again: an update may have been
         applied in part only.
         """
-        backoff_s = MIN_BACKOFF_S
+        backoff = self._new_backoff()
         while not self.loop.run_guarded(self._follow):
             self._is_incomplete = True
-            self._sleep_with_jitter(backoff_s)
-            backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
+            eventlet.sleep(backoff.next_pause_s(elapsed_s=0.0))
 
     def _follow(self) -> None:
         if self._revision is None or self._is_incomplete:
             self._read_all(allow_stale=self._revision is None)
             self._is_incomplete = False
-        backoff_s, was_history_lost = MIN_BACKOFF_S, False
+        backoff, was_history_lost = self._new_backoff(), False
         while True:
             if self._follow_peer():
-                backoff_s = MIN_BACKOFF_S
+                backoff.reset()
                 continue
             called_at = self._called_at = self.loop.now()
-            wait_s = self._watch_wait_s()
-            result = self.client.watch(self._revision, wait_s)
+            call = self._plan_call(called_at)
+            result = self._watch(call)
+            self._record_lateness(result, called_at + call.wait_s)
             if isinstance(result, HistoryLost) or not self._can_go_on(result):
                 self.events.emit("history_lost", revision=self._revision, era=self._era)
                 if was_history_lost:
                     # Complete reads do not help and load the platform.
-                    self._sleep_with_jitter(backoff_s)
-                    backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
+                    eventlet.sleep(backoff.next_pause_s(elapsed_s=0.0))
                 was_history_lost = True
                 # A stale read may return a revision that is older than the history of
                 # changes that the platform still has.
@@ -209,11 +172,13 @@
                 if self._unconfirmed is not None and age_s >= MAX_UNCONFIRMED_S:
                     self.events.emit("started_unconfirmed", age_s=round(age_s, 2))
                     self._deliver_unconfirmed()
-                self._sleep_with_jitter(backoff_s)
-                backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
+                eventlet.sleep(backoff.next_pause_s(self.loop.now() - called_at))
                 continue
-            backoff_s, was_history_lost = MIN_BACKOFF_S, False
-            self._record_contact()
+            backoff.reset()
+            was_history_lost = False
+            # The platform has waited to the end if nothing has changed.
+            waited_s = 0.0 if result.change_count else call.wait_s
+            self._record_contact(min(self.loop.now(), called_at + waited_s))
             self._is_stale = self._is_resuming = False
             self._apply(result)
             pause_s = self.timing.interval_s
@@ -221,13 +186,39 @@
                 pause_s *= CATCH_UP_INTERVAL_SHARE
             self._pause_until(called_at + pause_s)
 
-    def hurry(self) -> None:
-        """End the pause before the next call: another host has a newer version.
+    def _watch(self, call: PlannedCall) -> PlatformUpdate | HistoryLost | Failure:
+        self._is_watching = True
+        try:
+            return self.client.watch(self._revision, *call)
+        finally:
+            self._is_watching = False
 
-        Hosts with different versions cannot gather queries for each other.
+    def hurry(self, version: int) -> None:
+        """End the pause before the next call: another host has a newer ``version``.
+
+        Hosts with different versions cannot gather queries for each other. A watch call
+        that still waits when its answer should have come is lost, and given up once for
+        each version: this host may have rejected the version as invalid.
         """
         if self._pause is not None and not self._pause.ready():
             self._pause.send()
+        is_checked = self._checked_call_at == self._called_at
+        if self._is_watching and not is_checked and version > self._given_up_for:
+            self._checked_call_at = self._called_at
+            self.loop.call_later(
+                self._margin.seconds, self._check_call, version, self._called_at
+            )
+
+    def _check_call(self, version: int, called_at: float) -> None:
+        """Give up a watch call if it still waits."""
+        if not self._is_watching or self._called_at != called_at:
+            return
+        self._given_up_for = version
+        called_s = round(self.loop.now() - called_at, 2)
+        self.events.emit("call_given_up", version=version, called_s=called_s)
+        reason = f"no answer although a peer has version {version}"
+        self._record_failure(Failure(FailureCode.TIMEOUT, reason))
+        self.restart()
 
     def _pause_until(self, when: float) -> None:
         """Wait until a monotonic time, or until ``hurry`` is called.
@@ -245,19 +236,20 @@
         self._pause = None
 
     def _read_all(self, *, allow_stale: bool) -> None:
-        backoff_s = MIN_BACKOFF_S
+        backoff = self._new_backoff()
         while True:
             self._called_at = self.loop.now()
-            result = self.client.read_all(allow_stale=allow_stale)
+            result = self.client.read_all(
+                allow_stale=allow_stale, timeout_s=self.timing.read_timeout_s
+            )
             if not isinstance(result, Failure):
                 break
             self._record_failure(result)
             # The platform may be coming back from an older copy, which a read that may
             # be out of date does not show.
             allow_stale = False
-            self._sleep_with_jitter(backoff_s)
-            backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
-        self._record_contact()
+            eventlet.sleep(backoff.next_pause_s(self.loop.now() - self._called_at))
+        self._record_contact(float("-inf") if allow_stale else self._called_at)
         self._begin_era(result.era)
         self._revision = result.revision
         self._is_stale = allow_stale
@@ -271,7 +263,16 @@
         if update is not None:
             self._deliver(update)
 
-    def _watch_wait_s(self) -> float:
+    def _plan_call(self, now: float) -> PlannedCall:
+        """Return the times of a watch call that begins at ``now``."""
+        return self.timing.plan_call(
+            now,
+            self._contact.answered_at,
+            self._margin.seconds,
+            self._longest_wait_s(),
+        )
+
+    def _longest_wait_s(self) -> float:
         if self._unconfirmed is not None:
             return 0.0
         if self._contact.is_lost or self._is_resuming:
@@ -279,8 +280,8 @@
         if self.relay is not None and self.relay.has_followers:
             return self.timing.followed_wait_s
         if self._has_rejected_source:
-            return min(self.timing.wait_s, REJECTION_S)
-        return self.timing.wait_s
+            return REJECTION_S
+        return MAX_WATCH_WAIT_S
 
     def _follow_peer(self) -> bool:
         """Apply changes of a larger host; return whether that was possible."""
@@ -314,7 +315,15 @@
         for update in updates:
             if isinstance(update, Failure):
                 return update.reason
-        self._record_contact(changes.age_s, changes.grace_s)
+        # Only the source knows whether the platform was away: a call of this host that
+        # failed may have been lost on the way.
+        now = self.loop.now()
+        confirmed_at = now - changes.age_s
+        outage = self._end_outage(confirmed_at, confirmed_at, is_relayed=True)
+        if changes.grace_s > 0.0:
+            failed_at = float("-inf") if outage is None else outage.failed_at
+            known = Outage(self._previously_confirmed_at, failed_at, now)
+            self.on_platform_returned(known, changes.grace_s)
         self._deliver_unconfirmed()
         self._is_stale = self._is_resuming = False
         for update in updates:
@@ -362,17 +371,29 @@
             self.events.emit(
                 "era_changed", era=era, previous=self._era, revision=self._revision
             )
-            since = self._previously_current_at
+            since = self._previously_confirmed_at
             self.on_platform_returned(Outage(since, since, self.loop.now()), None)
         self._era = era
 
     def _set_source(self, host: str | None, reason: str) -> None:
         if host != self._source:
+            if self._source is None:
+                # The connection to the platform may fall silent while it is not used.
+                self.client.close()
             self._source = host
             self.events.emit("source_changed", source=host or "platform", reason=reason)
 
-    def _sleep_with_jitter(self, seconds: float) -> None:
-        eventlet.sleep(seconds * (1.0 + 0.5 * self.rng.random()))
+    def _new_backoff(self) -> Backoff:
+        return Backoff(self.timing.max_backoff_s, self.rng)
+
+    def _record_lateness(self, result: object, due_at: float) -> None:
+        """Record how late a watch call was answered, if it was not answered early."""
+        late_s = self.loop.now() - due_at
+        if isinstance(result, Failure):
+            if result.code is FailureCode.TIMEOUT:
+                self._margin.record_timeout()
+        elif late_s >= 0.0:
+            self._margin.record_answer(late_s)
 
     def _record_failure(self, failure: Failure) -> None:
         now = self.loop.now()
@@ -385,17 +406,17 @@
                 answered_s=round(answered_s, 2),
             )
 
-    def _record_contact(self, age_s: float = 0.0, grace_s: float | None = None) -> None:
-        """Record an answer, relayed by another host if that gave ``grace_s``.
+    def _record_contact(self, confirmed_at: float) -> None:
+        outage = self._end_outage(self.loop.now(), confirmed_at)
+        if outage is not None:
+            self.on_platform_returned(outage, None)
 
-        Only the other host knows whether the platform was away: this one may have
-        failed to reach it for reasons of its own.
-        """
-        now = self.loop.now()
-        previous = float("-inf") if self._is_stale else self._contact.answered_at
-        self._previously_current_at = previous
+    def _end_outage(
+        self, answered_at: float, confirmed_at: float, *, is_relayed: bool = False
+    ) -> Outage | None:
+        self._previously_confirmed_at = self._contact.confirmed_at
         outage = self._contact.record_answer(
-            now - age_s, is_relayed=grace_s is not None
+            answered_at, confirmed_at, is_relayed=is_relayed
         )
         if outage is not None:
             self.events.emit(
@@ -403,9 +424,6 @@
                 away_s=round(outage.returned_at - outage.answered_at, 2),
                 failed_s=round(outage.returned_at - outage.failed_at, 2),
             )
-        if grace_s:
-            failed_at = float("-inf") if outage is None else outage.failed_at
-            self.on_platform_returned(Outage(previous, failed_at, now), grace_s)
-        elif outage is not None and grace_s is None:
-            outage = outage._replace(answered_at=previous)
-            self.on_platform_returned(outage, None)
+            # Removals are later than what was confirmed.
+            outage = outage._replace(answered_at=self._previously_confirmed_at)
+        return outage
--- a/cicadalever/gateway/_relay.py
+++ b/cicadalever/gateway/_relay.py
@@ -5,8 +5,10 @@
 
 import eventlet.event
 
+from cicadalever.freshness import WatchTiming
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.peers import (
+    MAX_AGE_S,
     ChangeLog,
     Peer,
     Position,
@@ -27,11 +29,6 @@
 from ._peers import PeerLink
 
 RELAY_PATH = b"/changes/"
-# A long poll without changes is answered after this time, so that the follower knows
-# how old its data is.
-LONG_POLL_S = 0.8
-# Time after the end of a long poll after which the source counts as unreachable.
-LONG_POLL_MARGIN_S = 0.4
 # Time for which a host is not chosen as a source again after it failed as one.
 REJECTION_S = 2.0
 # Followers that have not polled for this long no longer count. A follower that rejected
@@ -39,6 +36,8 @@
 FOLLOWER_TIMEOUT_S = 3.0 * REJECTION_S
 # Polls are sent before queries that wait for a connection to the same host.
 RELAY_RANK = -1
+# Longest time for which a host of an older version holds a poll.
+FORMER_LONG_POLL_S = 0.8
 # Most digits of an era or a revision, which have at most 64 bits.
 MAX_POSITION_DIGITS = 20
 
@@ -48,13 +47,16 @@
 
     connection: CallerConnection
     after: Position
+    arrived_at: float
 
 
 class ChangeRelay:
     """Sends changes to the hosts that follow this one, and polls the host it follows.
 
     ``age_s`` and ``grace_s`` return the age of this host's data and the time that is
-    left for expired entries to be published again; see ``RelayedChanges``.
+    left for expired entries to be published again; see ``RelayedChanges``. A long poll
+    without changes is answered after ``timing.long_poll_s``, so that the follower knows
+    how old its data is.
     ``on_first_follower`` should start a new call to the platform, since the data of
     this host grows old during a watch with a long wait.
     """
@@ -63,12 +65,14 @@
         self,
         loop: EventLoop,
         link: PeerLink,
+        timing: WatchTiming,
         age_s: Callable[[], float],
         grace_s: Callable[[], float],
         on_first_follower: Callable[[], None],
     ):
         self.loop = loop
         self.link = link
+        self.timing = timing
         self.age_s = age_s
         self.grace_s = grace_s
         self.on_first_follower = on_first_follower
@@ -102,7 +106,7 @@
         does not reach it in time: the follower may come from another era.
         """
         had_followers = self.has_followers
-        self._last_poll_at = self.loop.now()
+        now = self._last_poll_at = self.loop.now()
         if not had_followers:
             self.on_first_follower()
         after = _parse_position(request.target.removeprefix(RELAY_PATH))
@@ -110,13 +114,15 @@
         if batches is None:
             connection.respond(CallerResponse(410, []))
             return
-        follower = _Follower(connection, after)
+        follower = _Follower(connection, after, now)
         if batches:
             self._respond(follower)
             return
         self._waiting_followers.append(follower)
         connection.on_disconnect = lambda: self._remove(follower)
-        self.loop.call_later(LONG_POLL_S, self._respond_if_waiting, follower)
+        self.loop.call_later(
+            self.timing.long_poll_s, self._respond_if_waiting, follower
+        )
 
     def _respond_to_all(self) -> None:
         waiting, self._waiting_followers = self._waiting_followers, []
@@ -142,7 +148,14 @@
         if batches is None or revision < follower.after.revision:
             follower.connection.respond(CallerResponse(410, []))
             return
-        changes = RelayedChanges(era, revision, self.age_s(), self.grace_s(), batches)
+        changes = RelayedChanges(
+            era,
+            revision,
+            min(MAX_AGE_S, self.age_s()),
+            self.grace_s(),
+            batches,
+            self.loop.now() - follower.arrived_at,
+        )
         follower.connection.respond(CallerResponse(200, [], encode_changes(changes)))
 
     # Client side: the host that this one follows
@@ -165,9 +178,10 @@
             line = b"GET %s%d-%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
             return line % (RELAY_PATH, *after, host.encode(), port)
 
+        sent_at = self.loop.now()
         exchange = Exchange(encode, b"", RELAY_RANK, answered.send)
         timer = self.loop.call_later(
-            LONG_POLL_S + LONG_POLL_MARGIN_S, exchange.cancel, "no answer to the poll"
+            self.timing.poll_timeout_s, exchange.cancel, "no answer to the poll"
         )
         self.link.send(source.address, exchange)
         answer: ReplicaAnswer = answered.wait()
@@ -178,7 +192,10 @@
             return Failure(
                 FailureCode.UNAVAILABLE, f"poll answered with status {answer.status}"
             )
-        return decode_changes(answer.body)
+        changes = decode_changes(answer.body)
+        if isinstance(changes, Failure):
+            return changes
+        return changes.add_transit(self.loop.now() - sent_at, FORMER_LONG_POLL_S)
 
 
 def _parse_position(value: bytes) -> Position | None:
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -3,7 +3,12 @@
 import unittest
 from itertools import product
 
-from cicadalever.freshness import GraceBounds, Outage, PlatformContact
+from cicadalever.freshness import (
+    AnswerMargin,
+    GraceBounds,
+    Outage,
+    PlatformContact,
+)
 
 
 class TestPlatformContact(unittest.TestCase):
@@ -32,6 +37,17 @@
         contact.record_failure(called_at=6.5)
         self.assertEqual(contact.record_answer(now=8.0), Outage(6.0, 0.0, 8.0))
 
+    def test_relayed_answer_does_not_turn_the_time_back(self):
+        """Guards against data that seems older after an answer of another host."""
+        contact = PlatformContact(now=0.0)
+        contact.record_answer(now=5.0)
+        contact.record_answer(now=4.0)
+        self.assertEqual(contact.answered_at, 5.0)
+        contact.record_failure(called_at=6.0)
+        contact.record_failure(called_at=7.0)
+        outage = contact.record_answer(now=6.5)
+        self.assertEqual(outage, Outage(5.0, 7.0, 7.0))
+
 
 class TestGraceBounds(unittest.TestCase):
     """Until when entries are kept that are missing after an outage."""
@@ -59,3 +75,37 @@
         outage = Outage(0.0, 19.0, 20.0)
         self.assertEqual(GraceBounds(60.0, 60.0).end_of_grace(outage), 22.5)
         self.assertEqual(GraceBounds(60.0, 60.0).end_of_grace(outage, 0.5), 20.5)
+
+
+class TestAnswerMargin(unittest.TestCase):
+    """The time that is left for the answer of a platform that may be slow."""
+
+    def test_slower_platform_is_heard(self):
+        """Guards against calls that are given up just before each answer."""
+        margin = AnswerMargin(min_s=0.5, max_s=1.2)
+        for _ in range(3):
+            margin.record_timeout()
+        self.assertGreater(margin.seconds, 1.1)
+        margin.record_timeout()
+        self.assertEqual(margin.seconds, 1.2)
+
+    def test_steady_lateness_causes_no_time_out(self):
+        """Guards against a margin that shrinks until the next call is lost."""
+        for late_s in (0.1, 0.25, 0.5, 0.6):
+            margin = AnswerMargin(min_s=0.5, max_s=1.2)
+            for _ in range(200):
+                if late_s < margin.seconds:
+                    margin.record_answer(late_s)
+                else:
+                    margin.record_timeout()
+            self.assertGreaterEqual(margin.seconds, min(1.2, 2.0 * late_s))
+
+    def test_margin_shrinks_slowly(self):
+        """Guards against a host that stays slow to notice a lost call."""
+        margin = AnswerMargin(min_s=0.5, max_s=1.2)
+        margin.record_answer(0.6)
+        margin.record_answer(0.0)
+        self.assertGreater(margin.seconds, 1.0)
+        for _ in range(40):
+            margin.record_answer(0.0)
+        self.assertLess(margin.seconds, 0.52)
