--- a/tests/test_removed_replicas.py
+++ b/tests/test_removed_replicas.py
@@ -218,6 +218,16 @@
         self.check_not_used_from(bound)
 
 
+class TestLongWatch(RemovedReplicaTestCase):
+    """One host whose watch calls wait as long as the bounds allow."""
+
+    APPLY_MS = 3000
+
+    def test_removal_behind_a_lost_answer(self):
+        """Guards against a loss and a grace that together exceed the contact time."""
+        self.check_lost_answer()
+
+
 class TestOneOfTwoHosts(RemovedReplicaTestCase):
     """Two hosts, of which the smaller one follows the larger one."""
 
