Apply held removals when they are due, not at the next tick

What callers saw: at the end of a grace period, a removed replica stayed in use for up to another 0.2 s, until the periodic work of the daemon. The slack before the bounds covers that at ContactMs 4,000, but not where ContactMs is small and the slack with it.

A timer now ends each grace at its time; the periodic check stays for timers that are late or lost.

--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -203,16 +203,20 @@
                 for each in update.removed
             ]
             changes += [directory.reject(each) for each in update.unreadable]
-        self._report_held(now)
+        self._schedule_held(now)
         self._handle_directory_changes(
             [change for change in changes if change is not None]
         )
 
-    def _report_held(self, now: float) -> None:
-        for replica_id, removal_at in self.components.directory.take_held_removals():
+    def _schedule_held(self, now: float) -> None:
+        """Log the removals that are held back, and apply them when they are due."""
+        held = self.components.directory.take_held_removals()
+        for replica_id, removal_at in held:
             self.components.events.emit_detail(
                 "removal_held", replica=replica_id, seconds=round(removal_at - now, 2)
             )
+        for removal_at in {removal_at for _, removal_at in held}:
+            self.components.loop.call_at(removal_at, self._expire_entries)
 
     def _report_rejected(self, update: PlatformUpdate) -> None:
         sound = {entry.id for entry in update.entries}.union(update.removed)
--- a/tests/test_removed_replicas.py
+++ b/tests/test_removed_replicas.py
@@ -8,8 +8,11 @@
 import eventlet
 
 from cicadalever.discovery import ReplicaState, UpstreamDirectory
+from cicadalever.gateway import PlatformUpdate
+from cicadalever.gateway._daemon import GatewayDaemon
 from cicadalever.gateway._reads import ReadRunner
 from cicadalever.placement import LeastCostSelector
+from cicadalever.wire import EventLoop
 from tests.platform_standins import (
     FaultProxy,
     GatewayProcess,
@@ -291,6 +294,23 @@
         self.check_waiting(lambda: self.store.put(key, entry))
 
 
+class TestEndOfGrace(unittest.TestCase):
+    """Removals that were held back until the grace period ends."""
+
+    def test_removal_does_not_wait_for_the_next_tick(self):
+        """Guards against a removed replica in use until periodic work is due."""
+        loop, directory = EventLoop(), UpstreamDirectory()
+        daemon = GatewayDaemon(mock.Mock(loop=loop, directory=directory))
+        published = PlatformUpdate(None, [entry()], [], {}, 1, is_complete=False)
+        daemon.apply_update(published)
+        directory.start_grace_period(loop.now() + 0.1)
+        daemon.apply_update(published._replace(entries=[], removed=[entry().id]))
+        eventlet.sleep(0.05)
+        self.assertIn(entry().id, directory)
+        eventlet.sleep(0.1)
+        self.assertNotIn(entry().id, directory)
+
+
 class TestHeldReads(unittest.TestCase):
     """Reads whose replica was chosen a while before they are sent."""
 
