--- a/cicadalever/freshness/_contact.py
+++ b/cicadalever/freshness/_contact.py
@@ -32,9 +32,9 @@
 
     def __init__(self, now: float):
         self._answered_at = now
-        self._confirmed_at = float("-inf")
         # The same for answers to this host's own calls.
         self._own_answered_at = now
+        self._confirmed_at = float("-inf")
         self._failed_at: float | None = None
 
     @property
@@ -74,9 +74,9 @@
     ) -> Outage | None:
         """Record an answer that proves the data to be complete as of ``confirmed_at``.
 
-        Return the outage that it ends, or None if the calls before it were answered.
-        An answer that ``is_relayed`` was given to another host: it may be older than
-        the latest one, and says nothing about the connection of this host.
+        One that ``is_relayed`` was given to another host: it may be older than the
+        latest one, and says nothing about the connection of this host. Return the
+        outage that it ends, or None if the calls before it were answered.
         """
         outage = None
         if self._failed_at is not None:
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -95,9 +95,9 @@
         self._thread = None
         self._pause: eventlet.event.Event | None = None
         self._contact = PlatformContact(loop.now())
-        self._margin = AnswerMargin(timing.min_margin_s, timing.max_margin_s)
         # Time as of which nothing was missing before the latest answer.
         self._previously_confirmed_at = float("-inf")
+        self._margin = AnswerMargin(timing.min_margin_s, timing.max_margin_s)
         # When the latest call to the platform began.
         self._called_at = loop.now()
         # Whether a watch call is waiting for its answer, when the latest one began that
@@ -315,7 +315,15 @@
         for update in updates:
             if isinstance(update, Failure):
                 return update.reason
-        self._record_contact(self.loop.now() - changes.age_s, changes.grace_s)
+        # Only the source knows whether the platform was away: a call of this host that
+        # failed may have been lost on the way.
+        now = self.loop.now()
+        confirmed_at = now - changes.age_s
+        outage = self._end_outage(confirmed_at, confirmed_at, is_relayed=True)
+        if changes.grace_s > 0.0:
+            failed_at = float("-inf") if outage is None else outage.failed_at
+            known = Outage(self._previously_confirmed_at, failed_at, now)
+            self.on_platform_returned(known, changes.grace_s)
         self._deliver_unconfirmed()
         self._is_stale = self._is_resuming = False
         for update in updates:
@@ -397,18 +405,17 @@
                 answered_s=round(answered_s, 2),
             )
 
-    def _record_contact(
-        self, confirmed_at: float, grace_s: float | None = None
-    ) -> None:
-        """Record an answer, relayed by another host if that gave ``grace_s``.
+    def _record_contact(self, confirmed_at: float) -> None:
+        outage = self._end_outage(self.loop.now(), confirmed_at)
+        if outage is not None:
+            self.on_platform_returned(outage, None)
 
-        Only the other host knows whether the platform was away: a call of this host
-        that failed may have been lost on the way.
-        """
-        now, is_relayed = self.loop.now(), grace_s is not None
-        previous = self._previously_confirmed_at = self._contact.confirmed_at
+    def _end_outage(
+        self, answered_at: float, confirmed_at: float, *, is_relayed: bool = False
+    ) -> Outage | None:
+        self._previously_confirmed_at = self._contact.confirmed_at
         outage = self._contact.record_answer(
-            confirmed_at if is_relayed else now, confirmed_at, is_relayed=is_relayed
+            answered_at, confirmed_at, is_relayed=is_relayed
         )
         if outage is not None:
             self.events.emit(
@@ -416,9 +423,6 @@
                 away_s=round(outage.returned_at - outage.answered_at, 2),
                 failed_s=round(outage.returned_at - outage.failed_at, 2),
             )
-        if grace_s:
-            failed_at = float("-inf") if outage is None else outage.failed_at
-            self.on_platform_returned(Outage(previous, failed_at, now), grace_s)
-        elif outage is not None and not is_relayed:
-            outage = outage._replace(answered_at=previous)
-            self.on_platform_returned(outage, None)
+            # Removals are later than what was confirmed.
+            outage = outage._replace(answered_at=self._previously_confirmed_at)
+        return outage
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -216,14 +216,9 @@
             and self._has_room(replica, route, now)
         )
 
-    def is_current(self, replica: ReplicaEntry) -> bool:
-        """Return whether a replica that was chosen before is still to be read."""
-        entry = self.directory.get(replica.id)
-        return (
-            entry is not None
-            and entry.state is ReplicaState.READY
-            and _is_same_process(entry, replica)
-        )
+    def may_still_read(self, replica: ReplicaEntry, route: Route) -> bool:
+        """Return whether a replica that was chosen a while ago may get a read now."""
+        return self.directory.is_ready(replica) and self.may_read(replica, route)
 
     def _is_last_resort(self, replica: ReplicaEntry) -> bool:
         return replica.id in self.limits or self.notices.is_leaving(replica)
--- a/tests/test_removed_replicas.py
+++ b/tests/test_removed_replicas.py
@@ -2,9 +2,17 @@
 
 import time
 import unittest
+from random import Random
+from unittest import mock
 
 import eventlet
 
+from cicadalever.discovery import ReplicaState, UpstreamDirectory
+from cicadalever.gateway import PlatformUpdate
+from cicadalever.gateway._daemon import GatewayDaemon
+from cicadalever.gateway._reads import ReadRunner
+from cicadalever.placement import LeastCostSelector
+from cicadalever.wire import EventLoop
 from tests.platform_standins import (
     FaultProxy,
     GatewayProcess,
@@ -13,6 +21,8 @@
     free_port,
     wait_for,
 )
+from tests.test_discovery import entry
+from tests.test_gateway import NAMES, gather_route
 from tests.test_gateway_process import configuration
 
 CONTACT_S = 4.0
@@ -211,6 +221,16 @@
         self.check_not_used_from(bound)
 
 
+class TestLongWatch(RemovedReplicaTestCase):
+    """One host whose watch calls wait as long as the bounds allow."""
+
+    APPLY_MS = 3000
+
+    def test_removal_behind_a_lost_answer(self):
+        """Guards against a loss and a grace that together exceed the contact time."""
+        self.check_lost_answer()
+
+
 class TestOneOfTwoHosts(RemovedReplicaTestCase):
     """Two hosts, of which the smaller one follows the larger one."""
 
@@ -272,3 +292,44 @@
         entry = self.leaving.entry(State="draining", Seq=2)
         key = f"servers/{self.leaving.id}"
         self.check_waiting(lambda: self.store.put(key, entry))
+
+
+class TestEndOfGrace(unittest.TestCase):
+    """Removals that were held back until the grace period ends."""
+
+    def test_removal_does_not_wait_for_the_next_tick(self):
+        """Guards against a removed replica in use until periodic work is due."""
+        loop, directory = EventLoop(), UpstreamDirectory()
+        daemon = GatewayDaemon(mock.Mock(loop=loop, directory=directory))
+        published = PlatformUpdate(None, [entry()], [], {}, 1, is_complete=False)
+        daemon.apply_update(published)
+        directory.start_grace_period(loop.now() + 0.1)
+        daemon.apply_update(published._replace(entries=[], removed=[entry().id]))
+        eventlet.sleep(0.05)
+        self.assertIn(entry().id, directory)
+        eventlet.sleep(0.1)
+        self.assertNotIn(entry().id, directory)
+
+
+class TestHeldReads(unittest.TestCase):
+    """Reads whose replica was chosen a while before they are sent."""
+
+    def test_chosen_replica_is_not_read_once_it_leaves(self):
+        """Guards against a held read that is sent to a replica that has left."""
+        directory = UpstreamDirectory()
+        runner = ReadRunner(
+            mock.Mock(now=lambda: 0.0), NAMES, directory,
+            LeastCostSelector("a", Random(1)), mock.Mock(), mock.Mock(), mock.Mock(),
+        )  # fmt: skip
+        chosen, route = entry(), gather_route(["s"])
+        leave = (
+            lambda: directory.remove(chosen.id, now=0.0),
+            lambda: directory.apply(entry(state=ReplicaState.DRAINING, sequence=9)),
+            lambda: directory.apply(entry(started_at_ms=200, sequence=1)),
+        )
+        for step in leave:
+            directory.replace_all([], set(), now=0.0)
+            directory.apply(entry(sequence=8))
+            self.assertTrue(runner.may_still_read(chosen, route))
+            step()
+            self.assertFalse(runner.may_still_read(chosen, route))
