Let the age of the last platform contact grow in cicadaleverd

While both hosts of a data centre that watch the platform were cut off from it, the whole data centre kept the old configuration, although its other hosts could reach the platform: these read the log themselves once nobody has had contact for 5 s, and believed for good that the last contact was a moment ago.

A host passed on the least of its own age, those that peers had reported, and the age in the digest that it had set itself before. That one does not age, so that the least value ever known stayed, and each message carried it as new.

Prober now counts only what peers report, which ages from the arrival of the report; the own contact comes from MembershipService. Passing on still rejuvenates an age by up to the time between two digests and the way, so that it grows slower than the time.

Without the change, test_age_grows_while_the_platform_answers_no_host fails (0.0 s after 10 s).

--- a/cicadalever/membership/_prober.py
+++ b/cicadalever/membership/_prober.py
@@ -182,12 +182,12 @@
         self._digest = digest
 
     def platform_contact_age(self, now: float) -> float:
-        """Return the age in seconds of the data centre's newest platform contact.
+        """Return the age in seconds of the newest contact that peers reported.
 
-        It includes the digest of this host as last set, and is infinite when no
-        contact is known.
+        It counts the peers of the data centre, and is infinite when no contact is
+        known.
         """
-        return min(self._digest.platform_age_s, now - self._summarize().contact_at)
+        return now - self._summarize().contact_at
 
     def is_isolated(self, now: float) -> bool:
         """Tell whether no probe was acknowledged for ``ISOLATION_S``.
--- a/tests/test_configuration_synchronizer.py
+++ b/tests/test_configuration_synchronizer.py
@@ -4,12 +4,19 @@
 import random
 import unittest
 from pathlib import Path
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from cicadalever.audit import AuditKind, AuditTrail
 from cicadalever.configuration import ConfigurationHistory
-from cicadalever.daemon._configuration_synchronizer import ConfigurationSynchronizer
+from cicadalever.daemon import _membership_service
+from cicadalever.daemon._configuration_synchronizer import (
+    MAX_PLATFORM_CONTACT_AGE_S,
+    ConfigurationSynchronizer,
+)
+from cicadalever.daemon._membership_service import MembershipService
+from cicadalever.membership import Ownership
 from cicadalever.transport import ConfigurationReply
+from tests.test_membership import exchange, make_probers
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 
@@ -42,3 +49,25 @@
         self.assertEqual(synchronizer.source, "peer")
         (event,) = audit.read(kind=AuditKind.VERSION_IN_FORCE)
         self.assertEqual(event.version, 1)
+
+
+class TestPlatformContact(unittest.TestCase):
+    """The age of the last contact of a data centre, as its hosts pass it on."""
+
+    def test_age_grows_while_the_platform_answers_no_host(self):
+        """Guards against a data centre that waits for watchers cut off from it."""
+        clock = Mock(monotonic=Mock(return_value=0.0))
+        probers = make_probers(12)
+        services = [
+            MembershipService(each.table, each, Ownership(each.table), Mock(), Mock())
+            for each in probers.values()
+        ]
+        with patch.object(_membership_service, "time", clock):
+            services[0].record_platform_contact()
+            for step in range(100):
+                now = clock.monotonic.return_value = step / 10
+                for service in services:
+                    service.update_digest(1, 1)
+                exchange(probers, now, 0.1)
+            ages = [each.data_centre_platform_contact_age() for each in services]
+        self.assertGreater(min(ages), MAX_PLATFORM_CONTACT_AGE_S)
