Bound the whole answer of an upstream in cicadaleverd by its deadline

An upstream that sends its answer byte by byte held a slot of its owner for as long as it did so, far beyond the deadline of the read: the time-out of the socket starts anew with each piece that arrives.

The call has a time-out of its own now, as calls to the platform have.

Without the change, test_answer_that_trickles_ends_with_the_deadline fails (a call with 0.2 s left is answered after the whole body, 60 pieces of 50 ms). With it, tests.test_upstreams, test_owners and test_cut_heads pass (23).

--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -6,6 +6,7 @@
 import time
 from typing import NamedTuple
 
+import eventlet
 import msgspec
 import urllib3
 
@@ -90,13 +91,16 @@
             if failure is not None:
                 return failure
         call = call._replace(remaining_s=deadline - time.monotonic())
-        self._connection.sock.settimeout(max(call.remaining_s, 0) + DEADLINE_MARGIN_S)
+        timeout_s = max(call.remaining_s, 0) + DEADLINE_MARGIN_S
+        self._connection.sock.settimeout(timeout_s)
         try:
             self._put_head(call)
         except ValueError as error:
             # The connection holds a part of this head, so no other request may use it.
             self.close()
             return Failure(FailureCode.INVALID, f"request head: {error}")
+        # The time-out of the socket starts anew with each piece of an answer.
+        total = eventlet.Timeout(timeout_s, TimeoutError())
         try:
             # The process may have been paused since the remaining time was computed.
             # The upstream would count that time from the end of the pause.
@@ -115,6 +119,8 @@
         except _LIBRARY_ERRORS as error:
             self.close()
             return Failure(FailureCode.LOST, f"{self.address}: {error}")
+        finally:
+            total.cancel()
         if response.will_close:
             self.close()
         return _read_response(response, body, self.address)
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP calls to upstreams."""
 
+import subprocess
+import sys
 import threading
 import time
 import unittest
@@ -8,6 +10,29 @@
 from cicadalever.upstreams import UpstreamAnswer, UpstreamCall, UpstreamConnection
 from cicadalever.upstreams._connection import CONNECT_TIMEOUT_S
 
+# Calls an upstream that sends a byte of a long body every 50 ms.
+TRICKLING_UPSTREAM = """
+import eventlet
+eventlet.monkey_patch()
+import time
+from cicadalever.upstreams import UpstreamCall, UpstreamConnection
+
+def serve(sock, address):
+    sock.recv(65536)
+    sock.sendall(b"HTTP/1.1 200 OK\\r\\nX-Snapshot: 41\\r\\n")
+    sock.sendall(b"Content-Length: 60\\r\\n\\r\\n")
+    for _ in range(60):
+        sock.sendall(b" ")
+        time.sleep(0.05)
+
+listener = eventlet.listen(("127.0.0.1", 0))
+eventlet.spawn(eventlet.serve, listener, serve)
+connection = UpstreamConnection("127.0.0.1:%d" % listener.getsockname()[1])
+started_at = time.monotonic()
+result = connection.call(UpstreamCall("read", "r1", "s/s00", 41, b"{}", 0.2))
+print(getattr(result, "code", "answered"), time.monotonic() - started_at)
+"""
+
 
 class SlowHandler(BaseHTTPRequestHandler):
     """Answers later than the connect timeout."""
@@ -39,3 +64,13 @@
         self.addCleanup(connection.close)
         call = UpstreamCall("read", "r1", "reports/s00", 41, b"{}", 60.0)
         self.assertEqual(connection.call(call), UpstreamAnswer(b"[]", 41, False))
+
+    def test_answer_that_trickles_ends_with_the_deadline(self):
+        """Guards against a slot that is held while bytes arrive now and then."""
+        script = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", TRICKLING_UPSTREAM],
+            capture_output=True, text=True, timeout=30.0, check=True,
+        )  # fmt: skip
+        code, seconds = script.stdout.split()
+        self.assertEqual(code, "timeout")
+        self.assertLess(float(seconds), 1.0)
