Read what has arrived before a silent gatherer is given up

A host that had been suspended for a second itself gave up queries that another host was gathering for it and had perhaps already answered: the check whether the other one is alive ran before the heartbeats and the report of progress that were waiting were read. The query was then gathered again from the retry budget, or ended with 502 where the other host might have used all attempts.

The check is repeated after LAST_READ_S, as that for the acknowledgement is.

Without the change, test_report_that_waits_to_be_read_counts fails. With it, tests.test_calls, test_peers and test_fleet pass (71).

--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -65,7 +65,8 @@
         # What the peer has reported last, which includes ``attempts``.
         self._reported_attempts: list[int] | None = None
         self._is_acknowledged = False
-        # Whether the time for the acknowledgement has passed.
+        # Whether the time for the acknowledgement, or the last report, has passed. What
+        # has arrived meanwhile is read before the peer is given up.
         self._is_overdue = False
 
     @property
@@ -117,6 +118,7 @@
         self._silent_at = now + SILENCE_TIMEOUT_S
         if not self._is_acknowledged:
             self._is_acknowledged = True
+            self._is_overdue = False
             self._check_by(now + LIVENESS_CHECK_S)
 
     def _record_attempts(self, headers: list[Header]) -> None:
@@ -173,17 +175,20 @@
             self._end(
                 error_response(504), "timed_out", gatherer=self._peer.heartbeat.host
             )
-        elif not self._is_acknowledged and not self._is_overdue:
+        elif self._is_acknowledged and (
+            self._peer.is_alive(now) or now < self._silent_at
+        ):
+            self._is_overdue = False
+            self._check_by(now + LIVENESS_CHECK_S)
+        elif not self._is_overdue:
             self._is_overdue = True
             self._check_by(now + LAST_READ_S)
-        elif not self._is_acknowledged:
+        elif self._is_acknowledged:
+            self._handle_peer_failure("silent", may_have_begun=True)
+        else:
             self._handle_peer_failure(
                 "not acknowledged", may_have_begun=self._exchange.was_sent
             )
-        elif not (self._peer.is_alive(now) or now < self._silent_at):
-            self._handle_peer_failure("silent", may_have_begun=True)
-        else:
-            self._check_by(now + LIVENESS_CHECK_S)
 
     def _handle_peer_failure(self, reason: str, *, may_have_begun: bool) -> None:
         self._link.peer_table.record_failure(self._peer, self.loop.now())
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -240,6 +240,18 @@
         self.loop.run_until(3.0)
         self.assertEqual(self.fallbacks, [ONE_ATTEMPT])
 
+    def test_report_that_waits_to_be_read_counts(self):
+        """Guards against a host that takes its own suspension for that of a peer.
+
+        The loop runs the check at 1.01 s before it reads the report.
+        """
+        exchange = self.delegate(lambda now: False)
+        self.loop.run_until(0.01)
+        exchange.on_interim(REPORT)
+        self.loop.call_at(1.0105, exchange.on_interim, REPORT)
+        self.loop.run_until(1.5)
+        self.assertEqual(self.fallbacks, [])
+
     def test_query_that_was_never_sent_has_not_begun(self):
         """Guards against a budget that is spent for reads that nobody sent."""
         exchange = self.delegate(lambda now: True)
