End the answer to a HEAD request with its head

A caller of a HEAD request got 504 at its deadline, or a second replica was asked, although the replica had answered at once: its answer names the length that a GET would have and has no body, for which the gateway waited.

The answer is complete with its head now. The connection is closed after it, since bytes that may follow cannot be told from the next answer.

Without the change, test_answer_to_a_head_request_has_no_body times out.

--- a/cicadalever/wire/_answer_parser.py
+++ b/cicadalever/wire/_answer_parser.py
@@ -69,6 +69,7 @@
         )
         self._request_id = b""
         self._on_interim: OnInterim | None = None
+        self._has_body = True
         self._exchanges = 0
         self._received_bytes = 0
         self._is_holding = False
@@ -76,17 +77,25 @@
         self._in_message = False
         self._reset_message()
 
-    def begin(self, request_id: bytes, on_interim: OnInterim | None = None) -> None:
+    def begin(
+        self,
+        request_id: bytes,
+        on_interim: OnInterim | None = None,
+        *,
+        has_body: bool = True,
+    ) -> None:
         """Start to parse the answer to a request.
 
         An empty ``request_id`` stands for a request that carries none. ``on_interim``
         is called with the headers of each informational response before the answer.
+        Without ``has_body``, the answer ends with its head, whatever length that names.
         """
         self.answer = None
         self.rate_limit = self.retry_after = None
         self.is_leaving = False
         self._request_id = request_id
         self._on_interim = on_interim
+        self._has_body = has_body
         self._exchanges += 1
         self._received_bytes = 0
 
@@ -175,6 +184,8 @@
                 self._note(name, value)
         if not self._parser.should_keep_alive():
             self.must_close = True
+        if not self._has_body and self._status >= 200:
+            self._complete()
 
     def _note(self, name: bytes, value: bytes) -> None:
         if name in (b"content-length", b"transfer-encoding"):
@@ -203,6 +214,10 @@
         if self.answer is not None:
             self.must_close = True
             return
+        self._complete()
+
+    def _complete(self) -> None:
+        """Take the message as the answer, unless it belongs to another request."""
         answer = ReplicaAnswer(
             self._status,
             self._headers,
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -126,7 +126,8 @@
         if self._on_answer is not None:
             raise RuntimeError("the connection is in use")
         self._on_answer = on_answer
-        self._parser.begin(request_id, on_interim)
+        has_body = not request.startswith(b"HEAD ")
+        self._parser.begin(request_id, on_interim, has_body=has_body)
         self._sent = False
         self._unsent = request
         if self._connected:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -192,6 +192,19 @@
         self.assertEqual(self.read(replica, pool).status, 200)
         wait_for(lambda: pool.open_connections == 0)
 
+    def test_answer_to_a_head_request_has_no_body(self):
+        """Guards against a caller who waits for a body until the deadline."""
+        replica, pool = self.start(
+            b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\n", answer(b"1")
+        )
+        answers = []
+        request = b"HEAD / HTTP/1.1\r\n\r\n"
+        pool.send(Exchange(lambda: request, b"1", 0, answers.append))
+        wait_for(lambda: answers)
+        self.assertEqual((answers[0].status, answers[0].body), (200, b""))
+        self.assertEqual(self.read(replica, pool).body, b"body")
+        self.assertEqual(replica.accepted, 2)
+
     def test_waiting_request_gets_a_new_connection(self):
         """Guards against failing requests because a kept connection was closed."""
         replica = ScriptedReplica(
