Let the stand-ins silence connections for good

The fault proxy could only hold bytes back until its mode changes. A connection behind a middlebox that lost its state stays open, answers keep-alive probes and returns nothing any more, while new connections work. `FaultProxy.mute` silences all or a drawn part of the open connections, at once or after half of the next answer, and `mutes_new` does so with new ones for a time. The store can also lose answers, as the platform does: nothing follows on such a connection. It can refuse with 429 and answer late. `GatewayProcess` takes `contact_ms`.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -143,6 +143,12 @@
         self.is_down = False
         # Whether watches are refused while reads are answered.
         self.refuses_watches = False
+        # Status of refusals, and time by which all answers are late.
+        self.refusal_status = 503
+        self.delay_s = 0.0
+        # Whether answers are lost, also those to the watches that wait. A connection
+        # on which one was lost stays open, and nothing follows on it.
+        self.loses_answers = False
         # Items and revision of the copy that answers reads that may be stale, or None
         # for the current state.
         self.stale_copy = None
@@ -205,11 +211,16 @@
         name = parts.path.rpartition("/")[2]
         self.calls[name] += 1
         if self.is_down or (self.refuses_watches and name == "kv-watch"):
-            status, content = 503, {}
+            status, content = self.refusal_status, {}
         elif name == "kv-range":
             status, content = 200, self._range(query)
         else:
             status, content = self._watch(query)
+        if self.delay_s:
+            eventlet.sleep(self.delay_s)
+        if self.loses_answers:
+            _discard(sock)
+            raise EOFError
         for name in ("items", "events"):
             if name in content:
                 content[name] = [change(item) for item in content[name]]
@@ -245,11 +256,11 @@
                 if event["Rev"] > after
                 and event["Key"].startswith(query.get("Prefix", ""))
             ]
-            if events or self.is_down:
+            if events or self.is_down or self.loses_answers:
                 break
             eventlet.sleep(0.005)
         if self.is_down:
-            return 503, {}
+            return self.refusal_status, {}
         return 200, {"events": events, "AsOf": self.revision}
 
 
@@ -495,11 +506,23 @@
     the mode changes. In the mode ``cut``, bytes are held back and new connections hang,
     in the mode ``refuse``, open connections work and new ones are refused, and in the
     mode ``sever``, the open ones are reset as well.
+
+    ``mute`` silences open connections for good, and new ones are silenced from the
+    start while ``mutes_new`` is true. Both ends stay open, so that the kernel answers
+    keep-alive probes. ``muted_at`` has the times, on the monotonic clock, at which
+    connections fell silent.
     """
 
     def __init__(self, target):
         self.target = target
         self._mode = "pass"
+        self.mutes_new = False
+        self.muted_at = []
+        # Sockets of the clients, of those whose connections are silent for good, and
+        # of those whose connections will be after half of their next answer.
+        self._clients = set()
+        self._muted = set()
+        self._half_muted = set()
         # Connections that fill the queue of the listener.
         self._fillers = []
         # No outgoing connection can take the port while nobody listens.
@@ -527,6 +550,30 @@
             for sock in list(self._sockets):
                 _abort(sock)
 
+    def mute(self, share=1.0, rng=None, *, is_after_half=False):
+        """Silence open connections for good, or each with the probability ``share``.
+
+        With ``is_after_half``, a connection works until half of its next answer has
+        passed.
+        """
+        for sock in self._clients - self._muted:
+            if rng is not None and rng.random() >= share:
+                continue
+            if is_after_half:
+                self._half_muted.add(sock)
+            else:
+                self._mute(sock)
+
+    def mute_halved(self):
+        """Silence the connections whose next answer has not come yet."""
+        for sock in list(self._half_muted):
+            self._mute(sock)
+
+    def _mute(self, sock):
+        self._half_muted.discard(sock)
+        self._muted.add(sock)
+        self.muted_at.append(time.monotonic())
+
     def stop(self):
         """Close all sockets."""
         self._stop_listening()
@@ -550,6 +597,11 @@
         if self._mode == "reset":
             _abort(sock)
             return
+        if self.mutes_new:
+            self.muted_at.append(time.monotonic())
+            _discard(sock)
+            sock.close()
+            return
         host, _, port = self.target.rpartition(":")
         try:
             upstream = eventlet.connect((host, int(port)))
@@ -557,10 +609,13 @@
             sock.close()
             return
         self._sockets.add(upstream)
+        self._clients.add(sock)
         answers = eventlet.spawn(self._copy, upstream, sock, is_answer=True)
         try:
             self._copy(sock, upstream, is_answer=False)
         finally:
+            for group in (self._clients, self._muted, self._half_muted):
+                group.discard(sock)
             # Also when ``stop`` ends this thread: a thread that waits on a closed
             # descriptor breaks the next test that gets the same number.
             answers.kill()
@@ -576,12 +631,26 @@
                     eventlet.sleep(0.01)
                 if self._mode == "delay":
                     eventlet.sleep(0.05)
-                target.sendall(data)
-            target.shutdown(socket.SHUT_WR)
+                if is_answer and target in self._half_muted:
+                    target.sendall(data[: len(data) // 2])
+                    self._mute(target)
+                elif not self._is_muted(source, target):
+                    target.sendall(data)
+            if not self._is_muted(source, target):
+                target.shutdown(socket.SHUT_WR)
         except (OSError, EOFError):
             _abort(source)
             _abort(target)
 
+    def _is_muted(self, *ends):
+        return not self._muted.isdisjoint(ends)
+
+
+def _discard(sock):
+    """Read and drop what comes until the other end closes the connection."""
+    while sock.recv(65536):
+        pass
+
 
 def _abort(sock):
     with contextlib.suppress(OSError):
@@ -604,7 +673,7 @@
 Limits.LinkMbps={link_mbps}
 HeartbeatMs=1200
 Bounds.GraceS=6
-Bounds.ContactMs=4000
+Bounds.ContactMs={contact_ms}
 Bounds.ConfigApplyMs={apply_ms}
 Bounds.DrainMs={drain_ms}
 Bounds.RetryBudgetRatio=0.2
@@ -641,6 +710,7 @@
         peer_port=None,
         seeds="",
         link_mbps=100,
+        contact_ms=4000,
         apply_ms=800,
         drain_ms=3000,
         data_centre="dc-a",
@@ -658,6 +728,7 @@
             host=host,
             seeds=seeds,
             link_mbps=link_mbps,
+            contact_ms=contact_ms,
             apply_ms=apply_ms,
             drain_ms=drain_ms,
             data_centre=data_centre,
