Check the bounds for changes after connections went silent

`--silences` draws settings, silences, outages, signals, versions and replicas that leave, join or expire, for three gateways in two data centres, in half of the seeds with a larger host that is followed. A host counts as in touch after ContactMs without a disruption of it or of the store. A silence counts for all hosts. What an unstable store acknowledged as leaving does not count. Earlier kinds of runs draw the same sequences as before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,9 +5,10 @@
 of the replicas. With ``--wide``, queries have so many shards that the larger gateway
 gathers them for the smaller one, which also takes the changes of the platform from it.
 With ``--cuts``, one of two equal gateways also loses its links to all replicas, again
-and again.
+and again. With ``--silences``, connections go silent for good, and what three gateways
+do is compared with the bounds of a deployment (``tests/soak_silences.py``).
 
-    python -m tests.soak --seeds 1..50 [--wide] [--cuts]
+    python -m tests.soak --seeds 1..50 [--wide] [--cuts] [--silences]
 """
 
 import argparse
@@ -30,6 +31,7 @@
     StoreView,
     free_port,
 )
+from tests.soak_silences import SilenceSoak
 from tests.test_gateway_process import SHARDS, configuration
 from tests.test_rate_limits import WINDOW_S, count_allowed
 
@@ -196,6 +198,17 @@
         self.views = [StoreView(self.store, addresses)]
         self.store_proxies.append(FaultProxy(self.views[0].address))
 
+    @property
+    def summary(self):
+        """What was played."""
+        served = sum(answer.status == 200 for answer in self.answers)
+        return (
+            f"{served}/{len(self.answers)} served, "
+            f"{len(self.ended_limits)} limits, {self.store.era - 1} restores, "
+            f"{self.cuts} cuts, {len(self.departures)} departures, "
+            f"{sum(len(each.pauses) for each in self.replicas.values())} pauses"
+        )
+
     def run(self):
         """Return the violated guarantees, as lines of text."""
         try:
@@ -709,6 +722,9 @@
     parser.add_argument(
         "--cuts", action="store_true", help="cut the links of one gateway"
     )
+    parser.add_argument(
+        "--silences", action="store_true", help="silence connections for good"
+    )
     options = parser.parse_args()
     first_seed, _, last_seed = options.seeds.partition("..")
     deadline = time.monotonic() + 60.0 * options.minutes
@@ -717,17 +733,14 @@
         if time.monotonic() >= deadline:
             print(f"stopped before seed {seed}: the time is up")
             break
-        soak = Soak(seed, is_wide=options.wide, has_cuts=options.cuts)
+        soak = (
+            SilenceSoak(seed)
+            if options.silences
+            else Soak(seed, is_wide=options.wide, has_cuts=options.cuts)
+        )
         violations = soak.run()
         failed += bool(violations)
-        served = sum(answer.status == 200 for answer in soak.answers)
-        print(
-            f"seed {seed}: {len(violations)} broken, "
-            f"{served}/{len(soak.answers)} served, "
-            f"{len(soak.ended_limits)} limits, {soak.store.era - 1} restores, "
-            f"{soak.cuts} cuts, {len(soak.departures)} departures, "
-            f"{sum(len(each.pauses) for each in soak.replicas.values())} pauses"
-        )
+        print(f"seed {seed}: {len(violations)} broken, {soak.summary}")
         for line in [*violations[:5], *(soak.history if violations else [])]:
             print(f"    {line}")
         for tail in soak.log_tails if violations else []:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tests.soak import Soak
+from tests.soak_silences import SilenceSoak
 
 # Seeds that have failed: whether they ran with --wide, and the cause.
 REGRESSION_SEEDS = {
@@ -33,6 +34,12 @@
             with self.subTest(seed=seed):
                 self.assertEqual(Soak(seed, has_cuts=True).run(), [])
 
+    def test_silences(self):
+        """Guards against bounds that are exceeded after connections went silent."""
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                self.assertEqual(SilenceSoak(seed, cycles=1).run(), [])
+
     def test_regression_seeds(self):
         """Guards against failures that the soak test has found before."""
         for seed, (is_wide, _) in REGRESSION_SEEDS.items():
