Answer a watch of the store's stand-in as of one revision

Cause: the stand-in collected the events, paused 5 ms, and then named the revision of that later moment. A change in the pause was skipped for good. The wait of 0 s after a failure, which answers at once, made the moment likely; an answer at the end of any other wait had the same fault. The published protocol says that a call continues from AsOf, so that the events must reach it.

The stand-in now names the revision that it had when it collected the events.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -250,6 +250,8 @@
         for _ in range(max(1, int(query["WaitMs"]) // 5)):
             if after < self.history_from:
                 return 410, {}
+            # A change that comes during the pause belongs to the next answer.
+            revision = self.revision
             events = [
                 event
                 for event in self.log
@@ -261,7 +263,7 @@
             eventlet.sleep(0.005)
         if self.is_down:
             return self.refusal_status, {}
-        return 200, {"events": events, "AsOf": self.revision}
+        return 200, {"events": events, "AsOf": revision}
 
 
 class StoreView(_Server):
