--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -13,6 +13,7 @@
 
 from cicadalever.gateway import HistoryLost, PlatformUpdate
 from cicadalever.outcomes import Failure, FailureCode
+from tests.platform_standins import FaultProxy
 
 PLATFORM = str(Path(__file__).parents[1] / "platform")
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -137,6 +138,31 @@
         self.assertIs(result.code, FailureCode.TIMEOUT)
         self.assertAlmostEqual(time.monotonic() - begun_at, 0.5, delta=0.1)
 
+    def test_time_out_covers_the_time_to_connect(self):
+        """Guards against a call that waits for a connection without end."""
+        proxy = FaultProxy("127.0.0.1:1")
+        self.addCleanup(proxy.stop)
+        proxy.mode = "cut"
+        host, _, port = proxy.address.rpartition(":")
+        client = self.store.StoreClient((host, int(port)))
+        begun_at = time.monotonic()
+        with eventlet.Timeout(5.0, AssertionError("the call never ended")):
+            result = client.watch(5, 0.1, 0.4)
+        self.assertIs(result.code, FailureCode.TIMEOUT)
+        self.assertAlmostEqual(time.monotonic() - begun_at, 0.4, delta=0.1)
+
+    def test_answer_that_came_while_the_host_was_busy_counts(self):
+        """Guards against a lost contact whenever the event loop is late."""
+        body = json.dumps({"events": [], "AsOf": 9}).encode()
+
+        def send(sock):
+            sock.sendall(HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+            # The event loop stands still.
+            time.sleep(0.6)
+
+        self.serve(send)
+        self.assertIsInstance(self.client().watch(5, 0.1, 0.3), PlatformUpdate)
+
     def test_probes_are_not_cut_short(self):
         """Guards against a watch that is lost with a single keep-alive probe.
 
