Start cicadaleverd without standard streams, and stop its start quietly

Cause: it did nothing about streams and signals before its log and its handlers were set up, as the gateway.

It takes the same first steps as the gateway. The test of SIGHUP has moved to this class; its checks are the same.

--- a/cicadalever/daemon/_main.py
+++ b/cicadalever/daemon/_main.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from cicadalever.outcomes import Failure
+from cicadalever.startup import ProcessSignals, open_missing_streams
 
 if TYPE_CHECKING:
     from cicadalever.settings import Settings
@@ -38,8 +39,10 @@
 
 def main() -> None:
     """Parse the command line and run the daemon."""
-    # Changes of the settings need a restart; the default action would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # SIGHUP has no effect, since changes of the settings need a restart. The handlers
+    # of the other signals are replaced when the daemon runs.
+    ProcessSignals().install()
+    open_missing_streams()
     # eventlet patches the locks of all modules that are loaded already. pydantic, which
     # the settings and typer load later, does not work with patched locks.
     _patch_blocking_calls()
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -594,11 +594,10 @@
         self.assertFalse(server.is_listening)
 
 
-class TestDaemonSignals(unittest.TestCase):
-    """Signals to ``cicadaleverd``."""
+class TestDaemonStart(unittest.TestCase):
+    """Signals to ``cicadaleverd`` and its standard streams."""
 
-    def test_reload_request_does_not_end_the_process(self):
-        """Guards against SIGHUP with its default action, which ends a daemon."""
+    def setUp(self):
         addresses = ("caller_address", "admin_address", "peer_address")
         settings = {name: f"127.0.0.1:{free_port()}" for name in addresses} | {
             "host_id": "h1",
@@ -606,21 +605,66 @@
             "region": "south",
             "platform_url": f"http://127.0.0.1:{free_port()}",
         }
-        with tempfile.TemporaryDirectory() as folder:
-            path, log_path = Path(folder, "h1.json"), Path(folder, "log")
-            path.write_text(json.dumps(settings))
-            with log_path.open("wb") as log:
-                process = subprocess.Popen(
-                    [sys.executable, "-m", "cicadalever.daemon", "--settings", path],
-                    stderr=log,
-                )
-            self.addCleanup(process.wait)
-            self.addCleanup(process.kill)
-            wait_for(lambda: "listening" in log_path.read_text(), "the start")
-            for _ in range(5):
-                process.send_signal(signal.SIGHUP)
-                eventlet.sleep(0.05)
-            self.assertIsNone(process.poll())
-            process.send_signal(signal.SIGTERM)
-            wait_for(lambda: process.poll() is not None, "the end")
-            self.assertEqual(process.returncode, 0)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path, self.log_path = (
+            Path(folder.name, "h1.json"),
+            Path(folder.name, "log"),
+        )
+        self.path.write_text(json.dumps(settings))
+        self.address = settings["admin_address"].split(":")
+
+    def start(self, *command, **options):
+        with self.log_path.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, *command, "--settings", self.path],
+                stdout=log,
+                stderr=log,
+                **options,
+            )
+        self.addCleanup(self.process.wait)
+        self.addCleanup(self.process.kill)
+
+    def has_ended(self):
+        return self.process.poll() is not None
+
+    def accepts(self):
+        try:
+            socket.create_connection(self.address).close()
+        except OSError:
+            return False
+        return True
+
+    def test_reload_request_does_not_end_the_process(self):
+        """Guards against SIGHUP with its default action, which ends a daemon."""
+        self.start("-m", "cicadalever.daemon")
+        wait_for(lambda: "listening" in self.log_path.read_text(), "the start")
+        for _ in range(5):
+            self.process.send_signal(signal.SIGHUP)
+            eventlet.sleep(0.05)
+        self.assertIsNone(self.process.poll())
+        self.process.send_signal(signal.SIGTERM)
+        wait_for(self.has_ended, "the end")
+        self.assertEqual(self.process.returncode, 0)
+
+    def test_stop_during_start_prints_no_traceback(self):
+        """Guards against a start that a stop ends like an error."""
+        code = (
+            "import os, sys; import cicadalever.daemon as daemon\n"
+            "class Finder:\n"
+            "    def find_spec(self, name, *_):\n"
+            "        if name == 'cicadalever.settings': os.kill(os.getpid(), {})\n"
+            "sys.meta_path.insert(0, Finder()); daemon.main()"
+        )
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with self.subTest(number=number):
+                self.start("-c", code.format(int(number)))
+                wait_for(self.has_ended, "the end")
+                self.assertEqual(self.process.returncode, 0)
+                self.assertNotIn("Traceback", self.log_path.read_text())
+
+    def test_closed_streams(self):
+        """Guards against a start that ends because it cannot write a log."""
+        self.start("-m", "cicadalever.daemon", preexec_fn=partial(close_all, (0, 1, 2)))
+        wait_for(lambda: self.accepts() or self.has_ended(), "the start")
+        self.assertFalse(self.has_ended())
