Apply completed settings sooner after a failed reload

After a failed read, the file was read every 2 s until it was applied, although it has to be read twice: a completed file came into force up to 4 s later. It is now read with each tick once it is sound. Found by reading; the tests of reloads pass before and after.

--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -492,7 +492,8 @@
         """Read the settings until they can be used; see ``SettingsReview``."""
         if self._reload_cause is None:
             return
-        if self._failure_reported and self._ticks % TICKS_PER_SETTINGS_CHECK != 0:
+        is_due = self._ticks % TICKS_PER_SETTINGS_CHECK == 0
+        if self._review.reason is not None and not is_due:
             return
         # Before the file is read, so that a later change is noticed.
         self._file_state = self._read_file_state()
