Do not put a reload off while signals keep coming

Evidence: test_series_of_signals_does_not_put_a_change_off fails without the change: no reload within 3 s.

A review that goes on is kept; it reads the file after the signal too. After a failure, a signal begins a new one, so that the failure is logged again.

--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -484,9 +484,11 @@
         return state.st_mtime_ns, state.st_size, state.st_ino
 
     def _begin_reload(self, cause: str) -> None:
+        # A series of signals does not put off what is being read already.
+        if self._reload_cause is None or self._failure_reported is not None:
+            self._review = SettingsReview()
         self._reload_cause = cause
         self._failure_reported = None
-        self._review = SettingsReview()
 
     def _continue_reload(self) -> None:
         """Read the settings until they can be used; see ``SettingsReview``."""
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -447,6 +447,15 @@
         self.assertEqual(event["changed"], ["max_descriptors"])
         self.assertEqual(event["needs_restart"], ["max_descriptors"])
 
+    def test_series_of_signals_does_not_put_a_change_off(self):
+        """Guards against a reload that each further signal begins anew."""
+        self.path.write_text(self.settings.replace("GraceS=6", "GraceS=7"))
+        deadline = time.monotonic() + 3.0
+        while time.monotonic() < deadline and not self.gateway.events("reloaded"):
+            self.request_reload()
+            eventlet.sleep(0.02)
+        self.assertEqual(self.gateway.events("reloaded")[0]["changed"], ["grace_s"])
+
     def test_series_of_signals_and_a_stop(self):
         """Guards against signals that end a process before its drain is over."""
         for _ in range(20):
