--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -491,15 +491,18 @@
         return state.st_mtime_ns, state.st_size, state.st_ino
 
     def _begin_reload(self, cause: str) -> None:
+        # A series of signals does not put off what is being read already.
+        if self._reload_cause is None or self._failure_reported is not None:
+            self._review = SettingsReview()
         self._reload_cause = cause
         self._failure_reported = None
-        self._review = SettingsReview()
 
     def _continue_reload(self) -> None:
         """Read the settings until they can be used; see ``SettingsReview``."""
         if self._reload_cause is None:
             return
-        if self._failure_reported and self._ticks % TICKS_PER_SETTINGS_CHECK != 0:
+        is_due = self._ticks % TICKS_PER_SETTINGS_CHECK == 0
+        if self._review.reason is not None and not is_due:
             return
         # Before the file is read, so that a later change is noticed.
         self._file_state = self._read_file_state()
