Put new bounds into force for the call that waits, and for the relay

After a reload with shorter bounds, a watch that was waiting kept its old wait, hosts that follow this one kept the old hold of their polls, and the margin its old range: the reload replaced the timing of the follower only. set_timing replaces all of it and begins a new call.

--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -132,6 +132,16 @@
         self.client = client or self.client
         self.start()
 
+    def set_timing(self, timing: WatchTiming) -> None:
+        """Use other times, at once: a call that waits may wait for too long."""
+        if timing == self.timing:
+            return
+        self.timing = timing
+        self._margin = AnswerMargin(timing.min_margin_s, timing.max_margin_s)
+        if self.relay is not None:
+            self.relay.timing = timing
+        self.restart()
+
     def _run(self) -> None:
         """Follow the platform until ``stop``.
 
