End a pause once for each version that peers name

A host that rejects a version, for example of a newer build, hears of it with each heartbeat of its peers. Each ended the pause before the next call to the platform, so that a host which others follow, whose watch calls are short, called it again after 0.2 s instead of a share of the bounds, for as long as the version was the newest. Callers saw nothing; the calls are priced.

The answer to a call that begins after a peer has named a version includes it, as the platform's answers are linearizable, so that a second pause need not end for it. A call that fails is repeated after a back-off that was never ended.

--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -105,6 +105,8 @@
         self._is_watching = False
         self._checked_call_at = float("-inf")
         self._given_up_for = 0
+        # Greatest version for which a pause was ended.
+        self._hurried_for = 0
 
     @property
     def contact_age_s(self) -> float:
@@ -197,10 +199,13 @@
         """End the pause before the next call: another host has a newer ``version``.
 
         Hosts with different versions cannot gather queries for each other. A watch call
-        that still waits when its answer should have come is lost, and given up once for
-        each version: this host may have rejected the version as invalid.
+        that still waits when its answer should have come is lost. A pause is ended and
+        a call given up once for each version: this host may have rejected the version
+        as invalid.
         """
-        if self._pause is not None and not self._pause.ready():
+        is_pausing = self._pause is not None and not self._pause.ready()
+        if is_pausing and version > self._hurried_for:
+            self._hurried_for = version
             self._pause.send()
         is_checked = self._checked_call_at == self._called_at
         if self._is_watching and not is_checked and version > self._given_up_for:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -518,6 +518,16 @@
         self.hear(9, 30)
         self.assertEqual(self.events.names.count("call_given_up"), 2)
 
+    def test_rejected_version_ends_one_pause_only(self):
+        """Guards against calls that follow each other for a version that is invalid."""
+        self.client.results = [update(6 + n) for n in range(1, 50)]
+        self.follower.timing = PATIENT._replace(interval_s=0.6)
+        self.client.answer_after(0.0, update(7))
+        begun_at = time.monotonic()
+        self.hear(8, 150)
+        elapsed_s = time.monotonic() - begun_at
+        self.assertLessEqual(len(self.client.planned), 4 + elapsed_s / 0.6)
+
     def test_answered_call_is_not_given_up(self):
         """Guards against a second call for a version that is on its way."""
         self.client.answer_after(0.01, update(7))
