Plan a waiting call again when a reload changes the bounds

After a reload with a shorter ContactMs, the watch call that waited kept the wait and the time-out of the former bounds (up to 30 s), and the margin for answers and the long polls of the relay kept them for good. A connection that fell silent meanwhile was noticed as late as before the reload, so that callers of this host were served by an older version, and by replicas that had left, beyond the bounds now in force.

PlatformFollower.timing now makes the call again, with a new margin, and passes the times on to the relay. A reload that leaves the bounds as they are changes nothing.

The test failed on the code before (no further call was made), and passes now.

--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -71,7 +71,7 @@
         decode: Callable[[bytes], PlatformUpdate | Failure] | None = None,
     ):
         self.client = client
-        self.timing = timing
+        self._timing = timing
         self.loop = loop
         self.rng = rng
         self.events = events
@@ -108,6 +108,26 @@
         # Greatest version for which a pause was ended.
         self._hurried_for = 0
 
+    @property
+    def timing(self) -> WatchTiming:
+        """Times of the calls.
+
+        A call that waits is made again when they change: it was planned for others, and
+        its connection may already be silent for longer than these allow.
+        """
+        return self._timing
+
+    @timing.setter
+    def timing(self, timing: WatchTiming) -> None:
+        if timing == self._timing:
+            return
+        self._timing = timing
+        self._margin = AnswerMargin(timing.min_margin_s, timing.max_margin_s)
+        if self.relay is not None:
+            self.relay.timing = timing
+        if self._thread is not None:
+            self.restart()
+
     @property
     def contact_age_s(self) -> float:
         """Seconds since the last answer from the platform."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -652,6 +652,31 @@
         self.assertGreater(follower.data_age_s, 0.3)
         self.assertLess(follower.contact_age_s, 0.1)
 
+    def test_waiting_call_ends_when_the_bounds_change(self):
+        """Guards against a call that keeps the wait of settings no longer in force."""
+        client, relay = FakeClient([update(5, True), update(6)]), FakeRelay([])
+        relay.choose_source = lambda: None
+        follower = PlatformFollower(
+            client,
+            WatchTiming.plan(60.0, 0.01, 30.0),
+            EventLoop(),
+            Random(1),
+            FakeEvents(),
+            lambda update: None,
+            lambda *reported: None,
+            relay,
+        )
+        follower.start()
+        self.addCleanup(follower.stop)
+        eventlet.sleep(0.05)
+        self.assertGreater(client.planned[-1][1], 30.0)
+        calls = len(client.planned)
+        follower.timing = timing = WatchTiming.plan(4.0, 3.0, 3.0)
+        eventlet.sleep(0.05)
+        self.assertEqual(len(client.planned), calls + 1)
+        self.assertLess(client.planned[-1][1], 1.0)
+        self.assertEqual(relay.timing, timing)
+
     def test_resumes_at_the_last_revision(self):
         """Guards against changes that are missed between two watch calls."""
         calls, _ = self.follow([update(5, True), update(7), update(9)])
