Hear a platform that is slower than the margin for its answers

The margin was bounded by 1.0 s or 0.3 ContactMs, a page of a complete read by 1.0 to 2.5 s, whatever had failed before.

After three time-outs at the bound, the margin grows up to 2.5 s until an answer comes in time; the time for a page grows with each time-out in a row. The first prompt answer ends it. A host waits longer only where it would not hear the platform at all.

tests.test_freshness.TestAnswerMargin.test_steady_slow_platform_is_heard fails without the change.

--- a/cicadalever/freshness/__init__.py
+++ b/cicadalever/freshness/__init__.py
@@ -8,9 +8,10 @@
 from ._contact import Outage, PlatformContact
 from ._grace import MISSING_ENTRY_GRACE_S, GraceBounds
 from ._margin import AnswerMargin
-from ._timing import PlannedCall, WatchTiming
+from ._timing import MAX_WATCH_WAIT_S, PlannedCall, WatchTiming
 
 __all__ = [
+    "MAX_WATCH_WAIT_S",
     "MISSING_ENTRY_GRACE_S",
     "AnswerMargin",
     "Backoff",
--- a/cicadalever/freshness/_margin.py
+++ b/cicadalever/freshness/_margin.py
@@ -6,6 +6,12 @@
 DECAY = 0.1
 # A platform that was this late may be late by as much again.
 LATENESS_FACTOR = 2.0
+# After this many time-outs at the greatest margin in a row, the platform is taken for
+# slower than that, and given up to this much time.
+PATIENT_TIMEOUTS = 3
+LONGEST_S = 2.5
+# Least margin for a platform that is slower, as a multiple of its lateness.
+LEAST_LATENESS_FACTOR = 1.25
 
 
 class AnswerMargin:
@@ -27,18 +33,31 @@
         self.min_s = min_s
         self.max_s = max_s
         self._seconds = min_s
+        self._timeouts_at_max = 0
 
     @property
     def seconds(self) -> float:
-        """Current margin."""
+        """Current margin.
+
+        It exceeds ``max_s`` only for a platform that would not be heard otherwise.
+        """
         return self._seconds
 
     def record_timeout(self) -> None:
         """Record that no answer came in time."""
-        self._seconds = min(self.max_s, GROWTH * self._seconds)
+        if self._seconds >= self.max_s:
+            self._timeouts_at_max += 1
+        is_patient = self._timeouts_at_max >= PATIENT_TIMEOUTS
+        limit_s = max(self.max_s, LONGEST_S) if is_patient else self.max_s
+        self._seconds = min(limit_s, GROWTH * self._seconds)
 
     def record_answer(self, late_s: float) -> None:
         """Record an answer that came ``late_s`` seconds after the end of the wait."""
-        target_s = min(self.max_s, max(self.min_s, LATENESS_FACTOR * late_s))
-        excess_s = max(0.0, self._seconds - target_s)
+        self._timeouts_at_max = 0
+        target_s = max(
+            min(self.max_s, max(self.min_s, LATENESS_FACTOR * late_s)),
+            min(LONGEST_S, LEAST_LATENESS_FACTOR * late_s),
+        )
+        latest_s = min(self._seconds, max(self.max_s, target_s))
+        excess_s = max(0.0, latest_s - target_s)
         self._seconds = target_s + (1.0 - DECAY) * excess_s
--- a/cicadalever/freshness/_timing.py
+++ b/cicadalever/freshness/_timing.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from ._grace import MISSING_ENTRY_GRACE_S
+
 # Longest wait that the platform allows for a watch call.
 MAX_WATCH_WAIT_S = 30.0
 # Least wait of a watch call while the platform answers.
@@ -22,22 +24,21 @@
 MAX_POLL_MARGIN_S = 0.4
 # Time for the answer of a slow platform to a host that relays changes to others.
 SLOW_ANSWER_S = 0.4
-# Bounds of ``AnswerMargin``. The greatest one admits the answer of a slow platform on
-# a new connection, whatever the contact time.
+# Bounds of ``AnswerMargin``; it exceeds the greater one only after several time-outs.
 MIN_MARGIN_SHARE = 0.125
 MIN_MARGIN_RANGE_S = (0.25, 0.5)
 MAX_MARGIN_SHARE = 0.3
 LEAST_MAX_MARGIN_S = 1.0
-# Time that replicas have to publish their entries again when the platform has returned.
-# A host must be in contact by the end of the contact time less this.
-PUBLISHING_S = 2.5
-# Longest pause between failed calls as a share of the rest, before a part of the pause
-# is added at random.
+# Longest pause between failed calls, before a part of it is added at random, as a share
+# of what the grace for missing entries leaves of the contact time.
 MAX_BACKOFF_SHARE = 0.4
 MAX_BACKOFF_RANGE_S = (0.3, 1.0)
-# Time-out for each page of a complete read.
+# Time-out for each page of a complete read, and its growth with each time-out in a row:
+# a page may be large and the link slow.
 READ_TIMEOUT_SHARE = 0.5
 READ_TIMEOUT_RANGE_S = (1.0, 2.5)
+READ_TIMEOUT_GROWTH = 1.5
+LONGEST_READ_TIMEOUT_S = 10.0
 
 
 class PlannedCall(NamedTuple):
@@ -89,6 +90,11 @@
             self.max_age_s - self.interval_s - SLOW_ANSWER_S,
         )
 
+    def plan_read_timeout_s(self, timeouts: int) -> float:
+        """Return the time-out of a complete read after ``timeouts`` in a row."""
+        patient_s = self.read_timeout_s * READ_TIMEOUT_GROWTH**timeouts
+        return min(LONGEST_READ_TIMEOUT_S, patient_s)
+
     @classmethod
     def plan(cls, contact_s: float, apply_s: float, drain_s: float) -> "WatchTiming":
         """Return the timing for the bounds of a deployment; see ``HostSettings``."""
@@ -104,7 +110,8 @@
             max(LEAST_MAX_MARGIN_S, MAX_MARGIN_SHARE * contact_s),
             _clamp(READ_TIMEOUT_SHARE * contact_s, *READ_TIMEOUT_RANGE_S),
             _clamp(
-                MAX_BACKOFF_SHARE * (contact_s - PUBLISHING_S), *MAX_BACKOFF_RANGE_S
+                MAX_BACKOFF_SHARE * (contact_s - MISSING_ENTRY_GRACE_S),
+                *MAX_BACKOFF_RANGE_S,
             ),
         )
 
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -7,6 +7,7 @@
 import eventlet.event
 
 from cicadalever.freshness import (
+    MAX_WATCH_WAIT_S,
     AnswerMargin,
     Backoff,
     Outage,
@@ -22,8 +23,6 @@
 from ._events import EventLog
 from ._relay import REJECTION_S, ChangeRelay
 
-# Longest wait that the platform allows for a watch call.
-MAX_WATCH_WAIT_S = 30.0
 # Time after which a first read is used although the changes since then cannot be read:
 # without it, this host could serve no request at all.
 MAX_UNCONFIRMED_S = 2.0
@@ -154,16 +153,6 @@
         self.client = client or self.client
         self.start()
 
-    def set_timing(self, timing: WatchTiming) -> None:
-        """Use other times, at once: a call that waits may wait for too long."""
-        if timing == self.timing:
-            return
-        self.timing = timing
-        self._margin = AnswerMargin(timing.min_margin_s, timing.max_margin_s)
-        if self.relay is not None:
-            self.relay.timing = timing
-        self.restart()
-
     def _run(self) -> None:
         """Follow the platform until ``stop``.
 
@@ -272,13 +261,16 @@
 
     def _read_all(self, *, allow_stale: bool) -> None:
         backoff = self._new_backoff()
+        timeouts = 0
         while True:
             self._called_at = self.loop.now()
             result = self.client.read_all(
-                allow_stale=allow_stale, timeout_s=self.timing.read_timeout_s
+                allow_stale=allow_stale,
+                timeout_s=self.timing.plan_read_timeout_s(timeouts),
             )
             if not isinstance(result, Failure):
                 break
+            timeouts = timeouts + 1 if result.code is FailureCode.TIMEOUT else 0
             self._record_failure(result)
             # The platform may be coming back from an older copy, which a read that may
             # be out of date does not show.
--- a/cicadalever/gateway/_settings_update.py
+++ b/cicadalever/gateway/_settings_update.py
@@ -47,8 +47,8 @@
         follower.restart(components.adapter.connect(settings.platform_address))
     if settings.seeds != previous.seeds:
         components.link.peer_table.set_seeds(settings.seeds)
-    follower.set_timing(
-        WatchTiming.plan(settings.contact_s, settings.apply_s, settings.drain_s)
+    follower.timing = WatchTiming.plan(
+        settings.contact_s, settings.apply_s, settings.drain_s
     )
     runner.notices.drain_s = settings.drain_s
     budget = runner.retry_budget
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -8,6 +8,7 @@
     GraceBounds,
     Outage,
     PlatformContact,
+    WatchTiming,
 )
 
 
@@ -100,6 +101,40 @@
                     margin.record_timeout()
             self.assertGreaterEqual(margin.seconds, min(1.2, 2.0 * late_s))
 
+    def test_steady_slow_platform_is_heard(self):
+        """Guards against a sound platform that is taken for lost for good."""
+        for contact_s in (2.0, 3.5, 4.0, 6.0):
+            times = WatchTiming.plan(contact_s, 3.0, 3.0)
+            for late_s in (0.6, 1.05, 1.25, 1.9):
+                margin = AnswerMargin(times.min_margin_s, times.max_margin_s)
+                heard = []
+                for _ in range(40):
+                    call = times.plan_call(0.0, float("-inf"), margin.seconds, 0.0)
+                    heard.append(call.timeout_s > call.wait_s + late_s)
+                    if heard[-1]:
+                        margin.record_answer(late_s)
+                    else:
+                        margin.record_timeout()
+                self.assertIn(True, heard[:10])
+                self.assertTrue(all(heard[heard.index(True) :]))
+
+    def test_patience_ends_with_a_prompt_answer(self):
+        """Guards against a lost call that is found late because of a former outage."""
+        margin = AnswerMargin(min_s=0.5, max_s=1.2)
+        for _ in range(20):
+            margin.record_timeout()
+        self.assertGreater(margin.seconds, 2.0)
+        margin.record_answer(0.01)
+        self.assertLessEqual(margin.seconds, 1.2)
+
+    def test_slow_pages_are_read(self):
+        """Guards against a start without an end because of a slow link."""
+        times = WatchTiming.plan(2.0, 3.0, 3.0)
+        timeouts = [times.plan_read_timeout_s(number) for number in range(20)]
+        self.assertEqual(timeouts[0], times.read_timeout_s)
+        self.assertEqual(timeouts, sorted(timeouts))
+        self.assertEqual(timeouts[-1], 10.0)
+
     def test_margin_shrinks_slowly(self):
         """Guards against a host that stays slow to notice a lost call."""
         margin = AnswerMargin(min_s=0.5, max_s=1.2)
