Name what the follower does with a newer version by what it is told

hurry ended a pause and gives up a lost call as well. What an Outage says for the grace is in its doc. No logic is changed; tests.test_gateway and test_doc_examples pass.

--- a/cicadalever/freshness/_contact.py
+++ b/cicadalever/freshness/_contact.py
@@ -8,7 +8,8 @@
 
     It was in reach at ``answered_at`` and again at ``returned_at``. At ``failed_at``,
     or later, it was not, or a connection to it was not: the return lies between
-    ``failed_at`` and ``returned_at``.
+    ``failed_at`` and ``returned_at``. For the grace after it, ``answered_at`` is the
+    time as of which it was proved that nothing was missing, which may be earlier.
     """
 
     answered_at: float
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -147,5 +147,5 @@
     components.gossip.on_news = runner.guard.record_news
     link.on_limit_report = runner.statements.record_limit_reports
     link.on_crash_report = runner.guard.record_older_report
-    link.on_newer_version = daemon.follower.hurry
+    link.on_newer_version = daemon.follower.notice_newer_version
     return daemon
--- a/cicadalever/gateway/_follower.py
+++ b/cicadalever/gateway/_follower.py
@@ -105,7 +105,7 @@
         self._checked_call_at = float("-inf")
         self._given_up_for = 0
         # Greatest version for which a pause was ended.
-        self._hurried_for = 0
+        self._pause_ended_for = 0
 
     @property
     def timing(self) -> WatchTiming:
@@ -214,7 +214,7 @@
         finally:
             self._is_watching = False
 
-    def hurry(self, version: int) -> None:
+    def notice_newer_version(self, version: int) -> None:
         """End the pause before the next call: another host has a newer ``version``.
 
         Hosts with different versions cannot gather queries for each other. A watch call
@@ -223,8 +223,8 @@
         as invalid.
         """
         is_pausing = self._pause is not None and not self._pause.ready()
-        if is_pausing and version > self._hurried_for:
-            self._hurried_for = version
+        if is_pausing and version > self._pause_ended_for:
+            self._pause_ended_for = version
             self._pause.send()
         is_checked = self._checked_call_at == self._called_at
         if self._is_watching and not is_checked and version > self._given_up_for:
@@ -245,7 +245,7 @@
         self.restart()
 
     def _pause_until(self, when: float) -> None:
-        """Wait until a monotonic time, or until ``hurry`` is called.
+        """Wait until a monotonic time, or until a newer version is noticed.
 
         The first ``MIN_PAUSE_S`` of the wait cannot be shortened.
         """
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -507,7 +507,7 @@
 
     def hear(self, version, times):
         for _ in range(times):
-            self.follower.hurry(version)
+            self.follower.notice_newer_version(version)
             eventlet.sleep(0.01)
 
     def test_rejected_version_ends_one_call_only(self):
