--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -112,7 +112,8 @@
         def ask(server):
             client = StoreClient(server.address)
             try:
-                return [client.read_all(allow_stale=False), client.watch(5, 0.0)]
+                read = client.read_all(allow_stale=False, timeout_s=2.5)
+                return [read, client.watch(5, 0.0, 1.5)]
             finally:
                 client.close()
 
