--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -346,7 +346,8 @@
         self.addCleanup(sys.path.remove, str(GATEWAY.parent))
         from cicadalever_platform import adapter
 
-        numbers = {"link_mbps": 100, "apply_ms": 800, "drain_ms": 800}
+        numbers = {"link_mbps": 100}
+        numbers |= {"contact_ms": 4000, "apply_ms": 800, "drain_ms": 800}
         address = {"host": "127.0.0.1", "front": 1, "ready": 2, "peers": 7380}
         text = SETTINGS.format_map(
             defaultdict(lambda: "127.0.0.1:1", numbers | address)
