--- a/cicadalever/freshness/_margin.py
+++ b/cicadalever/freshness/_margin.py
@@ -18,7 +18,10 @@
     """Time that is left for an answer after the wait of a call.
 
     It grows with each call that timed out, so that a slower platform is heard, and
-    follows the lateness of the answers down again slowly.
+    follows the lateness of the answers down again slowly. ``max_s`` bounds the time for
+    which a lost call goes unnoticed. It is exceeded, up to ``LONGEST_S``, only after
+    several time-outs in a row: a host that never hears a slow platform stays out of
+    date for good, which is worse. A prompt answer ends that. Times are in seconds.
 
     >>> margin = AnswerMargin(min_s=0.5, max_s=1.2)
     >>> margin.record_timeout()
