Count what a process holds for others by kind, and tell each drop

MemoryBudget takes the place of ReceiveMemory: it counts by kind, tells each drop with kind, size and age (event memory_dropped, counter holders_dropped), and drops the greatest product of bytes and time first, so that it can serve all kinds. Gauges tell the bytes of each kind and the open connections of each address. Only answers are reported to it so far; the limit stays a quarter of the memory.

--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from cicadalever.budgets import MemoryBudget
 from cicadalever.crashes import CrashLedger, SharedMemory
 from cicadalever.discovery import UpstreamDirectory
 from cicadalever.freshness import WatchTiming
@@ -9,7 +10,7 @@
 from cicadalever.placement import LeastCostSelector
 from cicadalever.retries import SLACK_PER_HOST, RetryBudget
 from cicadalever.routing import Limits
-from cicadalever.wire import CallerServer, EventLoop, ReceiveMemory, ServerLimits
+from cicadalever.wire import CallerServer, EventLoop, ServerLimits
 
 from ._adapter import HostSettings, PlatformAdapter
 from ._crash_gossip import CrashGossip
@@ -25,8 +26,8 @@
 from ._upstream_contact import UpstreamContact
 
 METRICS_PORT = 9464
-# Share of a host's memory for answers that it is still receiving.
-RECEIVE_MEMORY_SHARE = 0.25
+# Share of a host's memory for what it holds for callers, replicas and peers.
+HELD_MEMORY_SHARE = 0.25
 # Share of a host's descriptors for connections in advance; callers need the others.
 ADVANCE_DESCRIPTOR_SHARE = 0.5
 
@@ -39,7 +40,18 @@
     events = EventLog(settings.host_id)
     metrics = GatewayMetrics()
     directory = UpstreamDirectory()
-    memory = ReceiveMemory(int(RECEIVE_MEMORY_SHARE * settings.memory_bytes))
+    memory = MemoryBudget(int(HELD_MEMORY_SHARE * settings.memory_bytes))
+
+    def report_drop(dropped):
+        metrics.holder_dropped(dropped.kind)
+        events.emit(
+            "memory_dropped",
+            kind=dropped.kind,
+            bytes=dropped.size,
+            seconds=round(dropped.seconds, 3),
+        )
+
+    memory.on_dropped = report_drop
     runner = ReadRunner(
         loop,
         adapter.header_names,
--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -178,6 +178,15 @@
             quarantined=components.runner.guard.count_refused(),
             lag_s=self._lag_s,
         )
+        components.metrics.set_held(
+            components.runner.memory.bytes_by_kind,
+            {
+                "callers": len(components.caller_server.connections),
+                "readiness": len(components.readiness_server.connections),
+                "metrics": len(components.metrics_server.connections),
+                "peers": len(components.link.server.connections),
+            },
+        )
         components.metrics.set_faults(
             rejected_entries=len(self._rejected),
             failed_callbacks=components.loop.failures,
--- a/cicadalever/gateway/_metrics.py
+++ b/cicadalever/gateway/_metrics.py
@@ -1,7 +1,7 @@
 """Counters and histograms of the gateway."""
 
 from collections import Counter as Counts
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from prometheus_client import (
     CollectorRegistry,
@@ -82,6 +82,15 @@
         self._failed_callbacks = self._gauge(
             "failed_callbacks", "Callbacks with an unexpected exception since the start"
         )
+        self._held_bytes = self._labelled_gauge(
+            "held_bytes", "Bytes held for others", "kind"
+        )
+        self._open_connections = self._labelled_gauge(
+            "open_connections", "Connections that others have opened", "address"
+        )
+        self._holders_dropped = self._counter(
+            "holders_dropped", "Transfers dropped for the budget of memory", "kind"
+        )
         self._loop_lag = self._gauge("loop_lag_seconds", "Lateness of the last tick")
 
     def request_ended(self, rank: int, end: str, seconds: float) -> None:
@@ -131,6 +140,22 @@
         """Count a replica that said it is "leaving" or wants to be "paused"."""
         self._held_off.labels(cause).inc()
 
+    def holder_dropped(self, kind: str) -> None:
+        """Count a transfer of a ``HeldKind`` that was dropped to free memory."""
+        self._holders_dropped.labels(kind).inc()
+
+    def set_held(
+        self, bytes_by_kind: Mapping[str, int], connections: Mapping[str, int]
+    ) -> None:
+        """Set the gauges of what is held for others.
+
+        ``connections`` is the number of connections accepted at each address.
+        """
+        for kind, size in bytes_by_kind.items():
+            self._held_bytes.labels(kind).set(size)
+        for address, count in connections.items():
+            self._open_connections.labels(address).set(count)
+
     def set_faults(self, *, rejected_entries: int, failed_callbacks: int) -> None:
         """Set the gauges of entries that are rejected now and of failed callbacks."""
         self._rejected_entries.set(rejected_entries)
@@ -178,5 +203,8 @@
         return Counter(full_name, help_text, labels, registry=self._registry)
 
     def _gauge(self, name: str, help_text: str) -> Gauge:
+        return self._labelled_gauge(name, help_text)
+
+    def _labelled_gauge(self, name: str, help_text: str, *labels: str) -> Gauge:
         full_name = f"cicadalever_gateway_{name}"
-        return Gauge(full_name, help_text, registry=self._registry)
+        return Gauge(full_name, help_text, labels, registry=self._registry)
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Iterable
 from random import Random
 
+from cicadalever.budgets import MemoryBudget
 from cicadalever.crashes import CrashRecord
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
@@ -44,7 +45,6 @@
     EventLoop,
     Exchange,
     HeaderNames,
-    ReceiveMemory,
     ReplicaPool,
 )
 
@@ -91,7 +91,7 @@
         server: CallerServer,
         events: EventLog,
         rng: Random,
-        memory: ReceiveMemory | None = None,
+        memory: MemoryBudget | None = None,
     ):
         self.loop = loop
         self.names = names
@@ -100,7 +100,7 @@
         self.server = server
         self.events = events
         self.rng = rng
-        self.memory = memory or ReceiveMemory()
+        self.memory = memory or MemoryBudget()
         # Called with the version of the configuration of a peer that has a newer one.
         self.on_newer_version: Callable[[int], None] = lambda version: None
         # Called with the ids of replicas that another host found late.
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import NamedTuple
 
+from cicadalever.budgets import MemoryBudget
 from cicadalever.crashes import CrashLedger
 from cicadalever.discovery import (
     DirectoryChange,
@@ -30,7 +31,6 @@
     EventLoop,
     Exchange,
     HeaderNames,
-    ReceiveMemory,
     ReplicaAnswer,
     ReplicaConnection,
     ReplicaPool,
@@ -125,14 +125,14 @@
         retry_budget: RetryBudget,
         events: EventLog,
         metrics: GatewayMetrics,
-        memory: ReceiveMemory | None = None,
+        memory: MemoryBudget | None = None,
         drain_s: float = 0.0,
         max_pools_in_advance: int = DEFAULT_MAX_POOLS_IN_ADVANCE,
         ledger: CrashLedger | None = None,
     ):
         self.loop = loop
         self.names = names
-        self.memory = memory or ReceiveMemory()
+        self.memory = memory or MemoryBudget()
         self.max_pools_in_advance = max_pools_in_advance
         self.directory = directory
         self.selector = selector
--- a/cicadalever/wire/__init__.py
+++ b/cicadalever/wire/__init__.py
@@ -10,7 +10,6 @@
     Header,
     ReplicaAnswer,
 )
-from ._receive_memory import ReceiveMemory
 from ._replica_connection import ReplicaConnection
 from ._replica_pool import Exchange, ReplicaPool
 
@@ -23,7 +22,6 @@
     "Exchange",
     "Header",
     "HeaderNames",
-    "ReceiveMemory",
     "ReplicaAnswer",
     "ReplicaPool",
     "CallerResponse",
--- a/cicadalever/wire/_answer_parser.py
+++ b/cicadalever/wire/_answer_parser.py
@@ -5,9 +5,10 @@
 
 import httptools
 
+from cicadalever.budgets import HeldKind, MemoryBudget
+
 from ._headers import HeaderNames
 from ._message import Header, ReplicaAnswer
-from ._receive_memory import ReceiveMemory
 
 # Idle timeout of a replica that does not announce one.
 DEFAULT_IDLE_S = 30.0
@@ -47,7 +48,7 @@
     exchange.
     """
 
-    def __init__(self, names: HeaderNames, memory: ReceiveMemory):
+    def __init__(self, names: HeaderNames, memory: MemoryBudget):
         self.names = names
         self.memory = memory
         self.answer: ReplicaAnswer | None = None
@@ -141,7 +142,7 @@
             self.must_close = True
 
     def _check_bounds(self) -> None:
-        max_body_bytes = self.memory.max_answer_bytes
+        max_body_bytes = self.memory.max_holder_bytes
         if self._body_bytes > max_body_bytes:
             self._fail(f"body exceeds {max_body_bytes} bytes")
             return
@@ -153,7 +154,7 @@
             self._fail(f"{overhead_bytes} bytes besides the body of the answer")
             return
         self._is_holding = True
-        self.memory.hold(self, self._received_bytes, self._drop)
+        self.memory.hold(self, HeldKind.ANSWER, self._received_bytes, self._drop)
 
     def _drop(self) -> None:
         self._fail("memory for unfinished answers exhausted")
@@ -232,8 +233,8 @@
             self.must_close = True
         elif answer_id is None and self._request_id and self._exchanges > 1:
             self._fail("answer without a request id on a connection used before")
-        elif self._body_bytes > self.memory.max_answer_bytes:
-            self._fail(f"body exceeds {self.memory.max_answer_bytes} bytes")
+        elif self._body_bytes > self.memory.max_holder_bytes:
+            self._fail(f"body exceeds {self.memory.max_holder_bytes} bytes")
         elif self.fault_detail is None:
             self.answer = answer
             self.release()
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -5,11 +5,12 @@
 import struct
 from collections.abc import Callable
 
+from cicadalever.budgets import MemoryBudget
+
 from ._answer_parser import AnswerParser, OnInterim
 from ._headers import HeaderNames
 from ._loop import EventLoop
 from ._message import AnswerFault, ReplicaAnswer
-from ._receive_memory import ReceiveMemory
 
 RECEIVE_BYTES = 65536
 # The handshake with a replica takes a few milliseconds; a lost SYN is only sent again
@@ -47,7 +48,7 @@
         address: tuple[str, int],
         on_idle: Callable[["ReplicaConnection"], None],
         on_closed: Callable[["ReplicaConnection", str], None],
-        memory: ReceiveMemory,
+        memory: MemoryBudget,
         on_connected: Callable[["ReplicaConnection"], None] = lambda connection: None,
     ):
         self.loop = loop
--- a/cicadalever/wire/_replica_pool.py
+++ b/cicadalever/wire/_replica_pool.py
@@ -5,11 +5,12 @@
 from itertools import count
 from typing import NamedTuple
 
+from cicadalever.budgets import MemoryBudget
+
 from ._answer_parser import OnInterim
 from ._headers import HeaderNames
 from ._loop import EventLoop
 from ._message import AnswerFault, ReplicaAnswer
-from ._receive_memory import ReceiveMemory
 from ._replica_connection import ReplicaConnection
 
 # After a connection was closed without an answer, a host that has other connections to
@@ -86,7 +87,7 @@
         address: tuple[str, int],
         max_connections: int,
         on_connect: Callable[[], None] = lambda: None,
-        memory: ReceiveMemory | None = None,
+        memory: MemoryBudget | None = None,
         on_handshake: Callable[[ReplicaConnection], None] = lambda connection: None,
     ):
         self.loop = loop
@@ -95,7 +96,7 @@
         self.max_connections = max_connections
         self.on_connect = on_connect
         self.on_handshake = on_handshake
-        self.memory = memory or ReceiveMemory()
+        self.memory = memory or MemoryBudget()
         self._idle: list[ReplicaConnection] = []
         self._connections: set[ReplicaConnection] = set()
         self._waiting: list[_QueuedExchange] = []
--- a/tests/test_callback_errors.py
+++ b/tests/test_callback_errors.py
@@ -10,6 +10,7 @@
 
 import eventlet
 
+from cicadalever.budgets import MemoryBudget
 from cicadalever.gateway._call import Call
 from cicadalever.gateway._events import EventLog
 from cicadalever.gateway._relay import _parse_position
@@ -21,7 +22,6 @@
     CallerServer,
     EventLoop,
     Exchange,
-    ReceiveMemory,
     ReplicaConnection,
     ReplicaPool,
     ServerLimits,
@@ -115,7 +115,7 @@
         connection = ReplicaConnection(
             self.loop, NAMES, ("a\0b", 80), fail,
             lambda connection, detail: ended.append(connection.is_connected),
-            ReceiveMemory(),
+            MemoryBudget(),
         )  # fmt: skip
         connection.connect()
         wait_for(lambda: ended, "the end of the probe")
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -7,8 +7,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cicadalever.budgets import MemoryBudget
 from cicadalever.gather import ShardAnswer, merge_top_records, shorten_answer
-from cicadalever.wire import EventLoop, Exchange, ReceiveMemory, ReplicaPool
+from cicadalever.wire import EventLoop, Exchange, ReplicaPool
 from cicadalever.wire._answer_parser import MAX_OVERHEAD_BYTES, AnswerParser
 
 from .test_wire import NAMES, answer, wait_for
@@ -114,7 +115,7 @@
 
     def test_answers_share_one_memory(self):
         """Guards against many large answers that fill the memory together."""
-        memory = ReceiveMemory(4 * MIB)
+        memory = MemoryBudget(4 * MIB)
         parsers = [AnswerParser(NAMES, memory) for _ in range(8)]
         for parser in parsers:
             parser.begin(b"1")
@@ -132,7 +133,7 @@
 
     def test_small_answers_are_not_dropped_for_a_large_one(self):
         """Guards against an endless answer that costs others theirs."""
-        memory = ReceiveMemory(MIB)
+        memory = MemoryBudget(MIB)
         small, large = AnswerParser(NAMES, memory), AnswerParser(NAMES, memory)
         for parser in (small, large):
             parser.begin(b"1")
@@ -148,7 +149,7 @@
     """Answers at the bounds pass."""
 
     def parse(self, data, memory=None):
-        parser = AnswerParser(NAMES, memory or ReceiveMemory())
+        parser = AnswerParser(NAMES, memory or MemoryBudget())
         parser.begin(b"1")
         parser.feed(data)
         self.assertIsNone(parser.fault_detail)
@@ -156,8 +157,8 @@
 
     def test_body_of_the_greatest_size(self):
         """Guards against rejecting a large answer that fits."""
-        memory = ReceiveMemory(4 * MIB)
-        body = b"b" * memory.max_answer_bytes
+        memory = MemoryBudget(4 * MIB)
+        body = b"b" * memory.max_holder_bytes
         self.assertEqual(self.parse(answer(b"1", body), memory).body, body)
         self.assertEqual(memory.held_bytes, 0)
 
@@ -211,7 +212,7 @@
     """The result does not depend on how a stream was cut into segments."""
 
     def result_of(self, pieces, *, is_used):
-        memory = ReceiveMemory(400_000)
+        memory = MemoryBudget(400_000)
         parser = AnswerParser(NAMES, memory)
         if is_used:
             parser.begin(b"before")
@@ -260,7 +261,7 @@
     """Late copies of an answer on a connection that is used again."""
 
     def parse_second(self, *pieces):
-        parser = AnswerParser(NAMES, ReceiveMemory())
+        parser = AnswerParser(NAMES, MemoryBudget())
         parser.begin(b"1")
         parser.feed(answer(b"1", b"first"))
         self.assertEqual(parser.answer.body, b"first")
@@ -280,11 +281,11 @@
 
         Its first half makes the connection unusable as soon as it is parsed.
         """
-        parser = AnswerParser(NAMES, ReceiveMemory())
+        parser = AnswerParser(NAMES, MemoryBudget())
         parser.begin(b"1")
         copy = answer(b"1", b"first")
         for cut in range(1, len(copy)):
-            parser = AnswerParser(NAMES, ReceiveMemory())
+            parser = AnswerParser(NAMES, MemoryBudget())
             parser.begin(b"1")
             parser.feed(copy + copy[:cut])
             self.assertEqual(parser.answer.body, b"first")
@@ -299,7 +300,7 @@
 
     def test_first_answer_on_a_connection_needs_no_id(self):
         """Guards against losing answers that can only belong to one request."""
-        parser = AnswerParser(NAMES, ReceiveMemory())
+        parser = AnswerParser(NAMES, MemoryBudget())
         parser.begin(b"1")
         parser.feed(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
         self.assertEqual(parser.answer.status, 503)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cicadalever.budgets import MemoryBudget
 from cicadalever.notices import (
     MAX_PAUSE_S,
     Incarnation,
@@ -16,7 +17,6 @@
     parse_pause,
 )
 from cicadalever.outcomes import Failure
-from cicadalever.wire import ReceiveMemory
 from cicadalever.wire._answer_parser import AnswerParser
 from tests.platform_standins import ReplicaStandIn, wait_for
 from tests.test_discovery import entry
@@ -147,7 +147,7 @@
     """Heads of answers, whatever becomes of the rest."""
 
     def parse(self, *pieces):
-        parser = AnswerParser(NAMES, ReceiveMemory())
+        parser = AnswerParser(NAMES, MemoryBudget())
         parser.begin(b"1")
         for piece in pieces:
             parser.feed(piece)
