Free an answer with its connection, and count what it really takes

Callers saw a process that grew far beyond the limit of unfinished answers. Each piece was an object, so that chunks of one byte took some fifty times their size; 256 KiB of short header fields some forty times; and the kernel received megabytes ahead on each connection.

A closed parser frees its buffers and breaks the cycle. Bodies are collected in blocks, the number of header fields is bounded, the kernel receives 32 KiB ahead, and an answer that is dropped ends its request at once, as given up by this host.

tests.test_endless_bytes: both new tests fail before (no close; no bound of fields).

--- a/cicadalever/wire/_answer_parser.py
+++ b/cicadalever/wire/_answer_parser.py
@@ -17,11 +17,18 @@
 MAX_OVERHEAD_BYTES = 256 * 1024
 # Bytes of framing of a chunk that carries a single byte, as in "1\r\nx\r\n".
 FRAMING_PER_BODY_BYTE = 5
+# Most header fields of one exchange, since each takes some 200 bytes beside its text.
+MAX_FIELDS = 2000
 # The bounds are checked whenever this many further bytes of an exchange have arrived.
 # The positions do not depend on how the stream was cut into segments, so neither does
 # the result.
 CHECK_INTERVAL_BYTES = 16 * 1024
 
+# Size of the blocks in which a body is collected. An object for each piece would take
+# many times the memory of small pieces, and one buffer that grows fragments the heap.
+BLOCK_BYTES = 64 * 1024
+DROPPED_DETAIL = "dropped: the host holds too much for others"
+
 # Misdirected Request (RFC 9110, section 15.5.20): the answer of another replica.
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
@@ -74,6 +81,9 @@
         self._exchanges = 0
         self._received_bytes = 0
         self._is_holding = False
+        # Called when the answer was dropped to free memory.
+        self.on_dropped: Callable[[], None] = lambda: None
+        self._is_closed = False
         self._parser = httptools.HttpResponseParser(self)
         self._in_message = False
         self._reset_message()
@@ -99,6 +109,7 @@
         self._has_body = has_body
         self._exchanges += 1
         self._received_bytes = 0
+        self._field_count = 0
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; check ``answer`` and ``fault_detail`` afterwards."""
@@ -127,13 +138,27 @@
             self._is_holding = False
             self.memory.release(self)
 
+    def close(self) -> None:
+        """Free all memory; nothing is parsed any more.
+
+        The native parser and this object refer to each other, and would stay until the
+        next collection of reference cycles.
+        """
+        self.release()
+        self._is_closed = True
+        self._in_message = False
+        self._reset_message()
+        self._parser = None
+
     def _feed_piece(self, data: bytes) -> None:
-        if self.fault_detail is not None:
+        if self.fault_detail is not None or self._is_closed:
             return
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._is_closed:
+                return
             if self.answer is None:
                 self._fail(f"not a response: {error}")
             else:
@@ -157,8 +182,10 @@
         self.memory.hold(self, HeldKind.ANSWER, self._received_bytes, self._drop)
 
     def _drop(self) -> None:
-        self._fail("memory for unfinished answers exhausted")
+        self._is_holding = False
+        self._fail(DROPPED_DETAIL)
         self._reset_message()
+        self.on_dropped()
 
     def _fail(self, detail: str) -> None:
         if self.answer is None and self.fault_detail is None:
@@ -172,12 +199,18 @@
         self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._headers_done:
-            # Trailers are not passed on.
+        if self._is_closed:
             return
-        self._headers.append((name.lower(), value))
+        self._field_count += 1
+        if self._field_count > MAX_FIELDS:
+            self._fail(f"more than {MAX_FIELDS} header fields")
+        elif not self._headers_done:
+            # Trailers are not passed on.
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        if self._is_closed:
+            return
         self._headers_done = True
         self._status = self._parser.get_status_code()
         for name, value in self._headers:
@@ -203,10 +236,16 @@
             self.retry_after = value if known is None else b"%s,%s" % (known, value)
 
     def on_body(self, data: bytes) -> None:
-        self._body.append(data)
+        blocks = self._blocks
+        if blocks and len(blocks[-1]) + len(data) <= BLOCK_BYTES:
+            blocks[-1] += data
+        else:
+            blocks.append(bytearray(data))
         self._body_bytes += len(data)
 
     def on_message_complete(self) -> None:
+        if self._is_closed:
+            return
         self._in_message = False
         if self._status < 200:
             if self.answer is None and self._on_interim is not None:
@@ -222,7 +261,7 @@
         answer = ReplicaAnswer(
             self._status,
             self._headers,
-            b"".join(self._body),
+            b"".join(self._blocks),
             rate_limit=self.rate_limit,
             is_leaving=self.is_leaving,
             retry_after=self.retry_after,
@@ -241,7 +280,7 @@
 
     def _reset_message(self) -> None:
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._blocks: list[bytearray] = []
         self._body_bytes = 0
         self._status = 0
         self._headers_done = False
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -7,12 +7,15 @@
 
 from cicadalever.budgets import MemoryBudget
 
-from ._answer_parser import AnswerParser, OnInterim
+from ._answer_parser import DROPPED_DETAIL, AnswerParser, OnInterim
 from ._headers import HeaderNames
 from ._loop import EventLoop
 from ._message import AnswerFault, ReplicaAnswer
 
 RECEIVE_BYTES = 65536
+# Bytes that the kernel may receive ahead on one connection; without a bound, it takes
+# megabytes from each sender that is faster than this host.
+RECEIVE_BUFFER_BYTES = 32768
 # The handshake with a replica takes a few milliseconds; a lost SYN is only sent again
 # after a second.
 CONNECT_TIMEOUT_S = 0.4
@@ -73,6 +76,7 @@
         self._on_answer: OnAnswer | None = None
         self._timer = None
         self._parser = AnswerParser(names, memory)
+        self._parser.on_dropped = self._answer_dropped
 
     @property
     def was_sent(self) -> bool:
@@ -105,6 +109,7 @@
         sock = self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
         )
@@ -204,6 +209,10 @@
             elif not self._closed:
                 self._become_idle()
 
+    def _answer_dropped(self) -> None:
+        # Called while the answer to another request is received.
+        self.loop.call_later(0.0, self._fail, AnswerFault.ABANDONED, DROPPED_DETAIL)
+
     def _end_of_stream(self) -> None:
         self._parser.end_of_stream()
         if self._on_answer is not None and self._parser.answer is not None:
@@ -234,7 +243,7 @@
             self._reader = None
         if self._socket is not None:
             self._close_socket()
-        self._parser.release()
+        self._parser.close()
         self.loop.run_guarded(self.on_closed, self, detail)
         if fault is AnswerFault.LOST and not self._sent:
             fault = AnswerFault.UNREACHABLE
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -1,5 +1,7 @@
 """Tests against servers and callers that send bytes without end, and of cut streams."""
 
+import gc
+import tracemalloc
 import unittest
 
 import eventlet
@@ -131,6 +133,30 @@
             parser.release()
         self.assertEqual(memory.held_bytes, 0)
 
+    def test_closed_connection_frees_its_answer(self):
+        """Guards against pieces that stay until reference cycles are collected."""
+        memory = MemoryBudget(4 * MIB)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        parsers = []
+        for _ in range(32):
+            parser = AnswerParser(NAMES, memory)
+            parser.begin(b"1")
+            parser.feed(HEAD + b"\r\n" + FILLER * 10)
+            parser.close()
+            parsers.append(parser)
+        self.assertLess(tracemalloc.get_traced_memory()[0], MIB)
+        self.assertEqual(memory.held_bytes, 0)
+
+    def test_many_short_header_fields(self):
+        """Guards against fields that take more memory than their bytes."""
+        parser = AnswerParser(NAMES, MemoryBudget())
+        parser.begin(b"1")
+        parser.feed(HEAD + b"a:b\r\n" * (MAX_OVERHEAD_BYTES // 10))
+        self.assertIn("header fields", parser.fault_detail)
+
     def test_small_answers_are_not_dropped_for_a_large_one(self):
         """Guards against an endless answer that costs others theirs."""
         memory = MemoryBudget(MIB)
