Hold uploads, requests and unsent responses against one budget of memory

What has taken most bytes for the longest time is dropped first, whatever its kind: an upload is refused with 503 and Retry-After, since it has not run, and a caller who does not read is disconnected. Requests in progress are not dropped; when they fill half of the budget, further ones are refused at once. A closed connection frees its parser, and a response is sent without copies of its rest.

--- a/cicadalever/budgets/__init__.py
+++ b/cicadalever/budgets/__init__.py
@@ -1,5 +1,6 @@
 """Budgets of a process for what it holds for others, and who is dropped first."""
 
+from ._held_bytes import HeldBytes
 from ._memory import DEFAULT_MAX_BYTES, Dropped, HeldKind, MemoryBudget
 
-__all__ = ["DEFAULT_MAX_BYTES", "Dropped", "HeldKind", "MemoryBudget"]
+__all__ = ["DEFAULT_MAX_BYTES", "Dropped", "HeldBytes", "HeldKind", "MemoryBudget"]
--- a/cicadalever/budgets/_memory.py
+++ b/cicadalever/budgets/_memory.py
@@ -33,7 +33,10 @@
 
 
 class Dropped(NamedTuple):
-    """A holder that was told to free its bytes, and how long it had held some."""
+    """A holder that had to free its bytes, and for how long it had held some.
+
+    The time is 0 if there was no room to pin them.
+    """
 
     kind: HeldKind
     size: int
@@ -53,8 +56,8 @@
     Holders report how much they hold. When the sum exceeds ``max_bytes``, the holder
     with the greatest product of bytes and time since its first byte is dropped, and so
     on. Senders without end and receivers that do not read are dropped first, whatever
-    the kind, and what comes and goes quickly stays. Pinned holders are never dropped;
-    ``can_pin`` tells in advance whether there is room for one.
+    the kind, and what comes and goes quickly stays. Pinned holders are never dropped,
+    but only a part of the budget may be pinned.
 
     ``clock`` returns monotonic seconds, and ``on_dropped`` is called for each drop.
 
@@ -96,32 +99,45 @@
         """Bytes that the holders of each kind have reported."""
         return dict(self._bytes_by_kind)
 
-    def can_pin(self, size: int) -> bool:
-        """Return whether ``size`` further bytes may be pinned."""
-        return self._pinned_bytes + size <= self.max_bytes * MAX_PINNED_SHARE
+    def pin(self, holder: Hashable, kind: HeldKind, size: int) -> bool:
+        """Hold bytes that cannot be dropped; return False if there is no room."""
+        if self._pinned_bytes + size > self.max_bytes * MAX_PINNED_SHARE:
+            self.on_dropped(Dropped(kind, size, 0.0))
+            return False
+        self._hold(holder, kind, size, None)
+        return True
 
     def hold(
         self,
         holder: Hashable,
         kind: HeldKind,
         size: int,
-        on_drop: Callable[[], None] | None = None,
+        on_drop: Callable[[], None],
     ) -> None:
         """Record that ``holder`` now holds ``size`` bytes.
 
         ``on_drop`` is called, perhaps before this method returns, if the holder has to
-        free them; without it, they are pinned.
+        free them.
         """
+        self._hold(holder, kind, size, on_drop)
+
+    def release(self, holder: Hashable) -> None:
+        """Record that ``holder`` holds nothing any more."""
+        self._take(holder)
+
+    def _hold(
+        self,
+        holder: Hashable,
+        kind: HeldKind,
+        size: int,
+        on_drop: Callable[[], None] | None,
+    ) -> None:
         previous = self._take(holder)
         since = self.clock() if previous is None else previous.since
         self._add(holder, _Holding(kind, size, since, on_drop))
         if self._total_bytes > self.max_bytes:
             self._drop()
 
-    def release(self, holder: Hashable) -> None:
-        """Record that ``holder`` holds nothing any more."""
-        self._take(holder)
-
     def _add(self, holder: Hashable, holding: _Holding) -> None:
         self._holdings[holder] = holding
         self._count(holding, holding.size)
--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -88,7 +88,7 @@
         adapter.header_names,
         settings.host_id,
         peers,
-        CallerServer(loop, settings.peer_address, handle_peer_request, limits),
+        CallerServer(loop, settings.peer_address, handle_peer_request, limits, memory),
         events,
         rng,
         memory,
@@ -133,11 +133,11 @@
             events,
             SharedMemory(loop.now(), is_first_start=settings.is_first_start),
         ),
-        CallerServer(loop, settings.caller_address, service.handle, limits),
+        CallerServer(loop, settings.caller_address, service.handle, limits, memory),
         CallerServer(
-            loop, settings.readiness_address, handle_readiness_request, limits
+            loop, settings.readiness_address, handle_readiness_request, limits, memory
         ),
-        CallerServer(loop, metrics_address, handle_metrics_request, limits),
+        CallerServer(loop, metrics_address, handle_metrics_request, limits, memory),
     )
     service.is_cut_off = lambda: components.readiness.is_cut_off
     service.lacks_upstreams = lambda: components.readiness.lacks_upstreams
--- a/cicadalever/wire/_answer_parser.py
+++ b/cicadalever/wire/_answer_parser.py
@@ -7,6 +7,7 @@
 
 from cicadalever.budgets import HeldKind, MemoryBudget
 
+from ._body_buffer import BodyBuffer
 from ._headers import HeaderNames
 from ._message import Header, ReplicaAnswer
 
@@ -24,9 +25,6 @@
 # the result.
 CHECK_INTERVAL_BYTES = 16 * 1024
 
-# Size of the blocks in which a body is collected. An object for each piece would take
-# many times the memory of small pieces, and one buffer that grows fragments the heap.
-BLOCK_BYTES = 64 * 1024
 DROPPED_DETAIL = "dropped: the host holds too much for others"
 
 # Misdirected Request (RFC 9110, section 15.5.20): the answer of another replica.
@@ -168,12 +166,12 @@
 
     def _check_bounds(self) -> None:
         max_body_bytes = self.memory.max_holder_bytes
-        if self._body_bytes > max_body_bytes:
+        if len(self._body) > max_body_bytes:
             self._fail(f"body exceeds {max_body_bytes} bytes")
             return
-        overhead_bytes = self._received_bytes - self._body_bytes
-        max_overhead_bytes = (
-            MAX_OVERHEAD_BYTES + FRAMING_PER_BODY_BYTE * self._body_bytes
+        overhead_bytes = self._received_bytes - len(self._body)
+        max_overhead_bytes = MAX_OVERHEAD_BYTES + FRAMING_PER_BODY_BYTE * len(
+            self._body
         )
         if overhead_bytes > max_overhead_bytes:
             self._fail(f"{overhead_bytes} bytes besides the body of the answer")
@@ -236,12 +234,7 @@
             self.retry_after = value if known is None else b"%s,%s" % (known, value)
 
     def on_body(self, data: bytes) -> None:
-        blocks = self._blocks
-        if blocks and len(blocks[-1]) + len(data) <= BLOCK_BYTES:
-            blocks[-1] += data
-        else:
-            blocks.append(bytearray(data))
-        self._body_bytes += len(data)
+        self._body.append(data)
 
     def on_message_complete(self) -> None:
         if self._is_closed:
@@ -261,7 +254,7 @@
         answer = ReplicaAnswer(
             self._status,
             self._headers,
-            b"".join(self._blocks),
+            self._body.join(),
             rate_limit=self.rate_limit,
             is_leaving=self.is_leaving,
             retry_after=self.retry_after,
@@ -272,7 +265,7 @@
             self.must_close = True
         elif answer_id is None and self._request_id and self._exchanges > 1:
             self._fail("answer without a request id on a connection used before")
-        elif self._body_bytes > self.memory.max_holder_bytes:
+        elif len(self._body) > self.memory.max_holder_bytes:
             self._fail(f"body exceeds {self.memory.max_holder_bytes} bytes")
         elif self.fault_detail is None:
             self.answer = answer
@@ -280,8 +273,7 @@
 
     def _reset_message(self) -> None:
         self._headers: list[Header] = []
-        self._blocks: list[bytearray] = []
-        self._body_bytes = 0
+        self._body = BodyBuffer()
         self._status = 0
         self._headers_done = False
         self._has_framing = False
--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -9,7 +9,10 @@
 
 import httptools
 
+from cicadalever.budgets import HeldBytes, HeldKind, MemoryBudget
+
 from ._answer_parser import FRAMING_PER_BODY_BYTE
+from ._body_buffer import BodyBuffer
 from ._loop import EventLoop
 from ._message import CallerRequest, CallerResponse, Header
 
@@ -29,6 +32,14 @@
 # smoothed round trip, an unsigned number of microseconds.
 TCP_INFO_BYTES = 72
 TCP_INFO_RTT_OFFSET = 68
+# Memory that a header field takes beside its text.
+FIELD_BYTES = 200
+# Bytes that the kernel may receive ahead on one connection; without a bound, it takes
+# megabytes from each sender that is faster than this host.
+RECEIVE_BUFFER_BYTES = 32768
+# Retry-After of a request that was refused before it was received completely, because
+# the host holds too much for others.
+DROPPED_RETRY_AFTER_S = 1.0
 # Time for which a connection without any request counts as busy after it was accepted.
 NEW_CONNECTION_GRACE_S = 0.5
 # Time after which the connection of a caller that does not read is closed.
@@ -60,10 +71,16 @@
         self._writer = None
         self._closed = False
         self._accepted_at = self.loop.now()
-        self._unsent = b""
+        self._unsent = memoryview(b"")
+        memory = server.memory
+        self._held_upload = HeldBytes(memory, HeldKind.UPLOAD, self._drop_upload)
+        self._held_request = HeldBytes(memory, HeldKind.REQUEST)
+        self._held_response = HeldBytes(memory, HeldKind.RESPONSE, self._close)
         self._request: CallerRequest | None = None
         self._pipelined: deque[CallerRequest] = deque()
         self._closes_after_response = False
+        # Whether further bytes of the caller are dropped.
+        self._is_discarding = False
         self._request_count = 0
         self._received_at: float | None = None
         self._timer = None
@@ -106,6 +123,7 @@
             return
         self._request = None
         self.on_disconnect = None
+        self._held_request.set(0)
         keep_alive = (
             request.keep_alive
             and not self._closes_after_response
@@ -165,6 +183,8 @@
         if not data:
             self._close()
             return
+        if self._is_discarding:
+            return
         if self._received_at is None:
             self._received_at = self.loop.now() - self.loop.busy_s()
             if self._request is None:
@@ -177,23 +197,48 @@
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400)
         self._check_limits()
+        self._report_upload()
         self._dispatch()
 
     def _check_limits(self) -> None:
         limits = self.server.limits
         if not self._headers_done and self._header_bytes > limits.max_header_bytes:
             self._reject(431)
-        elif self._body_bytes > limits.max_body_bytes:
+        elif len(self._body) > limits.max_body_bytes:
             self._reject(413)
         elif self._extra_bytes > limits.max_header_bytes + MAX_EXTRA_BYTES:
             self._reject(400)
         elif len(self._pipelined) > MAX_PIPELINED:
             self._close()
 
+    def _report_upload(self) -> None:
+        """Report what was received and is not in progress yet."""
+        if self._closed:
+            return
+        size = sum(len(request.body) for request in self._pipelined)
+        if self._received_at is not None:
+            fields = FIELD_BYTES * len(self._headers)
+            size += self._header_bytes + len(self._body) + fields
+        self._held_upload.set(size)
+
+    def _drop_upload(self) -> None:
+        """Refuse what was received and is not in progress yet."""
+        self._is_discarding = True
+        self._pipelined.clear()
+        self._reset_message()
+        if self._request is None:
+            self._refuse()
+        else:
+            self._closes_after_response = True
+
+    def _refuse(self) -> None:
+        """Answer that the request has not run and the caller may come back later."""
+        self._reject(503, [(b"Retry-After", b"%.3f" % DROPPED_RETRY_AFTER_S)])
+
     @property
     def _extra_bytes(self) -> int:
         """Bytes of the incomplete message besides its body and its chunk sizes."""
-        return self._message_bytes - (1 + FRAMING_PER_BODY_BYTE) * self._body_bytes
+        return self._message_bytes - (1 + FRAMING_PER_BODY_BYTE) * len(self._body)
 
     def _dispatch(self) -> None:
         """Pass the next complete request on, unless one is in progress."""
@@ -210,7 +255,11 @@
             # load the replicas.
             self._close()
             return
+        if not self._held_request.pin(len(self._pipelined[0].body)):
+            self._refuse()
+            return
         self._request = self._pipelined.popleft()
+        self._report_upload()
         self._request_count += 1
         self._cancel_timer()
         if not self.loop.run_guarded(self.server.on_request, self, self._request):
@@ -230,7 +279,9 @@
             self._after_send()
 
     def _send(self, data: bytes) -> None:
-        self._unsent += data
+        if data:
+            rest = self._unsent
+            self._unsent = memoryview(bytes(rest) + data if rest else data)
         try:
             count = self._socket.send(self._unsent)
         except BlockingIOError:
@@ -239,7 +290,9 @@
             self._close()
             return
         self._unsent = self._unsent[count:]
-        if self._unsent and self._writer is None:
+        # A view keeps all of its bytes.
+        self._held_response.set(len(self._unsent.obj) if self._unsent else 0)
+        if self._unsent and self._writer is None and not self._closed:
             self._writer = self.loop.watch_write(self._socket.fileno(), self._writable)
             self._restart_timer(SEND_TIMEOUT_S)
 
@@ -264,12 +317,14 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._headers_done:
+        if self._headers_done or self._is_discarding:
             # Trailers are not passed on.
             return
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        if self._closed:
+            return
         self._headers_done = True
         names = [name for name, _ in self._headers]
         if b"content-length" in names and b"transfer-encoding" in names:
@@ -280,15 +335,18 @@
             self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
+        if self._is_discarding:
+            return
         self._body.append(data)
-        self._body_bytes += len(data)
 
     def on_message_complete(self) -> None:
+        if self._is_discarding or self._closed:
+            return
         request = CallerRequest(
             self._parser.get_method(),
             self._target,
             self._headers,
-            b"".join(self._body),
+            self._body.join(),
             self._received_at or self.loop.now(),
             self._request_count + len(self._pipelined) == 0,
             self._parser.should_keep_alive(),
@@ -299,11 +357,11 @@
 
     # Rejection, time-outs and closing
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, headers: Iterable[Header] = ()) -> None:
         if self._closed or self._closes_after_response:
             return
         self._closes_after_response = True
-        self._send(CallerResponse(status, []).encode(keep_alive=False))
+        self._send(CallerResponse(status, [*headers]).encode(keep_alive=False))
         self._after_send()
 
     def _wait_for_request(self) -> None:
@@ -336,18 +394,29 @@
         with contextlib.suppress(OSError):
             self._socket.close()
         self.server.connections.discard(self)
+        self._free()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if on_disconnect is not None:
             on_disconnect()
 
+    def _free(self) -> None:
+        """Free all memory without waiting for a collection of reference cycles."""
+        for held in (self._held_upload, self._held_request, self._held_response):
+            held.set(0)
+        self._is_discarding = True
+        self._unsent = memoryview(b"")
+        self._request = None
+        self._pipelined.clear()
+        self._reset_message()
+        self._parser = None
+
     def _reset_message(self) -> None:
         self._target = b""
         self._headers: list[Header] = []
         self._headers_done = False
         self._header_bytes = 0
         self._message_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = BodyBuffer()
         self._received_at = None
 
 
@@ -366,8 +435,10 @@
         address: tuple[str, int],
         on_request: Callable[[CallerConnection, CallerRequest], None],
         limits: ServerLimits,
+        memory: MemoryBudget | None = None,
     ):
         self.loop = loop
+        self.memory = memory or MemoryBudget()
         self.address = address
         self.on_request = on_request
         self.limits = limits
@@ -396,6 +467,7 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             sock.bind(self.address)
             sock.listen(BACKLOG)
         except OSError:
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -5,7 +5,7 @@
 import struct
 from collections.abc import Callable
 
-from cicadalever.budgets import MemoryBudget
+from cicadalever.budgets import HeldBytes, HeldKind, MemoryBudget
 
 from ._answer_parser import DROPPED_DETAIL, AnswerParser, OnInterim
 from ._headers import HeaderNames
@@ -71,7 +71,8 @@
         self._connected = False
         self._closed = False
         self._is_unreachable = False
-        self._unsent = b""
+        self._unsent = memoryview(b"")
+        self._held_request = HeldBytes(memory, HeldKind.REQUEST, self._request_dropped)
         self._sent = False
         self._on_answer: OnAnswer | None = None
         self._timer = None
@@ -135,9 +136,11 @@
         has_body = not request.startswith(b"HEAD ")
         self._parser.begin(request_id, on_interim, has_body=has_body)
         self._sent = False
-        self._unsent = request
+        self._unsent = memoryview(request)
         if self._connected:
             self._flush()
+        else:
+            self._held_request.set(len(request))
 
     def close(self, detail: str = "closed by this host") -> None:
         """Close the connection; a request without an answer ends as ``ABANDONED``."""
@@ -177,6 +180,8 @@
             return
         self._sent = self._sent or count > 0
         self._unsent = self._unsent[count:]
+        # A view keeps all of its bytes.
+        self._held_request.set(len(self._unsent.obj) if self._unsent else 0)
         if self._unsent and self._writer is None:
             self._writer = self.loop.watch_write(self._socket.fileno(), self._writable)
 
@@ -209,6 +214,9 @@
             elif not self._closed:
                 self._become_idle()
 
+    def _request_dropped(self) -> None:
+        self.loop.call_later(0.0, self._fail, AnswerFault.ABANDONED, DROPPED_DETAIL)
+
     def _answer_dropped(self) -> None:
         # Called while the answer to another request is received.
         self.loop.call_later(0.0, self._fail, AnswerFault.ABANDONED, DROPPED_DETAIL)
@@ -244,6 +252,8 @@
         if self._socket is not None:
             self._close_socket()
         self._parser.close()
+        self._unsent = memoryview(b"")
+        self._held_request.set(0)
         self.loop.run_guarded(self.on_closed, self, detail)
         if fault is AnswerFault.LOST and not self._sent:
             fault = AnswerFault.UNREACHABLE
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -13,9 +13,8 @@
         self.budget = MemoryBudget(1000, clock=lambda: self.now)
         self.dropped = []
 
-    def hold(self, name, kind, size, *, is_pinned=False):
-        on_drop = None if is_pinned else lambda: self.dropped.append(name)
-        self.budget.hold(name, kind, size, on_drop)
+    def hold(self, name, kind, size):
+        self.budget.hold(name, kind, size, lambda: self.dropped.append(name))
 
     def test_stalled_holder_is_dropped_before_a_larger_new_one(self):
         """Guards against new uploads that fail for those of callers who pause."""
@@ -34,14 +33,16 @@
 
     def test_pinned_bytes_are_bounded_and_stay(self):
         """Guards against requests in progress that lose their bytes."""
-        self.hold("request", HeldKind.REQUEST, 400, is_pinned=True)
-        self.assertTrue(self.budget.can_pin(100))
-        self.assertFalse(self.budget.can_pin(101))
+        told = []
+        self.budget.on_dropped = told.append
+        self.assertTrue(self.budget.pin("request", HeldKind.REQUEST, 400))
+        self.assertFalse(self.budget.pin("second", HeldKind.REQUEST, 101))
+        self.assertEqual(told, [Dropped(HeldKind.REQUEST, 101, 0.0)])
         self.hold("upload", HeldKind.UPLOAD, 700)
         self.assertEqual(self.dropped, ["upload"])
         self.budget.release("request")
         self.assertEqual(self.budget.held_bytes, 0)
-        self.assertTrue(self.budget.can_pin(500))
+        self.assertTrue(self.budget.pin("third", HeldKind.REQUEST, 500))
 
     def test_drop_is_told_with_kind_size_and_age(self):
         """Guards against drops that leave no trace."""
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -189,3 +189,19 @@
         """Guards against connections that take the processor from all others."""
         self.flood("small-chunks", count=200)
         self.assert_innocent_requests_served()
+
+
+class TestLargeMessages(FloodTestCase):
+    """Sound callers and replicas with large messages, at a high rate."""
+
+    def test_requests_and_answers_are_freed_when_they_have_ended(self):
+        """Guards against bodies that stay until reference cycles are collected."""
+        for replica in self.replicas:
+            replica.record = b"1" * 400_000
+        body = b"b" * 200_000
+        for number in range(400):
+            self.gateway.ask(
+                f"/read/{number}", request_id=f"r{number}", method="POST", body=body
+            )
+        # Both bodies of 400 requests take 240 MB.
+        self.assertLess(self.limit.peak_bytes, 120e6)
