Report the losses that decide about a crashing request first

A report names four losses. It named the oldest canary losses, which count as one within a second of the first loss, and left out the later one and the first plain one. Losses are told and kept now in the order in which they decide.

--- a/cicadalever/crashes/_suspicion.py
+++ b/cicadalever/crashes/_suspicion.py
@@ -149,10 +149,7 @@
             return False
         self._losses.append(loss)
         if len(self._losses) > MAX_LOSSES:
-            # The first loss tells when the request became suspected.
-            self._losses.remove(
-                max(self._losses, key=lambda each: (not each.is_canary, each.at))
-            )
+            self._losses.remove(self._by_weight()[-1])
         return True
 
     def clear_service(self, service: str, began_at: float) -> bool:
@@ -216,7 +213,7 @@
 
     def report(self, fingerprint: int, now: float) -> CrashRecord:
         """Return what this host tells others."""
-        losses = sorted(self._losses, key=lambda each: (not each.is_canary, each.at))
+        losses = self._by_weight()
         return CrashRecord(
             fingerprint,
             _age_ms(self.active_at, now),
@@ -282,6 +279,22 @@
             _report_newest(replicas, now),
         )
 
+    def _by_weight(self) -> list[LostReplica]:
+        """Return the losses, those first that decide about the request.
+
+        The first plain one tells which canary losses count as one. Of these, the last
+        ones are the most likely to count by themselves.
+        """
+        plain = sorted(
+            (each for each in self._losses if not each.is_canary),
+            key=lambda each: each.at,
+        )
+        canary = sorted(
+            (each for each in self._losses if each.is_canary),
+            key=lambda each: -each.at,
+        )
+        return plain[:1] + canary + plain[1:]
+
     def _settled_at(self) -> float:
         """Return when the requests that ran beside this one have ended."""
         plain = [each.at for each in self._losses if not each.is_canary]
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -222,6 +222,19 @@
         self.assertFalse(self.tell(3.5))
         self.assertEqual(self.other.admit(7, 4.0).kind, REFUSED)
 
+    def test_decisive_loss_reaches_another_host_after_many_early_ones(self):
+        """Guards against a report in which early canary losses displace a later one."""
+        self.lose(0.0, *"abcdefghijklmnop")
+        for number, service in enumerate("abcdefgh"):
+            self.lose(0.1 + number / 20, service, is_canary=True)
+        other = CrashLedger("host-2")
+        other.merge(self.ledger.report(7, 1.0), "host-1", 1.0)
+        self.assertEqual(other.admit(7, 1.0).kind, CANARY)
+        self.lose(4.4, "i", is_canary=True)
+        other.merge(self.ledger.report(7, 4.5), "host-1", 4.5)
+        self.assertEqual(self.kind(4.7), REFUSED)
+        self.assertEqual(other.admit(7, 4.7).kind, REFUSED)
+
     def test_clearing_reaches_another_host_and_old_news_does_not_undo_it(self):
         """Guards against innocent requests that stay suspected on other hosts."""
         self.lose(0.0, "a", "b", "c")
