Close idle connections when descriptors are used up

Cause: descriptors were taken first come, first served; none was left for new callers, replicas, peers or the platform. Change: each kind of connection has a guaranteed number and shares the others. Without room, the oldest connection that was never used is closed, then the one idle for longest; if all are in use, the new one is closed, or the read ends as unreachable. When the kernel has no descriptor and none is idle, the listener rests for 50 ms. Drops are counted, and logged as sums.

--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -2,7 +2,12 @@
 
 from random import Random
 
-from cicadalever.budgets import MemoryBudget
+from cicadalever.budgets import (
+    DescriptorBudget,
+    DescriptorKind,
+    DescriptorShare,
+    MemoryBudget,
+)
 from cicadalever.crashes import CrashLedger, SharedMemory
 from cicadalever.discovery import UpstreamDirectory
 from cicadalever.freshness import WatchTiming
@@ -15,6 +20,7 @@
 from ._adapter import HostSettings, PlatformAdapter
 from ._crash_gossip import CrashGossip
 from ._daemon import GatewayComponents, GatewayDaemon
+from ._drop_report import DropReport
 from ._events import EventLog
 from ._follower import PlatformFollower
 from ._metrics import GatewayMetrics
@@ -52,6 +58,14 @@
         )
 
     memory.on_dropped = report_drop
+    descriptors = DescriptorBudget(settings.max_descriptors)
+    drops = DropReport(loop, events, metrics)
+    descriptors.on_dropped = drops.record
+
+    def open_server(address, on_request, kind):
+        share = DescriptorShare(descriptors, kind)
+        return CallerServer(loop, address, on_request, limits, memory, share)
+
     runner = ReadRunner(
         loop,
         adapter.header_names,
@@ -68,6 +82,7 @@
         settings.drain_s,
         int(ADVANCE_DESCRIPTOR_SHARE * settings.max_descriptors),
         CrashLedger(settings.host_id),
+        descriptors,
     )
     limits = ServerLimits(*Limits())
     service: GatewayService
@@ -88,10 +103,11 @@
         adapter.header_names,
         settings.host_id,
         peers,
-        CallerServer(loop, settings.peer_address, handle_peer_request, limits, memory),
+        open_server(settings.peer_address, handle_peer_request, DescriptorKind.PEER),
         events,
         rng,
         memory,
+        descriptors,
     )
     contact = UpstreamContact(
         runner, link, events, has_other_data_centres=settings.data_centres > 1
@@ -133,11 +149,13 @@
             events,
             SharedMemory(loop.now(), is_first_start=settings.is_first_start),
         ),
-        CallerServer(loop, settings.caller_address, service.handle, limits, memory),
-        CallerServer(
-            loop, settings.readiness_address, handle_readiness_request, limits, memory
+        open_server(settings.caller_address, service.handle, DescriptorKind.CALLER),
+        open_server(
+            settings.readiness_address,
+            handle_readiness_request,
+            DescriptorKind.READINESS,
         ),
-        CallerServer(loop, metrics_address, handle_metrics_request, limits, memory),
+        open_server(metrics_address, handle_metrics_request, DescriptorKind.METRICS),
     )
     service.is_cut_off = lambda: components.readiness.is_cut_off
     service.lacks_upstreams = lambda: components.readiness.lacks_upstreams
--- a/cicadalever/gateway/_metrics.py
+++ b/cicadalever/gateway/_metrics.py
@@ -91,6 +91,12 @@
         self._holders_dropped = self._counter(
             "holders_dropped", "Transfers dropped for the budget of memory", "kind"
         )
+        self._connections_dropped = self._counter(
+            "connections_dropped",
+            "Connections closed or not opened for want of descriptors",
+            "kind",
+            "cause",
+        )
         self._loop_lag = self._gauge("loop_lag_seconds", "Lateness of the last tick")
 
     def request_ended(self, rank: int, end: str, seconds: float) -> None:
@@ -144,6 +150,13 @@
         """Count a transfer of a ``HeldKind`` that was dropped to free memory."""
         self._holders_dropped.labels(kind).inc()
 
+    def connection_dropped(self, kind: str, cause: str) -> None:
+        """Count a connection of a ``DescriptorKind`` that had to give way.
+
+        The cause is "idle" if it made room for another, and "full" if it got none.
+        """
+        self._connections_dropped.labels(kind, cause).inc()
+
     def set_held(
         self, bytes_by_kind: Mapping[str, int], connections: Mapping[str, int]
     ) -> None:
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable, Collection, Iterable
 from random import Random
 
-from cicadalever.budgets import MemoryBudget
+from cicadalever.budgets import (
+    DescriptorBudget,
+    DescriptorKind,
+    DescriptorShare,
+    MemoryBudget,
+)
 from cicadalever.crashes import CrashRecord
 from cicadalever.outcomes import Failure
 from cicadalever.peers import (
@@ -92,6 +97,7 @@
         events: EventLog,
         rng: Random,
         memory: MemoryBudget | None = None,
+        descriptors: DescriptorBudget | None = None,
     ):
         self.loop = loop
         self.names = names
@@ -101,6 +107,9 @@
         self.events = events
         self.rng = rng
         self.memory = memory or MemoryBudget()
+        self.descriptors = DescriptorShare(
+            descriptors or DescriptorBudget(), DescriptorKind.LINK
+        )
         # Called with the version of the configuration of a peer that has a newer one.
         self.on_newer_version: Callable[[int], None] = lambda version: None
         # Called with the ids of replicas that another host found late.
@@ -314,6 +323,7 @@
                 address,
                 MAX_CONNECTIONS_PER_PEER,
                 memory=self.memory,
+                descriptors=self.descriptors,
             )
         pool.send(exchange)
 
--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -5,7 +5,12 @@
 from functools import partial
 from typing import NamedTuple
 
-from cicadalever.budgets import MemoryBudget
+from cicadalever.budgets import (
+    DescriptorBudget,
+    DescriptorKind,
+    DescriptorShare,
+    MemoryBudget,
+)
 from cicadalever.crashes import CrashLedger
 from cicadalever.discovery import (
     DirectoryChange,
@@ -129,10 +134,14 @@
         drain_s: float = 0.0,
         max_pools_in_advance: int = DEFAULT_MAX_POOLS_IN_ADVANCE,
         ledger: CrashLedger | None = None,
+        descriptors: DescriptorBudget | None = None,
     ):
         self.loop = loop
         self.names = names
         self.memory = memory or MemoryBudget()
+        self.descriptors = DescriptorShare(
+            descriptors or DescriptorBudget(), DescriptorKind.REPLICA
+        )
         self.max_pools_in_advance = max_pools_in_advance
         self.directory = directory
         self.selector = selector
@@ -614,6 +623,7 @@
                 self.metrics.connection_opened,
                 self.memory,
                 partial(self._observe_handshake, replica.id),
+                self.descriptors,
             )
         has_pause = self.notices.has_pause(replica.service, self.loop.now())
         pool.limit_requests(self._share_of_slots(replica) if has_pause else None)
--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers and peers, driven by callbacks."""
 
 import contextlib
+import errno
 import socket
 import struct
 from collections import deque
@@ -9,7 +10,14 @@
 
 import httptools
 
-from cicadalever.budgets import HeldBytes, HeldKind, MemoryBudget
+from cicadalever.budgets import (
+    DescriptorBudget,
+    DescriptorKind,
+    DescriptorShare,
+    HeldBytes,
+    HeldKind,
+    MemoryBudget,
+)
 
 from ._answer_parser import FRAMING_PER_BODY_BYTE
 from ._body_buffer import BodyBuffer
@@ -20,6 +28,10 @@
 BACKLOG = 1024
 # Connections accepted per event, so that a burst does not block the event loop.
 MAX_ACCEPTS = 64
+# Errors of accept when descriptors or memory of the kernel are used up, and the time in
+# seconds until the next attempt; the listener stays readable meanwhile.
+EXHAUSTED_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+ACCEPT_PAUSE_S = 0.05
 # Requests that may wait on one connection for the response to an earlier one.
 MAX_PIPELINED = 16
 # Bytes of trailers and chunk extensions that a request may have beyond the limit of its
@@ -86,6 +98,7 @@
         self._timer = None
         self._parser = httptools.HttpRequestParser(self)
         self._reset_message()
+        server.descriptors.open(self, self._drop_idle)
         self._wait_for_request()
 
     @property
@@ -161,6 +174,12 @@
                 self.loop.run_guarded(on_disconnect)
             self.respond(response)
 
+    def _drop_idle(self) -> None:
+        """Close the connection unless bytes of a request have arrived."""
+        self._readable()
+        if self._received_at is None and self._request is None and not self._unsent:
+            self._close()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress or waits to be read."""
         if self.is_busy or self._closed:
@@ -187,6 +206,7 @@
             return
         if self._received_at is None:
             self._received_at = self.loop.now() - self.loop.busy_s()
+            self.server.descriptors.use(self)
             if self._request is None:
                 self._restart_timer(self.server.limits.header_timeout_s)
         if not self._headers_done:
@@ -365,6 +385,8 @@
         self._after_send()
 
     def _wait_for_request(self) -> None:
+        if self._received_at is None and not self._pipelined:
+            self.server.descriptors.rest(self)
         self._restart_timer(self.server.limits.idle_timeout_s)
 
     def _restart_timer(self, seconds: float) -> None:
@@ -394,6 +416,7 @@
         with contextlib.suppress(OSError):
             self._socket.close()
         self.server.connections.discard(self)
+        self.server.descriptors.close(self)
         self._free()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if on_disconnect is not None:
@@ -426,7 +449,8 @@
     ``limits`` may be replaced at any time; timers that are already running do not
     change. While ``closes_after_response`` is True, each connection is closed after its
     response, so that the load balancer can send the caller's next connection to another
-    host.
+    host. Without a descriptor for a new connection, an idle one is closed, or else the
+    new one. ``descriptors`` is for this server alone by default.
     """
 
     def __init__(
@@ -436,9 +460,13 @@
         on_request: Callable[[CallerConnection, CallerRequest], None],
         limits: ServerLimits,
         memory: MemoryBudget | None = None,
+        descriptors: DescriptorShare | None = None,
     ):
         self.loop = loop
         self.memory = memory or MemoryBudget()
+        self.descriptors = descriptors or DescriptorShare(
+            DescriptorBudget(), DescriptorKind.CALLER
+        )
         self.address = address
         self.on_request = on_request
         self.limits = limits
@@ -446,6 +474,7 @@
         self.connections: set[CallerConnection] = set()
         self._socket: socket.socket | None = None
         self._reader = None
+        self._is_paused = False
 
     @property
     def busy_connections(self) -> int:
@@ -486,7 +515,8 @@
         if self._reader is not None:
             while self._accept() == MAX_ACCEPTS:
                 pass
-            self.loop.unwatch(self._reader)
+            if not self._is_paused:
+                self.loop.unwatch(self._reader)
             self._reader = None
             self._socket.close()
 
@@ -495,9 +525,29 @@
         for accepted in range(MAX_ACCEPTS):
             try:
                 sock, _address = self._socket.accept()
-            except OSError:
-                return accepted
+            except OSError as error:
+                if error.errno not in EXHAUSTED_ERRNOS:
+                    return accepted
+                if not self.descriptors.drop_idle():
+                    self._pause()
+                    return accepted
+                continue
+            if not self.descriptors.make_room():
+                sock.close()
+                continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.connections.add(CallerConnection(self, sock))
         return MAX_ACCEPTS
+
+    def _pause(self) -> None:
+        """Accept nothing for a while; what waits in the kernel stays there."""
+        if self._reader is not None and not self._is_paused:
+            self._is_paused = True
+            self.loop.unwatch(self._reader)
+            self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
+
+    def _resume(self) -> None:
+        self._is_paused = False
+        if self._reader is not None:
+            self._reader = self.loop.watch_read(self._socket.fileno(), self._accept)
--- a/cicadalever/wire/_replica_pool.py
+++ b/cicadalever/wire/_replica_pool.py
@@ -1,11 +1,17 @@
 """Pool of the connections of this host to one replica or peer."""
 
 from collections.abc import Callable
+from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 from typing import NamedTuple
 
-from cicadalever.budgets import MemoryBudget
+from cicadalever.budgets import (
+    DescriptorBudget,
+    DescriptorKind,
+    DescriptorShare,
+    MemoryBudget,
+)
 
 from ._answer_parser import OnInterim
 from ._headers import HeaderNames
@@ -77,7 +83,9 @@
 
     Further requests wait in the order of their ranks. ``memory`` is shared by all
     pools of a host; the default is one for this pool alone. ``on_handshake`` is called
-    with each connection whose handshake was completed or has failed.
+    with each connection whose handshake was completed or has failed. ``descriptors`` is
+    shared by pools as well: one without room closes an idle connection of another, or
+    opens none.
     """
 
     def __init__(
@@ -89,6 +97,7 @@
         on_connect: Callable[[], None] = lambda: None,
         memory: MemoryBudget | None = None,
         on_handshake: Callable[[ReplicaConnection], None] = lambda connection: None,
+        descriptors: DescriptorShare | None = None,
     ):
         self.loop = loop
         self.names = names
@@ -97,6 +106,9 @@
         self.on_connect = on_connect
         self.on_handshake = on_handshake
         self.memory = memory or MemoryBudget()
+        self.descriptors = descriptors or DescriptorShare(
+            DescriptorBudget(), DescriptorKind.REPLICA
+        )
         self._idle: list[ReplicaConnection] = []
         self._connections: set[ReplicaConnection] = set()
         self._waiting: list[_QueuedExchange] = []
@@ -134,7 +146,8 @@
 
     def warm_up(self) -> None:
         """Open a connection in advance if there is none."""
-        if not self._connections and not self._is_closing:
+        has_none = not self._connections and not self._is_closing
+        if has_none and self.descriptors.has_room:
             self._connect()
 
     def close_expired(self) -> None:
@@ -188,7 +201,9 @@
     def _may_connect(self) -> bool:
         if len(self._connections) >= self.max_connections:
             return False
-        return not self._connections or self.loop.now() >= self._no_connect_before
+        if self._connections and self.loop.now() < self._no_connect_before:
+            return False
+        return self.descriptors.make_room()
 
     def _connect(self) -> ReplicaConnection:
         connection = ReplicaConnection(
@@ -201,12 +216,15 @@
             self.on_handshake,
         )
         self._connections.add(connection)
+        self.descriptors.open(connection, partial(connection.close, "descriptors"))
+        self.descriptors.use(connection)
         self.on_connect()
         connection.connect()
         return connection
 
     def _start(self, connection: ReplicaConnection, exchange: Exchange) -> None:
         exchange.connection = connection
+        self.descriptors.use(connection)
         if not self.loop.run_guarded(self._send, connection, exchange):
             fault = AnswerFault.LOST if connection.was_sent else AnswerFault.UNREACHABLE
             detail = "the request could not be sent"
@@ -223,12 +241,14 @@
 
     def _became_idle(self, connection: ReplicaConnection) -> None:
         self._idle.append(connection)
+        self.descriptors.rest(connection)
         self._start_waiting()
         if self._is_closing and connection in self._idle:
             connection.close("replica removed")
 
     def _closed(self, connection: ReplicaConnection, detail: str) -> None:
         self._connections.discard(connection)
+        self.descriptors.close(connection)
         if connection in self._idle:
             self._idle.remove(connection)
         if connection.is_unreachable:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -2,7 +2,14 @@
 
 import unittest
 
-from cicadalever.budgets import Dropped, HeldKind, MemoryBudget
+from cicadalever.budgets import (
+    DescriptorBudget,
+    DescriptorKind,
+    DescriptorShare,
+    Dropped,
+    HeldKind,
+    MemoryBudget,
+)
 
 
 class TestMemoryBudget(unittest.TestCase):
@@ -60,3 +67,85 @@
         self.hold("grows", HeldKind.UPLOAD, 200)
         self.hold("young", HeldKind.UPLOAD, 900)
         self.assertEqual(self.dropped, ["grows"])
+
+
+class TestDescriptorBudget(unittest.TestCase):
+    """Which connections may be opened beside those of other kinds."""
+
+    def test_one_kind_leaves_the_others_their_own(self):
+        """Guards against callers who take the descriptors of all other connections."""
+        budget = DescriptorBudget(4100)
+        while budget.has_room(DescriptorKind.CALLER):
+            budget.take(DescriptorKind.CALLER)
+        for kind in set(DescriptorKind) - {DescriptorKind.CALLER}:
+            for _ in range(budget.guaranteed(kind)):
+                self.assertTrue(budget.has_room(kind), kind)
+                budget.take(kind)
+            self.assertFalse(budget.has_room(kind), kind)
+        self.assertLessEqual(sum(budget.open_by_kind.values()), 3800)
+        self.assertGreater(sum(budget.open_by_kind.values()), 3700)
+
+    def test_closed_connections_can_be_opened_again(self):
+        """Guards against a host that counts closed connections for ever."""
+        budget = DescriptorBudget(4100)
+        for _ in range(3):
+            taken = 0
+            while budget.has_room(DescriptorKind.LINK):
+                budget.take(DescriptorKind.LINK)
+                taken += 1
+            for _ in range(taken):
+                budget.give_back(DescriptorKind.LINK)
+            self.assertGreater(taken, budget.guaranteed(DescriptorKind.LINK))
+        self.assertEqual(budget.open_by_kind[DescriptorKind.LINK], 0)
+
+    def test_few_descriptors_leave_one_of_each_kind(self):
+        """Guards against a host with few descriptors that opens no connection."""
+        budget = DescriptorBudget(250)
+        for kind in DescriptorKind:
+            self.assertTrue(budget.has_room(kind))
+
+
+class TestDescriptorShare(unittest.TestCase):
+    """Which connection makes room for a new one."""
+
+    def setUp(self):
+        self.budget = DescriptorBudget(250)
+        self.share = DescriptorShare(self.budget, DescriptorKind.CALLER)
+        self.dropped = []
+        self.told = []
+        self.budget.on_dropped = lambda kind, cause: self.told.append((kind, cause))
+
+    def open(self, name, *, closes=True):
+        def drop():
+            self.dropped.append(name)
+            if closes:
+                self.share.close(name)
+
+        self.share.open(name, drop)
+
+    def test_unused_go_before_the_longest_idle(self):
+        """Guards against callers who lose their connection to silent ones."""
+        for name in ("used", "again", "silent", "new"):
+            self.open(name)
+        for name in ("again", "used"):
+            self.share.use(name)
+            self.share.rest(name)
+        while self.share.drop_idle():
+            pass
+        self.assertEqual(self.dropped, ["silent", "new", "again", "used"])
+
+    def test_connections_in_use_stay(self):
+        """Guards against requests that end for a new connection."""
+        self.open("busy")
+        self.share.use("busy")
+        self.assertFalse(self.share.make_room())
+        self.assertEqual(self.dropped, [])
+        self.assertEqual(self.told, [(DescriptorKind.CALLER, "full")])
+
+    def test_connection_that_turns_out_to_be_used_stays(self):
+        """Guards against a drop of a request whose bytes have just arrived."""
+        self.open("arrived", closes=False)
+        self.open("silent")
+        self.assertTrue(self.share.drop_idle())
+        self.assertEqual(self.dropped, ["arrived", "silent"])
+        self.assertEqual(self.told, [(DescriptorKind.CALLER, "idle")])
