Read connections with very many pieces in turns

Cause: one read gave up to 64 KiB, some 11,000 callbacks of the parser, and each connection that was ready took such a read before a timer or another caller was served. Change: what a read gave is parsed in slices of 4 and then 8 KiB. After a slice of more than 64 pieces the connection is not watched and waits; one such connection takes a turn of one slice for each pass of the event loop. Usual messages take one read and one slice as before. Bytes behind an answer in a later slice close the connection, as those in the same read did.

--- a/cicadalever/wire/_answer_parser.py
+++ b/cicadalever/wire/_answer_parser.py
@@ -59,6 +59,8 @@
         self.answer: ReplicaAnswer | None = None
         self.fault_detail: str | None = None
         self.must_close = False
+        # Messages, header fields and parts of bodies since the connection was opened.
+        self.pieces = 0
         self.idle_s = DEFAULT_IDLE_S
         self.rate_limit: bytes | None = None
         self.is_leaving = False
@@ -193,10 +195,12 @@
     # Parser callbacks, named by httptools
 
     def on_message_begin(self) -> None:
+        self.pieces += 1
         self._reset_message()
         self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self.pieces += 1
         if self._is_closed:
             return
         self._field_count += 1
@@ -234,6 +238,7 @@
             self.retry_after = value if known is None else b"%s,%s" % (known, value)
 
     def on_body(self, data: bytes) -> None:
+        self.pieces += 1
         self._body.append(data)
 
     def on_message_complete(self) -> None:
--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -23,8 +23,8 @@
 from ._body_buffer import BodyBuffer
 from ._loop import EventLoop
 from ._message import CallerRequest, CallerResponse, Header
+from ._paced_reader import PacedReader
 
-RECEIVE_BYTES = 65536
 BACKLOG = 1024
 # Connections accepted per event, so that a burst does not block the event loop.
 MAX_ACCEPTS = 64
@@ -79,7 +79,11 @@
         self.loop = server.loop
         self.on_disconnect: Callable[[], None] | None = None
         self._socket = sock
-        self._reader = self.loop.watch_read(sock.fileno(), self._readable)
+        self._reader = PacedReader(
+            self.loop, sock, self._received, lambda error: self._close()
+        )
+        # Header fields and parts of bodies since the connection was accepted.
+        self._pieces = 0
         self._writer = None
         self._closed = False
         self._accepted_at = self.loop.now()
@@ -99,6 +103,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._reset_message()
         server.descriptors.open(self, self._drop_idle)
+        self._reader.start()
         self._wait_for_request()
 
     @property
@@ -107,12 +112,17 @@
 
         The first request of a connection is expected for ``NEW_CONNECTION_GRACE_S``.
         """
-        has_begun = self._received_at is not None or bool(self._pipelined)
-        if has_begun or self._request is not None or self._unsent:
+        if self._has_work:
             return True
         age_s = self.loop.now() - self._accepted_at
         return self._request_count == 0 and age_s < NEW_CONNECTION_GRACE_S
 
+    @property
+    def _has_work(self) -> bool:
+        has_begun = self._received_at is not None or bool(self._pipelined)
+        is_answered = self._request is None and not self._unsent
+        return has_begun or not is_answered or self._reader.is_waiting
+
     @property
     def round_trip_s(self) -> float | None:
         """Round trip to the caller that the kernel has measured, in seconds.
@@ -176,34 +186,27 @@
 
     def _drop_idle(self) -> None:
         """Close the connection unless bytes of a request have arrived."""
-        self._readable()
-        if self._received_at is None and self._request is None and not self._unsent:
+        self._reader.read()
+        if not self._has_work and not self._closed:
             self._close()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress or waits to be read."""
         if self.is_busy or self._closed:
             return
-        self._readable()
+        self._reader.read()
         if not self.is_busy and not self._closed:
             self._close()
 
     # Socket events
 
-    def _readable(self) -> None:
-        if self._closed:
-            return
-        try:
-            data = self._socket.recv(RECEIVE_BYTES)
-        except BlockingIOError:
-            return
-        except OSError:
-            data = b""
+    def _received(self, data: bytes, _has_more: bool) -> int:
+        """Parse ``data`` and return in how many pieces it came."""
         if not data:
             self._close()
-            return
-        if self._is_discarding:
-            return
+        if self._closed or self._is_discarding:
+            return 0
+        pieces = self._pieces
         if self._received_at is None:
             self._received_at = self.loop.now() - self.loop.busy_s()
             self.server.descriptors.use(self)
@@ -219,6 +222,7 @@
         self._check_limits()
         self._report_upload()
         self._dispatch()
+        return self._pieces - pieces
 
     def _check_limits(self) -> None:
         limits = self.server.limits
@@ -239,6 +243,7 @@
         if self._received_at is not None:
             fields = FIELD_BYTES * len(self._headers)
             size += self._header_bytes + len(self._body) + fields
+            size += self._reader.rest_bytes
         self._held_upload.set(size)
 
     def _drop_upload(self) -> None:
@@ -337,6 +342,7 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._pieces += 1
         if self._headers_done or self._is_discarding:
             # Trailers are not passed on.
             return
@@ -355,6 +361,7 @@
             self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
+        self._pieces += 1
         if self._is_discarding:
             return
         self._body.append(data)
@@ -410,7 +417,7 @@
             return
         self._closed = True
         self._cancel_timer()
-        self.loop.unwatch(self._reader)
+        self._reader.close()
         if self._writer is not None:
             self.loop.unwatch(self._writer)
         with contextlib.suppress(OSError):
--- a/cicadalever/wire/_loop.py
+++ b/cicadalever/wire/_loop.py
@@ -1,6 +1,7 @@
 """Timers and socket callbacks on the event loop that all green threads share."""
 
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -42,6 +43,8 @@
         self._failures = 0
         # When each failure was last logged, by callback and type of the exception.
         self._failures_logged_at: dict[tuple[str, type], float] = {}
+        # Callbacks that wait for their turn.
+        self._turns: deque[Callable[[], None]] = deque()
         self._busy_since = 0.0
         self._idle_since = 0.0
 
@@ -87,6 +90,16 @@
         """Schedule a call at a monotonic time."""
         return self.call_later(when - self.now(), callback, *args)
 
+    def take_turn(self, callback: Callable[[], None]) -> None:
+        """Call back after all that is ready now, and after those that wait already.
+
+        One such callback runs for each pass of the loop over the timers that are due
+        and the sockets that are ready, so that these go on whatever number waits.
+        """
+        self._turns.append(callback)
+        if len(self._turns) == 1:
+            self.call_later(0.0, self._run_turn)
+
     def watch_read(self, fileno: int, callback: Callable[[], None]) -> Any:
         """Call back when a descriptor is readable; return a handle for ``unwatch``."""
         return self._watch(hubs.get_hub().READ, fileno, callback)
@@ -99,6 +112,13 @@
         """Stop the callbacks of a handle."""
         hubs.get_hub().remove(handle)
 
+    def _run_turn(self) -> None:
+        callback = self._turns[0]
+        self.run_guarded(callback)
+        self._turns.popleft()
+        if self._turns:
+            self.call_later(0.0, self._run_turn)
+
     def _watch(self, event: str, fileno: int, callback: Callable[[], None]) -> Any:
         def on_ready(_fileno):
             now = time.monotonic()
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -11,8 +11,8 @@
 from ._headers import HeaderNames
 from ._loop import EventLoop
 from ._message import AnswerFault, ReplicaAnswer
+from ._paced_reader import PacedReader
 
-RECEIVE_BYTES = 65536
 # Bytes that the kernel may receive ahead on one connection; without a bound, it takes
 # megabytes from each sender that is faster than this host.
 RECEIVE_BUFFER_BYTES = 32768
@@ -66,7 +66,7 @@
         # Monotonic time in seconds at which this host should close the idle connection.
         self.idle_until = 0.0
         self._socket: socket.socket | None = None
-        self._reader = None
+        self._reader: PacedReader | None = None
         self._writer = None
         self._connected = False
         self._closed = False
@@ -158,7 +158,10 @@
                 return
             self._connected = True
             self._cancel_timer()
-            self._reader = self.loop.watch_read(self._socket.fileno(), self._readable)
+            self._reader = PacedReader(
+                self.loop, self._socket, self._received, self._read_failed
+            )
+            self._reader.start()
             self.loop.run_guarded(self.on_connected, self)
             if self._closed:
                 return
@@ -185,34 +188,34 @@
         if self._unsent and self._writer is None:
             self._writer = self.loop.watch_write(self._socket.fileno(), self._writable)
 
-    def _readable(self) -> None:
+    def _read_failed(self, error: OSError) -> None:
+        self._fail(AnswerFault.LOST, f"receive: {error}")
+
+    def _received(self, data: bytes, has_more: bool) -> int:
+        """Parse ``data`` and return in how many pieces it came."""
         if self._closed:
-            return
-        try:
-            data = self._socket.recv(RECEIVE_BYTES)
-        except BlockingIOError:
-            return
-        except OSError as error:
-            self._fail(AnswerFault.LOST, f"receive: {error}")
-            return
+            return 0
         if not data:
             self._end_of_stream()
-            return
+            return 0
         if self._on_answer is None:
             self._fail(AnswerFault.GARBLED, "bytes without a request")
-            return
+            return 0
         parser = self._parser
+        pieces = parser.pieces
         parser.feed(data)
         if parser.fault_detail is not None:
             self._fail(AnswerFault.GARBLED, parser.fault_detail)
         elif parser.answer is not None:
-            # The replica would read the rest of an unsent request as the next one.
-            must_close = parser.must_close or bool(self._unsent)
+            # The replica would read the rest of an unsent request as the next one, and
+            # bytes after the answer would be taken for that to the next request.
+            must_close = parser.must_close or bool(self._unsent) or has_more
             self._finish(parser.answer)
             if must_close:
                 self._fail(AnswerFault.GARBLED, "connection cannot be reused")
             elif not self._closed:
                 self._become_idle()
+        return parser.pieces - pieces
 
     def _request_dropped(self) -> None:
         self.loop.call_later(0.0, self._fail, AnswerFault.ABANDONED, DROPPED_DETAIL)
@@ -247,7 +250,7 @@
         self._cancel_timer()
         self._stop_writing()
         if self._reader is not None:
-            self.loop.unwatch(self._reader)
+            self._reader.close()
             self._reader = None
         if self._socket is not None:
             self._close_socket()
