Play silent callers, small chunks and uploads at once

Guards against floods that each stay within bounds, and not together: 2,000 silent callers, 200 with chunks of one byte and 1,500 unfinished uploads beside sound callers.

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -190,6 +190,18 @@
         self.flood("small-chunks", count=200)
         self.assert_innocent_requests_served()
 
+    def test_all_at_once(self):
+        """Guards against floods that each stay within bounds, and not together."""
+        self.flood("silent", count=2000)
+        self.flood("small-chunks", count=200)
+        self.flood("uploads", count=1500)
+        eventlet.sleep(2.0)
+        self.assert_innocent_requests_served()
+        events = self.gateway.events("connections_dropped")
+        self.assertLess(len(events), 100)
+        dropped = sum(event["connections"] for event in events)
+        self.assertGreater(dropped, 0)
+
 
 class TestLargeMessages(FloodTestCase):
     """Sound callers and replicas with large messages, at a high rate."""
