--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers and peers, driven by callbacks."""
 
 import contextlib
+import errno
 import socket
 import struct
 from collections import deque
@@ -9,17 +10,28 @@
 
 import httptools
 
-from cicadalever.budgets import HeldBytes, HeldKind, MemoryBudget
+from cicadalever.budgets import (
+    DescriptorBudget,
+    DescriptorKind,
+    DescriptorShare,
+    HeldBytes,
+    HeldKind,
+    MemoryBudget,
+)
 
 from ._answer_parser import FRAMING_PER_BODY_BYTE
 from ._body_buffer import BodyBuffer
 from ._loop import EventLoop
 from ._message import CallerRequest, CallerResponse, Header
+from ._paced_reader import PacedReader
 
-RECEIVE_BYTES = 65536
 BACKLOG = 1024
 # Connections accepted per event, so that a burst does not block the event loop.
 MAX_ACCEPTS = 64
+# Errors of accept when descriptors or memory of the kernel are used up, and the time in
+# seconds until the next attempt; the listener stays readable meanwhile.
+EXHAUSTED_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+ACCEPT_PAUSE_S = 0.05
 # Requests that may wait on one connection for the response to an earlier one.
 MAX_PIPELINED = 16
 # Bytes of trailers and chunk extensions that a request may have beyond the limit of its
@@ -67,7 +79,11 @@
         self.loop = server.loop
         self.on_disconnect: Callable[[], None] | None = None
         self._socket = sock
-        self._reader = self.loop.watch_read(sock.fileno(), self._readable)
+        self._reader = PacedReader(
+            self.loop, sock, self._received, lambda error: self._close()
+        )
+        # Header fields and parts of bodies since the connection was accepted.
+        self._pieces = 0
         self._writer = None
         self._closed = False
         self._accepted_at = self.loop.now()
@@ -86,6 +102,8 @@
         self._timer = None
         self._parser = httptools.HttpRequestParser(self)
         self._reset_message()
+        server.descriptors.open(self, self._drop_idle)
+        self._reader.start()
         self._wait_for_request()
 
     @property
@@ -94,12 +112,17 @@
 
         The first request of a connection is expected for ``NEW_CONNECTION_GRACE_S``.
         """
-        has_begun = self._received_at is not None or bool(self._pipelined)
-        if has_begun or self._request is not None or self._unsent:
+        if self._has_work:
             return True
         age_s = self.loop.now() - self._accepted_at
         return self._request_count == 0 and age_s < NEW_CONNECTION_GRACE_S
 
+    @property
+    def _has_work(self) -> bool:
+        has_begun = self._received_at is not None or bool(self._pipelined)
+        is_answered = self._request is None and not self._unsent
+        return has_begun or not is_answered or self._reader.is_waiting
+
     @property
     def round_trip_s(self) -> float | None:
         """Round trip to the caller that the kernel has measured, in seconds.
@@ -161,32 +184,32 @@
                 self.loop.run_guarded(on_disconnect)
             self.respond(response)
 
+    def _drop_idle(self) -> None:
+        """Close the connection unless bytes of a request have arrived."""
+        self._reader.read()
+        if not self._has_work and not self._closed:
+            self._close()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress or waits to be read."""
         if self.is_busy or self._closed:
             return
-        self._readable()
+        self._reader.read()
         if not self.is_busy and not self._closed:
             self._close()
 
     # Socket events
 
-    def _readable(self) -> None:
-        if self._closed:
-            return
-        try:
-            data = self._socket.recv(RECEIVE_BYTES)
-        except BlockingIOError:
-            return
-        except OSError:
-            data = b""
+    def _received(self, data: bytes, _has_more: bool) -> int:
+        """Parse ``data`` and return in how many pieces it came."""
         if not data:
             self._close()
-            return
-        if self._is_discarding:
-            return
+        if self._closed or self._is_discarding:
+            return 0
+        pieces = self._pieces
         if self._received_at is None:
             self._received_at = self.loop.now() - self.loop.busy_s()
+            self.server.descriptors.use(self)
             if self._request is None:
                 self._restart_timer(self.server.limits.header_timeout_s)
         if not self._headers_done:
@@ -199,6 +222,7 @@
         self._check_limits()
         self._report_upload()
         self._dispatch()
+        return self._pieces - pieces
 
     def _check_limits(self) -> None:
         limits = self.server.limits
@@ -219,6 +243,7 @@
         if self._received_at is not None:
             fields = FIELD_BYTES * len(self._headers)
             size += self._header_bytes + len(self._body) + fields
+            size += self._reader.rest_bytes
         self._held_upload.set(size)
 
     def _drop_upload(self) -> None:
@@ -317,6 +342,7 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._pieces += 1
         if self._headers_done or self._is_discarding:
             # Trailers are not passed on.
             return
@@ -335,6 +361,7 @@
             self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
+        self._pieces += 1
         if self._is_discarding:
             return
         self._body.append(data)
@@ -365,6 +392,8 @@
         self._after_send()
 
     def _wait_for_request(self) -> None:
+        if self._received_at is None and not self._pipelined:
+            self.server.descriptors.rest(self)
         self._restart_timer(self.server.limits.idle_timeout_s)
 
     def _restart_timer(self, seconds: float) -> None:
@@ -388,12 +417,13 @@
             return
         self._closed = True
         self._cancel_timer()
-        self.loop.unwatch(self._reader)
+        self._reader.close()
         if self._writer is not None:
             self.loop.unwatch(self._writer)
         with contextlib.suppress(OSError):
             self._socket.close()
         self.server.connections.discard(self)
+        self.server.descriptors.close(self)
         self._free()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if on_disconnect is not None:
@@ -426,7 +456,8 @@
     ``limits`` may be replaced at any time; timers that are already running do not
     change. While ``closes_after_response`` is True, each connection is closed after its
     response, so that the load balancer can send the caller's next connection to another
-    host.
+    host. Without a descriptor for a new connection, an idle one is closed, or else the
+    new one. ``descriptors`` is for this server alone by default.
     """
 
     def __init__(
@@ -436,9 +467,13 @@
         on_request: Callable[[CallerConnection, CallerRequest], None],
         limits: ServerLimits,
         memory: MemoryBudget | None = None,
+        descriptors: DescriptorShare | None = None,
     ):
         self.loop = loop
         self.memory = memory or MemoryBudget()
+        self.descriptors = descriptors or DescriptorShare(
+            DescriptorBudget(), DescriptorKind.CALLER
+        )
         self.address = address
         self.on_request = on_request
         self.limits = limits
@@ -446,6 +481,7 @@
         self.connections: set[CallerConnection] = set()
         self._socket: socket.socket | None = None
         self._reader = None
+        self._is_paused = False
 
     @property
     def busy_connections(self) -> int:
@@ -486,7 +522,8 @@
         if self._reader is not None:
             while self._accept() == MAX_ACCEPTS:
                 pass
-            self.loop.unwatch(self._reader)
+            if not self._is_paused:
+                self.loop.unwatch(self._reader)
             self._reader = None
             self._socket.close()
 
@@ -495,9 +532,29 @@
         for accepted in range(MAX_ACCEPTS):
             try:
                 sock, _address = self._socket.accept()
-            except OSError:
-                return accepted
+            except OSError as error:
+                if error.errno not in EXHAUSTED_ERRNOS:
+                    return accepted
+                if not self.descriptors.drop_idle():
+                    self._pause()
+                    return accepted
+                continue
+            if not self.descriptors.make_room():
+                sock.close()
+                continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.connections.add(CallerConnection(self, sock))
         return MAX_ACCEPTS
+
+    def _pause(self) -> None:
+        """Accept nothing for a while; what waits in the kernel stays there."""
+        if self._reader is not None and not self._is_paused:
+            self._is_paused = True
+            self.loop.unwatch(self._reader)
+            self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
+
+    def _resume(self) -> None:
+        self._is_paused = False
+        if self._reader is not None:
+            self._reader = self.loop.watch_read(self._socket.fileno(), self._accept)
