Let a holder that fails to free its bytes affect no other one

An error in the callback of a dropped holder was raised in the reader of the connection that had reported its bytes, and ended that round of drops: callers of one connection lost their requests for an error of another. It is logged now, and the next holder is dropped.

--- a/cicadalever/budgets/_memory.py
+++ b/cicadalever/budgets/_memory.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from loguru import logger
+
 # Share of the budget that one holder may take.
 MAX_SHARE_PER_HOLDER = 0.25
 # Share of the budget that may be held without the possibility to drop it.
@@ -154,6 +156,13 @@
         if holding.on_drop is None:
             self._pinned_bytes += size
 
+    def _call(self, on_drop: Callable[[], None]) -> None:
+        try:
+            on_drop()
+        except Exception:
+            # It runs in the middle of what another holder does.
+            logger.exception("a holder has failed to free its bytes")
+
     def _drop(self) -> None:
         now = self.clock()
 
@@ -172,6 +181,6 @@
             # The callback of another holder may have released this one.
             holding = self._take(holder)
             if holding is not None:
-                holding.on_drop()
+                self._call(holding.on_drop)
                 dropped = Dropped(holding.kind, holding.size, now - holding.since)
                 self.on_dropped(dropped)
