Free what has been sent or passed on, and count heads with their fields

Callers who kept a connection open after a response of 1 MB, or sound replicas with large answers, ended the process: an empty view of sent bytes keeps all of them, and an idle connection kept its last answer twice. The budget counted 0 for both, for heads of waiting requests and for short heads of unfinished answers, of which each field takes some 200 bytes beside its text. Sent bytes and passed answers are freed at once, and heads count with their fields.

--- a/cicadalever/wire/_answer_parser.py
+++ b/cicadalever/wire/_answer_parser.py
@@ -9,7 +9,7 @@
 
 from ._body_buffer import BodyBuffer
 from ._headers import HeaderNames
-from ._message import Header, ReplicaAnswer
+from ._message import FIELD_BYTES, Header, ReplicaAnswer
 
 # Idle timeout of a replica that does not announce one.
 DEFAULT_IDLE_S = 30.0
@@ -18,8 +18,9 @@
 MAX_OVERHEAD_BYTES = 256 * 1024
 # Bytes of framing of a chunk that carries a single byte, as in "1\r\nx\r\n".
 FRAMING_PER_BODY_BYTE = 5
-# Most header fields of one exchange, since each takes some 200 bytes beside its text.
+# Most header fields of one exchange, and most that are not reported to the budget.
 MAX_FIELDS = 2000
+MAX_UNREPORTED_FIELDS = 32
 # The bounds are checked whenever this many further bytes of an exchange have arrived.
 # The positions do not depend on how the stream was cut into segments, so neither does
 # the result.
@@ -80,6 +81,7 @@
         self._has_body = True
         self._exchanges = 0
         self._received_bytes = 0
+        self._field_count = 0
         self._is_holding = False
         # Called when the answer was dropped to free memory.
         self.on_dropped: Callable[[], None] = lambda: None
@@ -124,6 +126,9 @@
             to_check = CHECK_INTERVAL_BYTES
         if data:
             self._feed_piece(data)
+        is_unfinished = self.answer is None and self.fault_detail is None
+        if self._field_count > MAX_UNREPORTED_FIELDS and is_unfinished:
+            self._report()
 
     def end_of_stream(self) -> None:
         """Complete an answer whose body ends with its connection."""
@@ -138,6 +143,11 @@
             self._is_holding = False
             self.memory.release(self)
 
+    def forget(self) -> None:
+        """Free the answer, which has been passed on."""
+        self.answer = None
+        self._reset_message()
+
     def close(self) -> None:
         """Free all memory; nothing is parsed any more.
 
@@ -178,8 +188,14 @@
         if overhead_bytes > max_overhead_bytes:
             self._fail(f"{overhead_bytes} bytes besides the body of the answer")
             return
+        self._report()
+
+    def _report(self) -> None:
+        if self._is_closed:
+            return
         self._is_holding = True
-        self.memory.hold(self, HeldKind.ANSWER, self._received_bytes, self._drop)
+        size = self._received_bytes + FIELD_BYTES * self._field_count
+        self.memory.hold(self, HeldKind.ANSWER, size, self._drop)
 
     def _drop(self) -> None:
         self._is_holding = False
@@ -274,6 +290,7 @@
             self._fail(f"body exceeds {self.memory.max_holder_bytes} bytes")
         elif self.fault_detail is None:
             self.answer = answer
+            self._body = BodyBuffer()
             self.release()
 
     def _reset_message(self) -> None:
--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -22,7 +22,7 @@
 from ._answer_parser import FRAMING_PER_BODY_BYTE
 from ._body_buffer import BodyBuffer
 from ._loop import EventLoop
-from ._message import CallerRequest, CallerResponse, Header
+from ._message import FIELD_BYTES, NOTHING, CallerRequest, CallerResponse, Header
 from ._paced_reader import PacedReader
 
 BACKLOG = 1024
@@ -44,8 +44,6 @@
 # smoothed round trip, an unsigned number of microseconds.
 TCP_INFO_BYTES = 72
 TCP_INFO_RTT_OFFSET = 68
-# Memory that a header field takes beside its text.
-FIELD_BYTES = 200
 # Bytes that the kernel may receive ahead on one connection; without a bound, it takes
 # megabytes from each sender that is faster than this host.
 RECEIVE_BUFFER_BYTES = 32768
@@ -87,7 +85,7 @@
         self._writer = None
         self._closed = False
         self._accepted_at = self.loop.now()
-        self._unsent = memoryview(b"")
+        self._unsent = NOTHING
         memory = server.memory
         self._held_upload = HeldBytes(memory, HeldKind.UPLOAD, self._drop_upload)
         self._held_request = HeldBytes(memory, HeldKind.REQUEST)
@@ -95,7 +93,7 @@
         self._request: CallerRequest | None = None
         self._pipelined: deque[CallerRequest] = deque()
         self._closes_after_response = False
-        # Whether further bytes of the caller are dropped.
+        # Whether further bytes of the caller are dropped, and the response to them.
         self._is_discarding = False
         self._request_count = 0
         self._received_at: float | None = None
@@ -239,7 +237,7 @@
         """Report what was received and is not in progress yet."""
         if self._closed:
             return
-        size = sum(len(request.body) for request in self._pipelined)
+        size = sum(request.held_bytes for request in self._pipelined)
         if self._received_at is not None:
             fields = FIELD_BYTES * len(self._headers)
             size += self._header_bytes + len(self._body) + fields
@@ -251,10 +249,7 @@
         self._is_discarding = True
         self._pipelined.clear()
         self._reset_message()
-        if self._request is None:
-            self._refuse()
-        else:
-            self._closes_after_response = True
+        self._refuse()
 
     def _refuse(self) -> None:
         """Answer that the request has not run and the caller may come back later."""
@@ -314,9 +309,9 @@
         except OSError:
             self._close()
             return
-        self._unsent = self._unsent[count:]
+        self._unsent = self._unsent[count:] or NOTHING
         # A view keeps all of its bytes.
-        self._held_response.set(len(self._unsent.obj) if self._unsent else 0)
+        self._held_response.set(len(self._unsent.obj))
         if self._unsent and self._writer is None and not self._closed:
             self._writer = self.loop.watch_write(self._socket.fileno(), self._writable)
             self._restart_timer(SEND_TIMEOUT_S)
@@ -427,14 +422,14 @@
         self._free()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if on_disconnect is not None:
-            on_disconnect()
+            self.loop.run_guarded(on_disconnect)
 
     def _free(self) -> None:
         """Free all memory without waiting for a collection of reference cycles."""
         for held in (self._held_upload, self._held_request, self._held_response):
             held.set(0)
         self._is_discarding = True
-        self._unsent = memoryview(b"")
+        self._unsent = NOTHING
         self._request = None
         self._pipelined.clear()
         self._reset_message()
--- a/cicadalever/wire/_message.py
+++ b/cicadalever/wire/_message.py
@@ -6,6 +6,11 @@
 
 Header = tuple[bytes, bytes]
 
+# Memory that a header field takes beside its text.
+FIELD_BYTES = 200
+# An empty rest of bytes; a view of the end of sent ones would keep them all.
+NOTHING = memoryview(b"")
+
 
 class CallerRequest(NamedTuple):
     """A completely received request; header names are in lower case.
@@ -23,6 +28,13 @@
     is_first_on_connection: bool
     keep_alive: bool
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes, in bytes."""
+        text = sum(len(name) + len(value) for name, value in self.headers)
+        fields = FIELD_BYTES * len(self.headers)
+        return len(self.target) + text + fields + len(self.body)
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None; ``name`` is in lower case."""
         for key, value in self.headers:
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -10,7 +10,7 @@
 from ._answer_parser import DROPPED_DETAIL, AnswerParser, OnInterim
 from ._headers import HeaderNames
 from ._loop import EventLoop
-from ._message import AnswerFault, ReplicaAnswer
+from ._message import NOTHING, AnswerFault, ReplicaAnswer
 from ._paced_reader import PacedReader
 
 # Bytes that the kernel may receive ahead on one connection; without a bound, it takes
@@ -71,7 +71,7 @@
         self._connected = False
         self._closed = False
         self._is_unreachable = False
-        self._unsent = memoryview(b"")
+        self._unsent = NOTHING
         self._held_request = HeldBytes(memory, HeldKind.REQUEST, self._request_dropped)
         self._sent = False
         self._on_answer: OnAnswer | None = None
@@ -182,9 +182,9 @@
             self._fail(fault, f"send: {error}")
             return
         self._sent = self._sent or count > 0
-        self._unsent = self._unsent[count:]
+        self._unsent = self._unsent[count:] or NOTHING
         # A view keeps all of its bytes.
-        self._held_request.set(len(self._unsent.obj) if self._unsent else 0)
+        self._held_request.set(len(self._unsent.obj))
         if self._unsent and self._writer is None:
             self._writer = self.loop.watch_write(self._socket.fileno(), self._writable)
 
@@ -239,6 +239,7 @@
             self.loop.run_guarded(on_answer, answer)
 
     def _become_idle(self) -> None:
+        self._parser.forget()
         self.idle_until = self.loop.now() + self._parser.idle_s * IDLE_SHARE
         self.loop.run_guarded(self.on_idle, self)
 
@@ -255,7 +256,7 @@
         if self._socket is not None:
             self._close_socket()
         self._parser.close()
-        self._unsent = memoryview(b"")
+        self._unsent = NOTHING
         self._held_request.set(0)
         self.loop.run_guarded(self.on_closed, self, detail)
         if fault is AnswerFault.LOST and not self._sent:
