Answer requests in progress before bytes that are none are refused

What cannot be received is refused now when all requests before it have been answered, and nothing more is read meanwhile. A request for which there is no room drops those that wait behind it.

--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -95,6 +95,7 @@
         self._closes_after_response = False
         # Whether further bytes of the caller are dropped, and the response to them.
         self._is_discarding = False
+        self._rejection: CallerResponse | None = None
         self._request_count = 0
         self._received_at: float | None = None
         self._timer = None
@@ -246,7 +247,6 @@
 
     def _drop_upload(self) -> None:
         """Refuse what was received and is not in progress yet."""
-        self._is_discarding = True
         self._pipelined.clear()
         self._reset_message()
         self._refuse()
@@ -275,7 +275,8 @@
             # load the replicas.
             self._close()
             return
-        if not self._held_request.pin(len(self._pipelined[0].body)):
+        if not self._held_request.pin(self._pipelined[0].held_bytes):
+            self._pipelined.clear()
             self._refuse()
             return
         self._request = self._pipelined.popleft()
@@ -327,6 +328,9 @@
         if self._closes_after_response:
             self._close()
             return
+        if self._rejection is not None and not self._pipelined:
+            self._send_rejection()
+            return
         self._wait_for_request()
         if self._pipelined:
             self.loop.call_later(0.0, self._dispatch)
@@ -374,16 +378,26 @@
             self._parser.should_keep_alive(),
         )
         self._check_limits()
+        if self._is_discarding or self._closed:
+            return
         self._reset_message()
         self._pipelined.append(request)
 
     # Rejection, time-outs and closing
 
     def _reject(self, status: int, headers: Iterable[Header] = ()) -> None:
-        if self._closed or self._closes_after_response:
+        if self._closed or self._closes_after_response or self._is_discarding:
             return
+        self._is_discarding = True
+        self._rejection = CallerResponse(status, [*headers])
+        if self._request is None and not self._pipelined:
+            self._send_rejection()
+
+    def _send_rejection(self) -> None:
+        """Answer what could not be received, after all requests before it."""
+        rejection, self._rejection = self._rejection, None
         self._closes_after_response = True
-        self._send(CallerResponse(status, [*headers]).encode(keep_alive=False))
+        self._send(rejection.encode(keep_alive=False))
         self._after_send()
 
     def _wait_for_request(self) -> None:
