Bound what an answer of the store may send beside its body

The HTTP library reads trailers, chunk extensions and informational responses without a limit. As long as the bytes are there, the green thread does not block, so that neither others nor the timer of the call get a turn.

The stream of each answer now counts its bytes, limits its lines (head, informational responses, chunk sizes, trailers) to 1 MiB, and yields after 5 ms. A longer answer ends the call as unreachable, which is logged and retried like a lost connection.

--- a/cicadalever/http_client/__init__.py
+++ b/cicadalever/http_client/__init__.py
@@ -1,5 +1,6 @@
-"""HTTP clients that take no answer with an incomplete head."""
+"""HTTP clients that take no answer with an incomplete head or without end."""
 
+from ._bounded_stream import MAX_LINE_BYTES, AnswerTooLargeError
 from ._complete_head import (
     CompleteHeadConnection,
     CompleteHeadPool,
@@ -7,6 +8,8 @@
 )
 
 __all__ = [
+    "MAX_LINE_BYTES",
+    "AnswerTooLargeError",
     "CompleteHeadConnection",
     "CompleteHeadPool",
     "CompleteHeadPoolManager",
--- a/cicadalever/http_client/_complete_head.py
+++ b/cicadalever/http_client/_complete_head.py
@@ -3,14 +3,24 @@
 The standard library takes the end of the stream for the end of the head. An answer that
 breaks off there would have the status that was sent, headers with shortened values or
 none, and an empty body that looks complete (RFC 9112, section 8).
+
+Answers have a limit for all their bytes and one for what is no body. The library itself
+reads informational responses, chunk extensions and trailers without end.
 """
 
+import functools
 import http.client
+from collections.abc import Callable
 from typing import Any
 
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from ._bounded_stream import BoundedStream, end_turn
+
+# Most bytes of one answer on the wire.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
 
 class _HeadReader:
     """Reads the lines of a head and raises if the stream ends inside it."""
@@ -37,7 +47,17 @@
 
 
 class _CompleteHeadResponse(http.client.HTTPResponse):
-    """A response whose head must end with an empty line."""
+    """A response whose head must end with an empty line, of bounded size."""
+
+    def __init__(
+        self,
+        *arguments: Any,
+        max_answer_bytes: int,
+        end_turn: Callable[[], None],
+        **options: Any,
+    ):
+        super().__init__(*arguments, **options)
+        self.fp = BoundedStream(self.fp.detach(), max_answer_bytes, end_turn)
 
     def begin(self) -> None:
         """Read the head; raise ``http.client.IncompleteRead`` if it is cut off."""
@@ -55,9 +75,26 @@
 
 
 class CompleteHeadConnection(HTTPConnection):
-    """Connection whose responses must have a complete head."""
+    """Connection whose responses must have a complete head.
 
-    response_class = _CompleteHeadResponse
+    ``max_answer_bytes`` limits each of them, with its head and framing. A longer one
+    raises ``AnswerTooLargeError``, an ``http.client.HTTPException``. ``end_turn`` is
+    called again and again while an answer is read without a wait.
+    """
+
+    def __init__(
+        self,
+        *arguments: Any,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+        end_turn: Callable[[], None] = end_turn,
+        **options: Any,
+    ):
+        super().__init__(*arguments, **options)
+        self.response_class = functools.partial(
+            _CompleteHeadResponse,
+            max_answer_bytes=max_answer_bytes,
+            end_turn=end_turn,
+        )
 
 
 class CompleteHeadPool(urllib3.HTTPConnectionPool):
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -1,8 +1,10 @@
 """Tests of the client of the platform's store against answers that never end."""
 
+import contextlib
 import json
 import socket
 import sys
+import threading
 import time
 import unittest
 from pathlib import Path
@@ -17,6 +19,69 @@
 
 PLATFORM = str(Path(__file__).parents[1] / "platform")
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Each is sent once, and then its second part without end.
+ENDLESS_ANSWERS = {
+    "trailer": (CHUNKED + b"0\r\n", b"X: 1\r\n"),
+    "short_trailer_lines": (CHUNKED + b"0\r\n", b"a\n"),
+    "chunk_extensions": (CHUNKED, b"1;%s\r\n \r\n" % (b"e" * 8000)),
+    "chunks_of_one_byte": (CHUNKED, b"1\r\n \r\n"),
+    "header_lines": (HEAD, b"X: %s\r\n" % (b"a" * 60_000)),
+    "interim_answers": (b"", b"HTTP/1.1 100 Continue\r\nX: 1\r\n\r\n"),
+}
+# Most bytes that an endless server sends, so that an unbounded client ends too.
+MAX_ENDLESS_BYTES = 128 * 1024 * 1024
+# Time for which a call may keep other green threads from running.
+MAX_GAP_S = 0.25
+
+
+class EndlessServer:
+    """Answers the first request from a thread of its own, as fast as it can."""
+
+    def __init__(self, first: bytes, repeated: bytes):
+        self.sent = 0
+        self._first = first
+        self._block = repeated * (65_536 // len(repeated) + 1)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self._listener.getsockname()
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Wait until the client has closed the connection."""
+        self._thread.join(10.0)
+        self._listener.close()
+
+    def _serve(self) -> None:
+        sock, _ = self._listener.accept()
+        with sock, contextlib.suppress(OSError):
+            sock.recv(65_536)
+            sock.sendall(self._first)
+            while self.sent < MAX_ENDLESS_BYTES:
+                sock.sendall(self._block)
+                self.sent += len(self._block)
+
+
+class Ticker:
+    """Measures the longest time for which its green thread could not run."""
+
+    def __init__(self):
+        self.longest_gap_s = 0.0
+        self._thread = eventlet.spawn(self._run)
+        eventlet.sleep(0.0)
+
+    def close(self) -> None:
+        """Stop after one more turn, which ends the last gap."""
+        eventlet.sleep(0.02)
+        self._thread.kill()
+
+    def _run(self) -> None:
+        last = time.monotonic()
+        while True:
+            eventlet.sleep(0.005)
+            now = time.monotonic()
+            self.longest_gap_s = max(self.longest_gap_s, now - last)
+            last = now
 
 
 def load_store():
@@ -96,6 +161,23 @@
         self.assertIn("exceeds 1000000 bytes", result.reason)
         self.assertLess(self.sent, 32 * 1024 * 1024)
 
+    def test_endless_framing_is_a_failure(self):
+        """Guards against framing without end that keeps other calls from running."""
+        for name, (first, repeated) in ENDLESS_ANSWERS.items():
+            with self.subTest(name):
+                server = EndlessServer(first, repeated)
+                self.addCleanup(server.close)
+                client = self.store.StoreClient(server.address)
+                ticker = Ticker()
+                result = client.watch(5, 0.1, 1.6)
+                ticker.close()
+                client.close()
+                self.assertIsInstance(result, Failure)
+                codes = (FailureCode.UNREACHABLE, FailureCode.TIMEOUT)
+                self.assertIn(result.code, codes)
+                self.assertLess(ticker.longest_gap_s, MAX_GAP_S)
+                self.assertLess(server.sent, self.store.MAX_ANSWER_BYTES * 2)
+
     def test_drip_is_a_failure(self):
         """Guards against a call that waits for one byte after the other."""
 
