Refuse answers of upstreams that exceed the limit of an answer

The daemon cicadaleverd read whatever an upstream sent: 32 MiB without a length became rows (all that the sender had), and a length or a chunk of 10^14 bytes raised MemoryError out of the connection, which then stayed open with a half-read answer. An endless chunked body counted as lost, which accuses the request of crashing the upstream.

A connection now reads max_answer_bytes (a setting so far checked only when the rows are merged) and 1 MiB for head and framing, and refuses an announced length at once. Such an answer is "unknown": the request may have run, and the upstream has not crashed.

--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -260,6 +260,7 @@
         audit,
         metrics,
         source_ip=settings["source_ip"],
+        max_answer_bytes=settings["max_answer_bytes"],
         is_baseline=settings["policy"] == "baseline",
     )
 
--- a/cicadalever/http_client/_bounded_stream.py
+++ b/cicadalever/http_client/_bounded_stream.py
@@ -65,8 +65,19 @@
 
     def __init__(self, raw: io.RawIOBase, max_bytes: int, end_turn: Callable[[], None]):
         super().__init__(_TurnTakingStream(raw, max_bytes, end_turn))
+        self._max_bytes = max_bytes
         self._line_bytes_left = MAX_LINE_BYTES
 
+    def read(self, size: int | None = -1, /) -> bytes:
+        """Return ``size`` bytes, or all; at once refuse more than an answer may have.
+
+        The base class allocates the memory for all bytes before it reads the first.
+        """
+        if size is not None and size > self._max_bytes:
+            reason = f"answer announces {size} bytes, at most {self._max_bytes} allowed"
+            raise AnswerTooLargeError(reason)
+        return super().read(size)
+
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return the next line; raise ``AnswerTooLargeError`` beyond the limit."""
         line = super().readline(size)
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -21,7 +21,11 @@
     ReplicaNotice,
     ReplicaRelease,
 )
-from cicadalever.upstreams import ConnectionPool, UpstreamAnswer
+from cicadalever.upstreams import (
+    DEFAULT_MAX_ANSWER_BYTES,
+    ConnectionPool,
+    UpstreamAnswer,
+)
 
 from ._answer_sender import AnswerSender
 from ._draining import DrainingReplicas
@@ -74,6 +78,7 @@
         metrics: Metrics,
         *,
         source_ip: str | None = None,
+        max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
         is_baseline: bool = False,
     ):
         self.host = host
@@ -84,6 +89,7 @@
         self.audit = audit
         self.metrics = metrics
         self.source_ip = source_ip
+        self.max_answer_bytes = max_answer_bytes
         self.is_baseline = is_baseline
         self._replicas: dict[str, OwnedReplica] = {}
         self._pools: dict[str, ConnectionPool] = {}
@@ -288,7 +294,10 @@
                 self._health_monitor.draining_replicas.record_owned(replica_id, now)
             self._replicas[replica_id] = owned
             self._pools[replica_id] = ConnectionPool(
-                replica.address, quota, source_ip=self.source_ip
+                replica.address,
+                quota,
+                source_ip=self.source_ip,
+                max_answer_bytes=self.max_answer_bytes,
             )
             self.audit.record(AuditKind.OWNERSHIP_GAINED, 0, replica=replica_id)
         return owned
--- a/cicadalever/upstreams/__init__.py
+++ b/cicadalever/upstreams/__init__.py
@@ -1,6 +1,7 @@
 """HTTP calls to upstreams over persistent connections."""
 
 from ._connection import (
+    DEFAULT_MAX_ANSWER_BYTES,
     STATE_READY,
     UpstreamAnswer,
     UpstreamCall,
@@ -9,6 +10,7 @@
 from ._connection_pool import ConnectionPool
 
 __all__ = [
+    "DEFAULT_MAX_ANSWER_BYTES",
     "STATE_READY",
     "ConnectionPool",
     "UpstreamAnswer",
--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -10,10 +10,16 @@
 import msgspec
 import urllib3
 
-from cicadalever.http_client import CompleteHeadConnection
+from cicadalever.http_client import (
+    MAX_LINE_BYTES,
+    AnswerTooLargeError,
+    CompleteHeadConnection,
+)
 from cicadalever.outcomes import Failure, FailureCode
 
 CONNECT_TIMEOUT_S = 1.0
+# Most bytes of the body of an answer.
+DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # The upstream enforces the deadline too; with this margin its answer arrives first.
 DEADLINE_MARGIN_S = 0.05
 CANCEL_TIMEOUT_S = 1.0
@@ -66,12 +72,21 @@
     """A connection that is opened by the first call and kept open.
 
     Failures tell whether the request can have run: ``unreachable`` says that it was
-    never sent; ``lost`` and ``timeout`` say that it may have run.
+    never sent; ``lost`` and ``timeout`` say that it may have run. An answer whose body
+    exceeds ``max_answer_bytes`` by more than a head may have is ``unknown``: the
+    upstream has not crashed, so that nothing accuses the request.
     """
 
-    def __init__(self, address: str, *, source_ip: str | None = None):
+    def __init__(
+        self,
+        address: str,
+        *,
+        source_ip: str | None = None,
+        max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
+    ):
         self.address = address
         self.source_ip = source_ip
+        self.max_answer_bytes = max_answer_bytes
         self._connection: CompleteHeadConnection | None = None
 
     @property
@@ -116,6 +131,9 @@
         except (TimeoutError, urllib3.exceptions.TimeoutError):
             self.close()
             return Failure(FailureCode.TIMEOUT, f"no answer from {self.address}")
+        except AnswerTooLargeError as error:
+            self.close()
+            return Failure(FailureCode.UNKNOWN, f"{self.address}: {error}")
         except _LIBRARY_ERRORS as error:
             self.close()
             return Failure(FailureCode.LOST, f"{self.address}: {error}")
@@ -170,6 +188,8 @@
             int(port),
             timeout=min(CONNECT_TIMEOUT_S, max(remaining_s, 0.001)),
             source_address=source,
+            max_answer_bytes=self.max_answer_bytes + MAX_LINE_BYTES,
+            end_turn=eventlet.sleep,
         )
         try:
             connection.connect()
--- a/cicadalever/upstreams/_connection_pool.py
+++ b/cicadalever/upstreams/_connection_pool.py
@@ -1,6 +1,6 @@
 """Bounded set of connections to one upstream."""
 
-from ._connection import UpstreamConnection
+from ._connection import DEFAULT_MAX_ANSWER_BYTES, UpstreamConnection
 
 
 class ConnectionPool:
@@ -10,11 +10,17 @@
     """
 
     def __init__(
-        self, address: str, max_connections: int, *, source_ip: str | None = None
+        self,
+        address: str,
+        max_connections: int,
+        *,
+        source_ip: str | None = None,
+        max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
     ):
         self.address = address
         self.max_connections = max_connections
         self.source_ip = source_ip
+        self.max_answer_bytes = max_answer_bytes
         self._idle: list[UpstreamConnection] = []
         self._in_use = 0
 
@@ -30,7 +36,11 @@
         self._in_use += 1
         if self._idle:
             return self._idle.pop()
-        return UpstreamConnection(self.address, source_ip=self.source_ip)
+        return UpstreamConnection(
+            self.address,
+            source_ip=self.source_ip,
+            max_answer_bytes=self.max_answer_bytes,
+        )
 
     def release(self, connection: UpstreamConnection) -> None:
         """Make a connection available again after use."""
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -1,11 +1,12 @@
 """Tests of calls to an upstream that sends given bytes as answers."""
 
+import contextlib
 import socket
 import threading
 import time
 import unittest
 
-from cicadalever.outcomes import FailureCode
+from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.upstreams import UpstreamAnswer, UpstreamCall, UpstreamConnection
 
 HEAD_OK = b"HTTP/1.1 200 OK\r\nX-Snapshot: 41\r\n"
@@ -48,6 +49,24 @@
         return data
 
 
+class EndlessUpstream(CannedUpstream):
+    """Sends one answer and then the same bytes without end, up to 32 MiB."""
+
+    def __init__(self, answer: bytes, repeated: bytes):
+        self._block = repeated * (65_536 // len(repeated) + 1)
+        self.sent = 0
+        super().__init__(answer)
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        with connection, contextlib.suppress(OSError):
+            connection.recv(65_536)
+            connection.sendall(self._answers[0])
+            while self.sent < 32 * 1024 * 1024:
+                connection.sendall(self._block)
+                self.sent += len(self._block)
+
+
 class PausedConnection(UpstreamConnection):
     """A connection whose process is paused while it prepares a request."""
 
@@ -139,3 +158,42 @@
     def test_draining_answer(self):
         answer = HEAD_OK + b"X-Draining: 1\r\nContent-Length: 2\r\n\r\n[]"
         self.assertTrue(self.call(answer).draining)
+
+
+class TestEndlessAnswers(unittest.TestCase):
+    """Answers of an upstream that have more bytes than an answer may have."""
+
+    def test_body_beyond_the_limit_is_no_answer(self):
+        """Guards against a body that takes all the memory of the daemon."""
+        chunked = HEAD_OK + b"Transfer-Encoding: chunked\r\n\r\n"
+        answers = {
+            "no_length": (HEAD_OK + b"\r\n", b"["),
+            "length": (HEAD_OK + b"Content-Length: 100000000000000\r\n\r\n", b"["),
+            "chunks": (chunked, b"400\r\n" + b"[" * 1024 + b"\r\n"),
+            "one_chunk": (chunked + b"5AF3107A4000\r\n", b"["),
+            "trailer": (chunked + b"0\r\n", b"X: 1\r\n"),
+        }
+        for name, (answer, repeated) in answers.items():
+            with self.subTest(name):
+                upstream = EndlessUpstream(answer, repeated)
+                self.addCleanup(upstream.close)
+                connection = UpstreamConnection(
+                    upstream.address, max_answer_bytes=1_000_000
+                )
+                self.addCleanup(connection.close)
+                call = UpstreamCall("read", "r1", "storefront/s00", 41, b"{}", 5.0)
+                result = connection.call(call)
+                self.assertIsInstance(result, Failure)
+                # The upstream has not crashed, so that the request is not accused.
+                self.assertIs(result.code, FailureCode.UNKNOWN)
+                self.assertFalse(connection.is_open)
+                self.assertLess(upstream.sent, 16 * 1024 * 1024)
+
+    def test_health_beyond_the_limit_is_no_state(self):
+        """Guards against a probe whose answer takes all the memory of the daemon."""
+        upstream = EndlessUpstream(b"HTTP/1.1 200 OK\r\n\r\n", b" ")
+        self.addCleanup(upstream.close)
+        connection = UpstreamConnection(upstream.address, max_answer_bytes=1_000_000)
+        self.addCleanup(connection.close)
+        self.assertIsNone(connection.probe())
+        self.assertLess(upstream.sent, 16 * 1024 * 1024)
