Close idle callers of the daemon instead of ending its HTTP server

Callers that connect to cicadaleverd and send nothing, or a part of a request, were kept for ever (no time-out on their sockets). Once they had taken all descriptors, accept failed with EMFILE, which ends eventlet's server: "HTTP server stopped", and no caller was served until a restart. Below that, 1,024 of them took all green threads.

Callers may take half of the descriptors and administrators an eighth.

--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -46,7 +46,7 @@
 from ._configuration_synchronizer import ConfigurationSynchronizer
 from ._daemon import Daemon
 from ._membership_service import MembershipService
-from ._server import WsgiServer
+from ._server import ADMIN_DESCRIPTOR_SHARE, WsgiServer
 from ._views import DaemonViews
 
 PLATFORM_TIMEOUT_S = 2.0
@@ -180,7 +180,10 @@
     coordinator.on_host_silent = membership.suspect_silent_host
     synchronizer.on_change = daemon.configuration_changed
     admin = AdminApplication(DaemonViews(daemon))
-    return daemon, WsgiServer(settings["admin_address"], admin)
+    admin_server = WsgiServer(
+        settings["admin_address"], admin, max_descriptor_share=ADMIN_DESCRIPTOR_SHARE
+    )
+    return daemon, admin_server
 
 
 def _build_host(settings: Settings) -> Host:
