Bound the changes that another host relays as a whole

A host that follows another decompresses the batches of its answer. Each had a limit of 16 MiB, their number had none, so that an answer of some kilobytes could become gigabytes: 20 batches of 8 MiB, 160 MiB in all, were accepted from an answer of less than 1 MB.

All batches of an answer may have 32 MiB together now, two longest answers of the platform. Beyond that the poll fails, and the follower turns to another source as after any invalid answer. A sound source keeps up to 32 batches of 4 MiB, so that a follower that is further behind than 32 MiB reads from the platform.

--- a/cicadalever/peers/_changes.py
+++ b/cicadalever/peers/_changes.py
@@ -21,6 +21,8 @@
 MAX_LOG_BYTES = 8 * 1024 * 1024
 # Largest batch that is accepted from another host, in bytes before compression.
 MAX_BATCH_BYTES = 16 * 1024 * 1024
+# Most bytes of all batches of one answer of another host, before compression.
+MAX_CHANGES_BYTES = 32 * 1024 * 1024
 # Greatest times that another host can name. A grace period without end would keep
 # replicas that have left.
 MAX_AGE_S = 1e9
@@ -157,21 +159,33 @@
 def decode_changes(data: bytes) -> RelayedChanges | Failure:
     """Return the changes with batches as the platform sent them.
 
-    The result is a failure if the data is invalid or a batch is too large.
+    The result is a failure if the data is invalid, or if a batch or all of them
+    together are too large.
     """
+    batches = []
+    bytes_left = MAX_CHANGES_BYTES
     try:
         changes = _decoder.decode(data)
-        batches = [_decompress(batch) for batch in changes.batches]
+        for compressed in changes.batches:
+            batch = _decompress(compressed, min(MAX_BATCH_BYTES, bytes_left))
+            if batch is None:
+                reason = (
+                    f"relayed batch exceeds {MAX_BATCH_BYTES} bytes, all of them "
+                    f"{MAX_CHANGES_BYTES}, or it is cut"
+                )
+                return Failure(FailureCode.INVALID, reason)
+            batches.append(batch)
+            bytes_left -= len(batch)
     except (*DECODE_ERRORS, zlib.error) as error:
         return Failure(FailureCode.INVALID, f"invalid relayed changes: {error}")
-    if None in batches:
-        reason = f"relayed batch exceeds {MAX_BATCH_BYTES} bytes or is cut"
-        return Failure(FailureCode.INVALID, reason)
     return msgspec.structs.replace(changes, batches=batches)
 
 
-def _decompress(batch: bytes) -> bytes | None:
+def _decompress(batch: bytes, max_bytes: int) -> bytes | None:
     """Return the bytes of a batch, or None if it is too large or incomplete."""
+    # The library takes 0 for no limit.
+    if max_bytes <= 0:
+        return None
     decompressor = zlib.decompressobj()
-    data = decompressor.decompress(batch, MAX_BATCH_BYTES)
+    data = decompressor.decompress(batch, max_bytes)
     return data if decompressor.eof else None
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -1,7 +1,9 @@
 """Tests of messages between hosts with values out of range."""
 
 import socket
+import tracemalloc
 import unittest
+import zlib
 from random import Random
 
 import msgspec
@@ -15,6 +17,7 @@
     ContactReport,
     Heartbeat,
     PeerTable,
+    RelayedChanges,
     decode_changes,
     decode_contact_query,
     decode_contact_report,
@@ -23,9 +26,11 @@
     decode_heartbeat,
     decode_limit_report,
     decode_observation,
+    encode_changes,
     encode_contact_query,
     encode_contact_report,
 )
+from cicadalever.peers._changes import MAX_BATCH_BYTES, MAX_CHANGES_BYTES
 
 SOUND = Heartbeat("h", "dc-a", ("127.0.0.9", 9000), 100.0, 1.0, 7, True, False, True)
 ODD_ADDRESSES = (
@@ -74,6 +79,19 @@
                 changes = decode_changes(msgspec.msgpack.encode(fields))
                 self.assertIsInstance(changes, Failure)
 
+    def test_batches_are_bounded_together(self):
+        """Guards against some kilobytes of batches that become gigabytes."""
+        batch = zlib.compress(bytes(8 * 1024 * 1024))
+        data = encode_changes(RelayedChanges(1, 5, 0.1, 0.0, [batch] * 20))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        is_failure = isinstance(decode_changes(data), Failure)
+        # The message of ``assertIsInstance`` would show all the batches.
+        self.assertTrue(is_failure)
+        _, peak = tracemalloc.get_traced_memory()
+        # The decompressor holds up to twice the bytes of a batch while it grows.
+        self.assertLess(peak, MAX_CHANGES_BYTES + 2 * MAX_BATCH_BYTES)
+
 
 class TestDatagrams(unittest.TestCase):
     """Datagrams of any content."""
