--- a/tests/soak.py
+++ b/tests/soak.py
@@ -31,6 +31,7 @@
     StoreView,
     free_port,
 )
+from tests.soak_floods import FLOOD_KINDS, FloodSoak
 from tests.soak_silences import SilenceSoak
 from tests.test_gateway_process import SHARDS, configuration
 from tests.test_rate_limits import WINDOW_S, count_allowed
@@ -733,7 +734,18 @@
     parser.add_argument(
         "--silences", action="store_true", help="silence connections for good"
     )
+    parser.add_argument(
+        "--floods", action="store_true", help="flood gateways with limited memory"
+    )
+    parser.add_argument(
+        "--kinds",
+        default=",".join(FLOOD_KINDS),
+        help="kinds of floods to play, of those that a seed draws",
+    )
     options = parser.parse_args()
+    kinds = options.kinds.split(",")
+    if unknown := set(kinds) - set(FLOOD_KINDS):
+        parser.error(f"--kinds must be of {FLOOD_KINDS}, got {sorted(unknown)}")
     first_seed, _, last_seed = options.seeds.partition("..")
     deadline = time.monotonic() + 60.0 * options.minutes
     failed = 0
@@ -741,11 +753,12 @@
         if time.monotonic() >= deadline:
             print(f"stopped before seed {seed}: the time is up")
             break
-        soak = (
-            SilenceSoak(seed)
-            if options.silences
-            else Soak(seed, is_wide=options.wide, has_cuts=options.cuts)
-        )
+        if options.floods:
+            soak = FloodSoak(seed, kinds)
+        elif options.silences:
+            soak = SilenceSoak(seed)
+        else:
+            soak = Soak(seed, is_wide=options.wide, has_cuts=options.cuts)
         violations = soak.run()
         failed += bool(violations)
         print(f"seed {seed}: {len(violations)} broken, {soak.summary}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tests.soak import Soak
+from tests.soak_floods import FloodSoak
 from tests.soak_silences import SilenceSoak
 
 # Seeds that have failed: whether they ran with --wide, and the cause.
@@ -40,6 +41,12 @@
             with self.subTest(seed=seed):
                 self.assertEqual(SilenceSoak(seed, cycles=1).run(), [])
 
+    def test_floods(self):
+        """Guards against floods that end a process or starve other callers."""
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                self.assertEqual(FloodSoak(seed).run(), [])
+
     def test_regression_seeds(self):
         """Guards against failures that the soak test has found before."""
         for seed, (is_wide, _) in REGRESSION_SEEDS.items():
