Count each canary read of a call until it ends

A query whose canary reads are silent longer than usual sends further ones, as long as fewer are in progress than decide about it. A call kept the start of the last one only, and the record of the former was removed when it began, so that one query sent three where two decide; all three replicas can crash. Two canary reads that began at the same moment were both removed at the end of the first. Each is kept now until one ends.

Fail before: tests.test_calls.TestHeldReads.test_canaries_beside_each_other_are_all_counted (3 reads for 2), tests.test_crashes.TestAdmission. test_canaries_that_begin_together_end_one_by_one (0 in progress for 1).

--- a/cicadalever/crashes/_ledger.py
+++ b/cicadalever/crashes/_ledger.py
@@ -157,9 +157,11 @@
         """Record that a canary read of this host has ended."""
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is not None:
-            reads = suspicion.canaries(self.host)
-            others = [each for each in reads if each != started_at]
-            suspicion.set_canaries(self.host, others)
+            reads = list(suspicion.canaries(self.host))
+            # Two reads that began at the same moment end one by one.
+            if started_at in reads:
+                reads.remove(started_at)
+            suspicion.set_canaries(self.host, reads)
 
     def record_older_report(
         self, host: str, fingerprint: int, crashes: int, now: float
--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -46,8 +46,8 @@
         self.hedges = 0
         self.retries = 0
         self.is_ended = False
-        # Start time of the canary read in progress that other hosts were told of.
-        self._canary_at: float | None = None
+        # Start times of the canary reads in progress that other hosts were told of.
+        self._canaries_at: list[float] = []
         # Replicas that have answered the request and said that they are leaving.
         self.leaving: set[Incarnation] = set()
         # Shards of the reads in progress; 0 for a route without shards.
@@ -157,14 +157,14 @@
 
     def _begin_canary(self) -> None:
         """Tell other hosts of a read of a request that may crash replicas."""
-        self._end_canary()
-        self._canary_at = self.runner.guard.begin_canary(self.outbound.fingerprint)
+        started_at = self.runner.guard.begin_canary(self.outbound.fingerprint)
+        self._canaries_at.append(started_at)
 
     def _end_canary(self) -> None:
-        if self._canary_at is not None:
-            fingerprint = self.outbound.fingerprint
-            self.runner.guard.end_canary(fingerprint, self._canary_at)
-            self._canary_at = None
+        """Record the end of one canary read; the count does not tell them apart."""
+        if self._canaries_at:
+            started_at = self._canaries_at.pop(0)
+            self.runner.guard.end_canary(self.outbound.fingerprint, started_at)
 
     def _end_crashing(self, admission: Admission) -> None:
         """Refuse a request that replicas do not survive."""
@@ -183,7 +183,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self._end_canary()
+        while self._canaries_at:
+            self._end_canary()
         for read in self._reads:
             self.runner.abandon(read, detail, self._on_abandoned_end)
         self._reads.clear()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -7,6 +7,7 @@
 
 from bench.fleet import Fleet, FleetSite, Policy
 from bench.fleet._host import HEADER_NAMES
+from cicadalever.crashes import MIN_CANARY_CRASHES, MIN_CRASHES
 from cicadalever.discovery import ReplicaState, UpstreamDirectory
 from cicadalever.gateway._answers import AnswerKind
 from cicadalever.gateway._delegated_call import DelegatedCall
@@ -138,6 +139,25 @@
         runs = [self.fleet.replicas[each].executed_ids for each in left]
         self.assertEqual(runs, [[]] * len(left))
 
+    def test_canaries_beside_each_other_are_all_counted(self):
+        """Guards against a query that crashes more replicas than decide about it."""
+        received = []
+        for replica in self.fleet.replicas.values():
+            replica.receive = received.append
+        arguments = self.call_arguments()
+        fingerprint = arguments[4].fingerprint
+        ledger = self.host.runner.guard.ledger
+        for number in range(MIN_CRASHES):
+            ledger.record_loss(fingerprint, f"s{number}", f"i-{number}", -5.0)
+        call = GatherCall(*arguments, on_late=lambda late_s: None)
+        call.start(1.0)
+        self.loop.run_until(0.5)
+        self.assertEqual(len(received), MIN_CANARY_CRASHES)
+        started_at = ledger.get(fingerprint).canaries(ledger.host)
+        self.assertEqual(len(started_at), MIN_CANARY_CRASHES)
+        call.cancel()
+        self.assertEqual(ledger.get(fingerprint).canaries(ledger.host), [])
+
 
 class TestCancelledBeforeStart(CallTestCase):
     """A peer that closes its connection while its query is acknowledged."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -132,6 +132,18 @@
         self.assertEqual(self.kind(5.01), WAIT)
         self.assertEqual(self.kind(8.0), CANARY)
 
+    def test_canaries_that_begin_together_end_one_by_one(self):
+        """Guards against a further read beside one whose end is not known yet."""
+        self.lose(0.0, "a", "b", "c")
+        for _ in range(2):
+            self.ledger.record_canary(7, 5.0)
+        self.assertEqual(self.kind(5.01), WAIT)
+        self.ledger.record_canary_end(7, 5.0)
+        self.assertEqual(len(self.ledger.get(7).canaries("host-1")), 1)
+        self.assertEqual(self.kind(5.02), CANARY)
+        self.lose(5.1, "a", is_canary=True)
+        self.assertEqual(self.kind(5.11), WAIT)
+
     def test_replica_is_lost_once_however_often_it_is_reported(self):
         """Guards against one crash that counts as several."""
         for now in (0.0, 0.1, 0.5):
