Count early canary losses as one when the first loss is refuted

Without a plain loss each early canary loss counted by itself. They count as one now if there is a sign of life, and a report names the first canary loss if there is no plain one, so that its receiver counts alike. Canary losses alone, without any sign, count as before: after a restart of all hosts the plain losses may be forgotten.

tests.test_crashes.TestAdmission. test_refuted_first_loss_does_not_let_early_canaries_count_one_by_one fails before (refused).

--- a/cicadalever/crashes/_suspicion.py
+++ b/cicadalever/crashes/_suspicion.py
@@ -282,8 +282,8 @@
     def _by_weight(self) -> list[LostReplica]:
         """Return the losses, those first that decide about the request.
 
-        The first plain one tells which canary losses count as one. Of these, the last
-        ones are the most likely to count by themselves.
+        The first plain one, or else the first one, tells which canary losses count as
+        one. Of these, the last ones are the most likely to count by themselves.
         """
         plain = sorted(
             (each for each in self._losses if not each.is_canary),
@@ -293,12 +293,17 @@
             (each for each in self._losses if each.is_canary),
             key=lambda each: -each.at,
         )
-        return plain[:1] + canary + plain[1:]
+        if plain:
+            return plain[:1] + canary + plain[1:]
+        return canary[-1:] + canary[:-1]
 
     def _settled_at(self) -> float:
         """Return when the requests that ran beside this one have ended."""
-        plain = [each.at for each in self._losses if not each.is_canary]
-        return min(plain) + SETTLE_S if plain else float("-inf")
+        times = [each.at for each in self._losses if not each.is_canary]
+        if not times and (self._services_cleared_at or self._replicas_alive_at):
+            # The plain losses have been refuted; canary reads followed them at once.
+            times = [each.at for each in self._losses]
+        return min(times, default=float("-inf")) + SETTLE_S
 
     def _count_running(self, now: float) -> int:
         return sum(
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -83,6 +83,19 @@
         self.survive(3.0, "a", "b", "c", "d")
         self.assertEqual(self.kind(3.1), FREE)
 
+    def test_refuted_first_loss_does_not_let_early_canaries_count_one_by_one(self):
+        """Guards against refusing an innocent query that its first shard survived."""
+        self.lose(0.0, "a")
+        for now, service in ((0.019, "b"), (0.02, "c")):
+            self.lose(now, service, is_canary=True)
+        self.survive(0.01, "a")
+        self.assertEqual(self.kind(0.25), CANARY)
+        other = CrashLedger("host-2")
+        other.merge(self.ledger.report(7, 0.25), "host-1", 0.25)
+        self.assertEqual(other.admit(7, 0.3).kind, CANARY)
+        self.lose(4.0, "b", is_canary=True)
+        self.assertEqual(self.kind(4.3), REFUSED)
+
     def test_survival_clears_only_its_service(self):
         """Guards against a query that some of its shards survive."""
         self.condemn()
@@ -247,6 +260,16 @@
         self.assertEqual(self.kind(4.7), REFUSED)
         self.assertEqual(other.admit(7, 4.7).kind, REFUSED)
 
+    def test_first_of_many_canary_losses_reaches_another_host(self):
+        """Guards against a receiver that takes late canary losses for early ones."""
+        self.lose(0.0, "a", is_canary=True)
+        self.survive(0.1, "c")
+        for number in range(5):
+            self.lose(4.0 + number / 10, "b", is_canary=True)
+        self.tell(4.5)
+        self.assertEqual(self.kind(4.7), REFUSED)
+        self.assertEqual(self.other.admit(7, 4.7).kind, REFUSED)
+
     def test_clearing_reaches_another_host_and_old_news_does_not_undo_it(self):
         """Guards against innocent requests that stay suspected on other hosts."""
         self.lose(0.0, "a", "b", "c")
