Parse large reads of few lines in one slice

A read is cut into slices only if it has more than 64 line ends, which bounds its pieces, and a request is checked after the last slice.

--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -23,7 +23,7 @@
 from ._body_buffer import BodyBuffer
 from ._loop import EventLoop
 from ._message import CallerRequest, CallerResponse, Header
-from ._paced_reader import PacedReader
+from ._paced_reader import MAX_PIECES, PacedReader
 
 BACKLOG = 1024
 # Connections accepted per event, so that a burst does not block the event loop.
@@ -200,7 +200,7 @@
 
     # Socket events
 
-    def _received(self, data: bytes, _has_more: bool) -> int:
+    def _received(self, data: bytes, has_more: bool) -> int:
         """Parse ``data`` and return in how many pieces it came."""
         if not data:
             self._close()
@@ -219,10 +219,14 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400)
+        pieces = self._pieces - pieces
+        if has_more and pieces <= MAX_PIECES:
+            # The next slice follows at once.
+            return pieces
         self._check_limits()
         self._report_upload()
         self._dispatch()
-        return self._pieces - pieces
+        return pieces
 
     def _check_limits(self) -> None:
         limits = self.server.limits
--- a/cicadalever/wire/_paced_reader.py
+++ b/cicadalever/wire/_paced_reader.py
@@ -96,7 +96,9 @@
             self.on_bytes(b"", False)
 
     def _pass_on(self, data: bytes) -> None:
-        start, end = 0, FIRST_SLICE_BYTES
+        # Each header field and each chunk takes a line at least.
+        is_cheap = len(data) <= FIRST_SLICE_BYTES or data.count(b"\n") <= MAX_PIECES
+        start, end = 0, len(data) if is_cheap else FIRST_SLICE_BYTES
         while start < len(data) and not self._is_closed:
             self._rest_bytes = max(0, len(data) - end)
             is_whole = start == 0 and not self._rest_bytes
--- a/tests/test_paced_reader.py
+++ b/tests/test_paced_reader.py
@@ -70,7 +70,14 @@
         self.loop.take_turn.assert_not_called()
         self.loop.unwatch.assert_not_called()
 
-    def test_large_body_is_passed_on_in_one_turn(self):
+    def test_large_body_in_one_piece_is_passed_on_whole(self):
+        """Guards against slices that make usual large messages slower."""
+        data = b"a" * RECEIVE_BYTES
+        self.start(data, 1e-5).read()
+        self.assertEqual([more for _, more in self.passed], [False])
+        self.assertIs(self.passed[0][0], data)
+
+    def test_large_body_of_many_lines_is_passed_on_in_one_turn(self):
         """Guards against large messages that wait although they cost little."""
         data = bytes(range(256)) * 256
         self.start(data, 1e-5).read()
@@ -192,7 +199,7 @@
     def test_bytes_behind_an_answer_are_not_the_next_one(self):
         """Guards against rows of another answer that are passed to a caller."""
         # The first answer ends with its slice.
-        body = b"a" * (FIRST_SLICE_BYTES - len(answer(body=b"")) - 3)
+        body = b"\n" * (FIRST_SLICE_BYTES - len(answer(body=b"")) - 3)
         first = answer(body=body)
         self.assertEqual(len(first), FIRST_SLICE_BYTES)
         stray = answer(body=b"stray" * 100)
