End a read of the stand-ins whose connection ends within a body

A client of the tests read on for ever without yielding when a connection ended within the body of an answer, so that no timeout fired.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -86,7 +86,10 @@
     headers = {name.lower(): value.strip() for name, _, value in pairs}
     length = int(headers.get("content-length", 0))
     while len(rest) < length:
-        rest += sock.recv(65536)
+        more = sock.recv(65536)
+        if not more:
+            raise ConnectionResetError("the connection ended within a body")
+        rest += more
     return start_line, headers, rest[:length], rest[length:]
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,11 @@
 """A short run of the soak test; ``tools/soak.sh`` runs more seeds."""
 
+import socket
 import unittest
 
+import eventlet
+
+from tests.platform_standins import read_message
 from tests.soak import Soak
 from tests.soak_floods import FloodSoak
 from tests.soak_silences import SilenceSoak
@@ -52,3 +56,16 @@
         for seed, (is_wide, _) in REGRESSION_SEEDS.items():
             with self.subTest(seed=seed):
                 self.assertEqual(Soak(seed, is_wide=is_wide).run(), [])
+
+
+class TestReadMessage(unittest.TestCase):
+    """Messages that the clients of the soak read."""
+
+    def test_body_that_ends_early(self):
+        """Guards against a soak that waits for a body whose connection has ended."""
+        ours, other = socket.socketpair()
+        self.addCleanup(ours.close)
+        other.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
+        other.close()
+        with self.assertRaises(ConnectionResetError), eventlet.Timeout(5.0):
+            read_message(ours)
