Refuse the oldest unfinished request when descriptors are used up

Callers who are receiving counted as in use. They give way now after idle ones, the oldest first, and are refused with 503 and Retry-After, since nothing of them has run; a request that is complete stays.

--- a/cicadalever/budgets/_descriptors.py
+++ b/cicadalever/budgets/_descriptors.py
@@ -43,8 +43,9 @@
     """Limits the connections of a process.
 
     Each kind has a guaranteed number; what remains is for those that come first.
-    ``on_dropped`` is called with the kind and the reason of each drop: "idle" for a
-    connection that made room and "full" for one that got none.
+    ``on_dropped`` is called with the kind and the reason of each drop: "idle" and
+    "unfinished" for a connection that made room, without a request or with one that
+    was not complete, and "full" for one that got none.
 
     >>> budget = DescriptorBudget(1300)
     >>> budget.guaranteed(DescriptorKind.CALLER)
@@ -92,7 +93,8 @@
     """The open connections of one kind, and which of them makes room for a new one.
 
     Those that were never used go first, oldest first, then the one that has been idle
-    for longest. A holder in use never goes.
+    for longest, then the one that has been receiving a request for longest. A holder in
+    use never goes.
 
     >>> share = DescriptorShare(DescriptorBudget(), DescriptorKind.CALLER)
     >>> share.open("a", on_drop=lambda: print("a dropped"))
@@ -110,6 +112,7 @@
         # Keys in the order in which they would be dropped.
         self._unused: dict[Hashable, None] = {}
         self._idle: dict[Hashable, None] = {}
+        self._receiving: dict[Hashable, None] = {}
 
     @property
     def has_room(self) -> bool:
@@ -136,11 +139,18 @@
         """Record that ``holder`` is in use."""
         self._unused.pop(holder, None)
         self._idle.pop(holder, None)
+        self._receiving.pop(holder, None)
+
+    def receive(self, holder: Hashable) -> None:
+        """Record that ``holder`` receives a request that is not complete."""
+        self._unused.pop(holder, None)
+        self._idle.pop(holder, None)
+        self._receiving.setdefault(holder)
 
     def rest(self, holder: Hashable) -> None:
         """Record that ``holder`` is idle from now on."""
         if holder in self._on_drop and holder not in self._unused:
-            self._idle.pop(holder, None)
+            self.use(holder)
             self._idle[holder] = None
 
     def close(self, holder: Hashable) -> None:
@@ -150,15 +160,16 @@
             self.budget.give_back(self.kind)
 
     def drop_idle(self) -> bool:
-        """Close the first connection that is idle; return whether there was one."""
+        """Close a connection without a request; return whether there was one."""
         for _ in range(MAX_DROP_ATTEMPTS):
-            holder = next(iter(self._unused or self._idle), None)
+            holder = next(iter(self._unused or self._idle or self._receiving), None)
             if holder is None:
                 return False
+            cause = "unfinished" if holder in self._receiving else "idle"
             on_drop = self._on_drop[holder]
             self.use(holder)
             on_drop()
             if holder not in self._on_drop:
-                self.budget.on_dropped(self.kind, "idle")
+                self.budget.on_dropped(self.kind, cause)
                 return True
         return False
--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -184,9 +184,16 @@
             self.respond(response)
 
     def _drop_idle(self) -> None:
-        """Close the connection unless bytes of a request have arrived."""
+        """Refuse a part of a request, and close the connection without a whole one."""
         self._reader.read()
-        if not self._has_work and not self._closed:
+        is_answered = self._request is None and not self._unsent
+        if self._closed or self._pipelined or not is_answered:
+            return
+        if self._received_at is not None:
+            self._refuse()
+        elif self._reader.is_waiting:
+            return
+        if not self._closed:
             self._close()
 
     def close_if_idle(self) -> None:
@@ -208,7 +215,8 @@
         pieces = self._pieces
         if self._received_at is None:
             self._received_at = self.loop.now() - self.loop.busy_s()
-            self.server.descriptors.use(self)
+            if self._request is None and not self._unsent:
+                self.server.descriptors.receive(self)
             if self._request is None:
                 self._restart_timer(self.server.limits.header_timeout_s)
         if not self._headers_done:
@@ -284,6 +292,7 @@
             self._refuse()
             return
         self._request = self._pipelined.popleft()
+        self.server.descriptors.use(self)
         self._report_upload()
         self._request_count += 1
         self._cancel_timer()
@@ -405,7 +414,9 @@
         self._after_send()
 
     def _wait_for_request(self) -> None:
-        if self._received_at is None and not self._pipelined:
+        if self._received_at is not None:
+            self.server.descriptors.receive(self)
+        elif not self._pipelined:
             self.server.descriptors.rest(self)
         self._restart_timer(self.server.limits.idle_timeout_s)
 
--- a/tests/floods.py
+++ b/tests/floods.py
@@ -42,7 +42,7 @@
     b"%s %s HTTP/1.1\r\nHost: shop.example\r\n"
     b"X-Request-Id: flood-%d\r\nX-Request-Deadline: 20000\r\n"
 )
-CALLER_KINDS = ("silent", "uploads", "small-chunks", "unread")
+CALLER_KINDS = ("silent", "heads", "uploads", "small-chunks", "unread")
 SAMPLE_PERIOD_S = 0.02
 TCP_TABLE_RECEIVE_QUEUE = 4
 TCP_TABLE_INODE = 9
@@ -70,6 +70,8 @@
             head = REQUEST % (b"POST", path, number)
             writer.write(head + b"Content-Length: 262144\r\n\r\n")
             writer.write(b"a" * 250_000)
+        elif kind == "heads":
+            writer.write(REQUEST % (b"GET", path, number))
         elif kind == "small-chunks":
             head = REQUEST % (b"POST", path, number)
             writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -134,6 +134,20 @@
             pass
         self.assertEqual(self.dropped, ["silent", "new", "again", "used"])
 
+    def test_unfinished_requests_go_last_and_the_oldest_first(self):
+        """Guards against requests that are cut off while there are idle callers."""
+        for name in ("old", "young", "idle", "in use"):
+            self.open(name)
+        for name in ("old", "young", "in use"):
+            self.share.receive(name)
+        self.share.receive("old")
+        self.share.use("in use")
+        while self.share.drop_idle():
+            pass
+        self.assertEqual(self.dropped, ["idle", "old", "young"])
+        causes = [cause for _, cause in self.told]
+        self.assertEqual(causes, ["idle", "unfinished", "unfinished"])
+
     def test_connections_in_use_stay(self):
         """Guards against requests that end for a new connection."""
         self.open("busy")
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -185,6 +185,12 @@
         eventlet.sleep(2.0)
         self.assert_innocent_requests_served()
 
+    def test_unfinished_heads(self):
+        """Guards against callers in the middle of a head who take all descriptors."""
+        self.flood("heads", count=4500)
+        eventlet.sleep(2.0)
+        self.assert_innocent_requests_served()
+
     def test_bodies_in_chunks_of_one_byte(self):
         """Guards against connections that take the processor from all others."""
         self.flood("small-chunks", count=200)
