Close the connection that has waited longest for its caller

Connections that had sent nothing gave way before all others, however new. There is one order now, by the time since a connection was opened, became idle or began a request.

The test of the order of drops, added today, follows the new order.

--- a/cicadalever/budgets/_descriptors.py
+++ b/cicadalever/budgets/_descriptors.py
@@ -7,8 +7,8 @@
 FILE_DESCRIPTORS = 200
 # For listeners, calls to the platform, checks of replicas, pipes and the event loop.
 OWN_DESCRIPTORS = 100
-# Idle holders that are tried before a new connection is given up; one of which a
-# request has just arrived stays.
+# Holders that are tried before a new connection is given up; one of which a request
+# has just arrived stays.
 MAX_DROP_ATTEMPTS = 8
 DEFAULT_MAX_DESCRIPTORS = 4096
 
@@ -92,16 +92,17 @@
 class DescriptorShare:
     """The open connections of one kind, and which of them makes room for a new one.
 
-    Those that were never used go first, oldest first, then the one that has been idle
-    for longest, then the one that has been receiving a request for longest. A holder in
-    use never goes.
+    That is the one for which the process has waited longest: since it was opened,
+    became idle, or began to send a request. A holder in use never goes.
 
     >>> share = DescriptorShare(DescriptorBudget(), DescriptorKind.CALLER)
     >>> share.open("a", on_drop=lambda: print("a dropped"))
     >>> share.open("b", on_drop=lambda: print("b dropped"))
     >>> share.use("a")
-    >>> share.drop_idle()
+    >>> share.rest("a")
+    >>> share.drop_waiting()
     b dropped
+    a dropped
     False
     """
 
@@ -109,10 +110,8 @@
         self.budget = budget
         self.kind = kind
         self._on_drop: dict[Hashable, Callable[[], None]] = {}
-        # Keys in the order in which they would be dropped.
-        self._unused: dict[Hashable, None] = {}
-        self._idle: dict[Hashable, None] = {}
-        self._receiving: dict[Hashable, None] = {}
+        # Holders in the order in which they would be dropped, and why.
+        self._waiting: dict[Hashable, str] = {}
 
     @property
     def has_room(self) -> bool:
@@ -120,38 +119,33 @@
         return self.budget.has_room(self.kind)
 
     def make_room(self) -> bool:
-        """Close an idle connection if needed; return whether one can be opened."""
-        if self.has_room or (self.drop_idle() and self.has_room):
+        """Close a connection if needed; return whether one can be opened."""
+        if self.has_room or (self.drop_waiting() and self.has_room):
             return True
         self.budget.on_dropped(self.kind, "full")
         return False
 
     def open(self, holder: Hashable, on_drop: Callable[[], None]) -> None:
-        """Count ``holder`` as open and not used yet.
+        """Count ``holder`` as open, and wait for its first request.
 
         ``on_drop`` should call ``close``, unless the holder turns out to be in use.
         """
         self._on_drop[holder] = on_drop
-        self._unused[holder] = None
+        self._waiting[holder] = "idle"
         self.budget.take(self.kind)
 
     def use(self, holder: Hashable) -> None:
         """Record that ``holder`` is in use."""
-        self._unused.pop(holder, None)
-        self._idle.pop(holder, None)
-        self._receiving.pop(holder, None)
+        self._waiting.pop(holder, None)
 
     def receive(self, holder: Hashable) -> None:
-        """Record that ``holder`` receives a request that is not complete."""
-        self._unused.pop(holder, None)
-        self._idle.pop(holder, None)
-        self._receiving.setdefault(holder)
+        """Record that ``holder`` has begun a request that is not complete."""
+        self._wait(holder, "unfinished")
 
     def rest(self, holder: Hashable) -> None:
         """Record that ``holder`` is idle from now on."""
-        if holder in self._on_drop and holder not in self._unused:
-            self.use(holder)
-            self._idle[holder] = None
+        if self._waiting.get(holder) != "idle":
+            self._wait(holder, "idle")
 
     def close(self, holder: Hashable) -> None:
         """Record that ``holder`` was closed."""
@@ -159,17 +153,20 @@
             self.use(holder)
             self.budget.give_back(self.kind)
 
-    def drop_idle(self) -> bool:
-        """Close a connection without a request; return whether there was one."""
+    def drop_waiting(self) -> bool:
+        """Close the connection that has waited longest, and return whether one did."""
         for _ in range(MAX_DROP_ATTEMPTS):
-            holder = next(iter(self._unused or self._idle or self._receiving), None)
+            holder = next(iter(self._waiting), None)
             if holder is None:
                 return False
-            cause = "unfinished" if holder in self._receiving else "idle"
-            on_drop = self._on_drop[holder]
-            self.use(holder)
-            on_drop()
+            cause = self._waiting.pop(holder)
+            self._on_drop[holder]()
             if holder not in self._on_drop:
                 self.budget.on_dropped(self.kind, cause)
                 return True
         return False
+
+    def _wait(self, holder: Hashable, cause: str) -> None:
+        self._waiting.pop(holder, None)
+        if holder in self._on_drop:
+            self._waiting[holder] = cause
--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -480,8 +480,9 @@
     ``limits`` may be replaced at any time; timers that are already running do not
     change. While ``closes_after_response`` is True, each connection is closed after its
     response, so that the load balancer can send the caller's next connection to another
-    host. Without a descriptor for a new connection, an idle one is closed, or else the
-    new one. ``descriptors`` is for this server alone by default.
+    host. Without a descriptor for a new connection, the one is closed that has waited
+    longest for its caller, or else the new one. ``descriptors`` is for this server
+    alone by default.
     """
 
     def __init__(
@@ -559,7 +560,7 @@
             except OSError as error:
                 if error.errno not in EXHAUSTED_ERRNOS:
                     return accepted
-                if not self.descriptors.drop_idle():
+                if not self.descriptors.drop_waiting():
                     self._pause()
                     return accepted
                 continue
