Dispatch what was received before bytes that are refused in the same read

A request that came in one segment with many lines of garbage was never answered: the garbage ended the parsing of the read before its requests were passed on, since later slices of the same read are skipped.

--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -227,7 +227,7 @@
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400)
         pieces = self._pieces - pieces
-        if has_more and pieces <= MAX_PIECES:
+        if has_more and pieces <= MAX_PIECES and not self._is_discarding:
             # The next slice follows at once.
             return pieces
         self._check_limits()
--- a/tests/test_memory_of_messages.py
+++ b/tests/test_memory_of_messages.py
@@ -216,3 +216,12 @@
         with eventlet.Timeout(3.0):
             first = sock.recv(65536)
         self.assertEqual(first.partition(b"\r\n")[0][:12], b"HTTP/1.1 200")
+
+    def test_request_in_one_segment_with_garbage_is_answered(self):
+        """Guards against requests that are forgotten when what follows is refused."""
+        sock = self.connect()
+        request = self.head(b"GET", b"/read/x", 1) + b"\r\n"
+        sock.sendall(request + b"\0\n" * 5000)
+        with eventlet.Timeout(3.0):
+            first = sock.recv(65536)
+        self.assertEqual(first.partition(b"\r\n")[0][:12], b"HTTP/1.1 200")
