--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -16,7 +16,7 @@
 from tests.test_lost_links import LostLinksTestCase
 
 # The version that runs in production until this one has landed.
-LANDED_COMMIT = "eb3d987"
+LANDED_COMMIT = "a8ffc99"
 # Time for which each combination of builds serves.
 MIXED_S = 1.5
 STOP_TIMEOUT_S = 10.0
