--- a/cicadalever/wire/_caller_server.py
+++ b/cicadalever/wire/_caller_server.py
@@ -101,7 +101,7 @@
         self._timer = None
         self._parser = httptools.HttpRequestParser(self)
         self._reset_message()
-        server.descriptors.open(self, self._drop_idle)
+        server.descriptors.open(self, self._give_way)
         self._reader.start()
         self._wait_for_request()
 
@@ -183,7 +183,7 @@
                 self.loop.run_guarded(on_disconnect)
             self.respond(response)
 
-    def _drop_idle(self) -> None:
+    def _give_way(self) -> None:
         """Refuse a part of a request, and close the connection without a whole one."""
         self._reader.read()
         is_answered = self._request is None and not self._unsent
