Shorten an answer of megabytes in blocks, not in one sort

Cause: a sound answer of a shard is shortened to its greatest records as soon as it is complete. All of its records were copied and sorted at once, so that one replica with a long answer held the loop, and with it all other requests of the host, and took four times the bytes of the answer beside the memory budget.

Change: the records are sorted in blocks, and those that are not greater than the least of the greatest so far are skipped.

--- a/cicadalever/gather/_merge.py
+++ b/cicadalever/gather/_merge.py
@@ -1,12 +1,15 @@
 """Merging of the answers of shards."""
 
 from collections.abc import Iterable
+from struct import iter_unpack
 from typing import NamedTuple
 
 RECORD_BYTES = 16
 # An answer is shortened if it is longer than its greatest records by this factor;
 # sorting shorter ones early would cost more than the memory is worth.
 SHORTEN_FACTOR = 8
+# Part of a long answer that is sorted at once.
+BLOCK_BYTES = 4096 * RECORD_BYTES
 
 
 class ShardAnswer(NamedTuple):
@@ -46,4 +49,21 @@
     """
     if len(answer.records) <= SHORTEN_FACTOR * max(1, count) * RECORD_BYTES:
         return answer
-    return answer._replace(records=merge_top_records([answer], count))
+    return answer._replace(records=b"".join(_greatest_records(answer.records, count)))
+
+
+def _greatest_records(records: bytes, count: int) -> list[bytes]:
+    """Return the greatest records in descending order.
+
+    The records are sorted in blocks, without those that are too small to count, so that
+    the time and memory for a body of megabytes stay small.
+    """
+    view = memoryview(records)[: len(records) // RECORD_BYTES * RECORD_BYTES]
+    greatest: list[bytes] = []
+    for start in range(0, len(view), BLOCK_BYTES):
+        block = iter_unpack(f"{RECORD_BYTES}s", view[start : start + BLOCK_BYTES])
+        least = greatest[-1] if 0 < count == len(greatest) else b""
+        greatest += [record for (record,) in block if record > least]
+        greatest.sort(reverse=True)
+        del greatest[count:]
+    return greatest
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -3,6 +3,7 @@
 import gc
 import tracemalloc
 import unittest
+from random import Random
 
 import eventlet
 from eventlet.patcher import original
@@ -207,6 +208,26 @@
         self.assertEqual(len(short.records), 80)
         self.assertEqual(merge_top_records([short], 5), merge_top_records([long], 5))
 
+    @given(st.integers(0, 2**32 - 1), st.integers(0, 300), st.integers(0, 15))
+    def test_shortening_keeps_the_greatest_records(self, seed, count, trailing):
+        """Guards against records that are lost between two blocks of an answer."""
+        rng = Random(seed)
+        distinct = rng.randrange(1, 10_000)
+        records = b"".join(b"%016d" % rng.randrange(distinct) for _ in range(9_000))
+        long = ShardAnswer("a", "s", records + b"9" * trailing)
+        short = shorten_answer(long, count)
+        self.assertEqual(
+            merge_top_records([short], count), merge_top_records([long], count)
+        )
+
+    def test_shortening_takes_little_memory(self):
+        """Guards against copies of all records of an answer of megabytes."""
+        long = ShardAnswer("a", "s", Random(1).randbytes(4 * MIB))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        shorten_answer(long, 10)
+        self.assertLess(tracemalloc.get_traced_memory()[1], len(long.records))
+
 
 # Pieces of streams: answers to this request, to others, informational ones and junk.
 stream_pieces = st.lists(
