Give a request of a caller of cicadaleverd a deadline as a whole

A caller that sent a byte of a request from time to time kept its connection for ever, since the only time-out was that of each read. A connection with a part of a request after the first line did not make room for new ones.

A request that is not complete 30 s after its first byte is refused with 408 and the connection ends. The connection that has waited longest for its caller makes room, also with a part of a request, which is refused with 503. The refusal is a BaseException, so that no application answers it with another status.

--- /dev/null
+++ b/cicadalever/daemon/_request_stream.py
@@ -0,0 +1,170 @@
+"""Requests of callers: a deadline for a whole request, and an end to make room."""
+
+import io
+import socket
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+from eventlet import wsgi
+
+# A connection that is younger, in seconds, may not have sent its request yet.
+MIN_WAIT_S = 0.1
+
+
+class RequestRefused(BaseException):
+    """Ends a request that has not arrived, with ``status`` or without a response.
+
+    It is no ``Exception``, because the application answers failed reads itself.
+    """
+
+    def __init__(self, status: HTTPStatus | None):
+        super().__init__(status)
+        self.status = status
+
+
+class RequestStream(io.RawIOBase):
+    """Reads the requests of a connection, each of which may take ``timeout_s`` seconds.
+
+    The time counts from the first byte of a request. A read after it, or of a stream
+    that was dropped, raises ``RequestRefused``. The time-out of ``connection``, the
+    socket below ``raw``, still limits each single read.
+    """
+
+    def __init__(self, raw: io.RawIOBase, connection: Any, timeout_s: float):
+        self.timeout_s = timeout_s
+        self._raw = raw
+        self._connection = connection
+        self._idle_since = time.monotonic()
+        self._began_at: float | None = None
+        self._is_reading = False
+        self._is_dropped = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing of the next request was read."""
+        return self._began_at is None
+
+    @property
+    def waits_since(self) -> float | None:
+        """Time since when the server waits for the caller; None if it does not."""
+        if self._is_dropped or not self._is_reading:
+            return None
+        return self._idle_since if self._began_at is None else self._began_at
+
+    def begin_request(self) -> None:
+        """Expect the next request of the connection."""
+        self._idle_since = time.monotonic()
+        self._began_at = None
+
+    def has_waited(self, now: float) -> bool:
+        """Return whether the connection may make room for another."""
+        since = self.waits_since
+        if since is None or now - since < MIN_WAIT_S:
+            return False
+        return not (self.is_idle and self._has_bytes())
+
+    def drop(self) -> None:
+        """Make the read that waits raise ``RequestRefused``."""
+        self._is_dropped = True
+        try:
+            self._connection.shutdown(socket.SHUT_RD)
+        except OSError:
+            # The caller has closed the connection, which ends the read as well.
+            return
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer) -> int | None:
+        """Read some bytes; raise ``RequestRefused`` if the request may not go on."""
+        self._is_reading = True
+        try:
+            size = self._read(buffer)
+        finally:
+            self._is_reading = False
+        if self._is_dropped:
+            raise RequestRefused(
+                None if self.is_idle else HTTPStatus.SERVICE_UNAVAILABLE
+            )
+        if self._began_at is None:
+            self._began_at = time.monotonic()
+        return size
+
+    def close(self) -> None:
+        """Close the stream of the socket as well."""
+        if not self.closed:
+            self._raw.close()
+        super().close()
+
+    def _read(self, buffer) -> int | None:
+        if self._began_at is None or self._is_dropped:
+            return self._raw.readinto(buffer)
+        left_s = self._began_at + self.timeout_s - time.monotonic()
+        io_timeout_s = self._connection.gettimeout()
+        if left_s > 0 and io_timeout_s is not None and io_timeout_s <= left_s:
+            return self._raw.readinto(buffer)
+        try:
+            if left_s <= 0:
+                raise TimeoutError
+            self._connection.settimeout(left_s)
+            return self._raw.readinto(buffer)
+        except TimeoutError:
+            raise RequestRefused(HTTPStatus.REQUEST_TIMEOUT) from None
+        finally:
+            # Responses are sent with the time-out of the server.
+            self._connection.settimeout(io_timeout_s)
+
+    def _has_bytes(self) -> bool:
+        try:
+            return bool(self._connection.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+
+class CallerProtocol(wsgi.HttpProtocol):
+    """Eventlet's handler of a connection, which reads from a ``RequestStream``.
+
+    ``on_stream`` is called with the state of the connection and its stream.
+    """
+
+    def __init__(
+        self,
+        conn_state: list,
+        server: Any,
+        *,
+        request_timeout_s: float,
+        on_stream: Callable[[list, RequestStream], None],
+    ):
+        self._request_timeout_s = request_timeout_s
+        self._on_stream = on_stream
+        # Serves the connection until it ends.
+        super().__init__(conn_state, server)
+
+    def setup(self) -> None:
+        """Put the stream between the socket and the parser."""
+        super().setup()
+        self._stream = RequestStream(
+            self.rfile.detach(), self.connection, self._request_timeout_s
+        )
+        self.rfile = io.BufferedReader(self._stream)
+        self._on_stream(self.conn_state, self._stream)
+
+    def handle_one_request(self) -> None:
+        """Serve one request, or refuse it if it does not arrive."""
+        self._stream.begin_request()
+        self.environ = None
+        try:
+            super().handle_one_request()
+        except RequestRefused as refusal:
+            self.close_connection = True
+            if refusal.status is not None and not self._has_responded():
+                self.wfile.write(
+                    f"HTTP/1.1 {refusal.status} {refusal.status.phrase}\r\n"
+                    "Connection: close\r\nContent-Length: 0\r\n\r\n".encode()
+                )
+
+    def _has_responded(self) -> bool:
+        return bool(self.environ and self.environ["eventlet.input"].headers_sent)
--- a/cicadalever/daemon/_server.py
+++ b/cicadalever/daemon/_server.py
@@ -1,26 +1,28 @@
 """An HTTP server that completes running requests before it stops."""
 
 import resource
-import socket
 import time
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from functools import partial
+from typing import Any
 
 import eventlet
-from eventlet import greenio, wsgi
+from eventlet import wsgi
 from loguru import logger
 
+from ._request_stream import CallerProtocol, RequestStream
+
 LISTEN_BACKLOG = 1024
 # Time in seconds for which a caller may neither send nor take a byte.
 IO_TIMEOUT_S = 60.0
+# Time in seconds from the first byte of a request to its last.
+REQUEST_TIMEOUT_S = 30.0
 MAX_CONNECTIONS = 1024
 # Shares of the descriptors of the process. It needs the rest for upstreams, peers and
 # the platform.
 CALLER_DESCRIPTOR_SHARE = 0.5
 ADMIN_DESCRIPTOR_SHARE = 0.125
-# A connection that is younger, in seconds, may not have sent its request yet.
-MIN_IDLE_AGE_S = 0.1
-# Time between two searches for an idle connection.
+# Time between two searches for a connection that makes room.
 POLL_S = 0.001
 
 
@@ -28,9 +30,11 @@
     """Serves a WSGI application at ``address``, which is ``ip:port``.
 
     A connection ends when it neither sends nor takes a byte for ``io_timeout_s``
-    seconds while the server waits for it. Connections may take the share
-    ``max_descriptor_share`` of the descriptors of the process. Beyond that, the oldest
-    one without a request is closed for a new one.
+    seconds while the server waits for it. A request that is not complete
+    ``request_timeout_s`` seconds after its first byte is refused with 408. Connections
+    may take the share ``max_descriptor_share`` of the descriptors of the process.
+    Beyond that, the one that has waited longest for its caller makes room for a new
+    one; the part of a request that it has sent is refused with 503.
     """
 
     def __init__(
@@ -39,11 +43,13 @@
         application: Any,
         *,
         io_timeout_s: float = IO_TIMEOUT_S,
+        request_timeout_s: float = REQUEST_TIMEOUT_S,
         max_descriptor_share: float = CALLER_DESCRIPTOR_SHARE,
     ):
         self.address = address
         self.application = application
         self.io_timeout_s = io_timeout_s
+        self.request_timeout_s = request_timeout_s
         self.max_descriptor_share = max_descriptor_share
         self._listener: Any = None
         self._thread: Any = None
@@ -72,15 +78,19 @@
             self._thread.wait()
 
     def _serve(self) -> None:
+        pool = _ConnectionPool(_max_connections(self.max_descriptor_share))
         try:
             wsgi.server(
                 self._listener,
                 self.application,
                 log=_Log(),
                 log_output=False,
-                custom_pool=_ConnectionPool(
-                    _max_connections(self.max_descriptor_share)
+                protocol=partial(
+                    CallerProtocol,
+                    request_timeout_s=self.request_timeout_s,
+                    on_stream=pool.watch,
                 ),
+                custom_pool=pool,
                 socket_timeout=self.io_timeout_s,
                 debug=False,
             )
@@ -95,54 +105,45 @@
     return max(1, min(MAX_CONNECTIONS, int(soft_limit * descriptor_share)))
 
 
-class _Connection(NamedTuple):
-    """A connection as eventlet's server keeps it: address, socket and state."""
-
-    parts: list
-    accepted_at: float
-
-    def is_idle(self, now: float) -> bool:
-        """Tell whether the server waits for a request of which nothing has come."""
-        if self.parts[2] != wsgi.STATE_IDLE or now - self.accepted_at < MIN_IDLE_AGE_S:
-            return False
-        try:
-            return not self.parts[1].fd.recv(1, socket.MSG_PEEK)
-        except OSError:
-            return True
-
-    def close(self) -> None:
-        """Make the green thread of the connection end."""
-        self.parts[2] = wsgi.STATE_CLOSE
-        greenio.shutdown_safe(self.parts[1])
-
-
 class _ConnectionPool(eventlet.GreenPool):
-    """Green threads of connections, of which idle ones end when the pool is full."""
+    """Green threads of connections, of which one makes room when the pool is full."""
 
     def __init__(self, size: int):
         super().__init__(size)
-        self._connections: dict[int, _Connection] = {}
+        self._streams: dict[int, RequestStream] = {}
 
     def spawn(self, function: Callable[[list], None], parts: list) -> Any:
-        """Serve a connection; wait for a free green thread if all have requests."""
+        """Serve a connection; wait for a free green thread if all have requests.
+
+        ``parts`` is the state of a connection as eventlet's server keeps it.
+        """
         while self.free() <= 0:
-            self._close_oldest_idle()
+            self._drop_longest_waiting()
             eventlet.sleep(POLL_S)
-        self._connections[id(parts)] = _Connection(parts, time.monotonic())
         return super().spawn(self._serve, function, parts)
 
+    def watch(self, parts: list, stream: RequestStream) -> None:
+        """Remember the stream of a connection that is served."""
+        self._streams[id(parts)] = stream
+
     def _serve(self, function: Callable[[list], None], parts: list) -> None:
         try:
             function(parts)
         finally:
-            del self._connections[id(parts)]
+            self._streams.pop(id(parts), None)
 
-    def _close_oldest_idle(self) -> None:
+    def _drop_longest_waiting(self) -> None:
         now = time.monotonic()
-        for connection in self._connections.values():
-            if connection.is_idle(now):
-                connection.close()
+        waiting = [
+            (stream.waits_since, number)
+            for number, stream in self._streams.items()
+            if stream.waits_since is not None
+        ]
+        for _, number in sorted(waiting):
+            stream = self._streams[number]
+            if stream.has_waited(now):
                 logger.warning("closed an idle connection for a new one")
+                stream.drop()
                 return
 
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -4,12 +4,17 @@
 import socket
 import subprocess
 import sys
+import time
 import unittest
+from typing import ClassVar
 
 MAX_DESCRIPTORS = 200
 # More than the descriptors of the process.
 SILENT_CALLERS = 300
 ANSWER_TIMEOUT_S = 3.0
+REQUEST_TIMEOUT_S = 0.6
+TRICKLE_PERIOD_S = 0.1
+PART_OF_BODY = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{"
 SERVER = f"""
 import resource
 resource.setrlimit(resource.RLIMIT_NOFILE, ({MAX_DESCRIPTORS}, {MAX_DESCRIPTORS}))
@@ -18,22 +23,29 @@
 from cicadalever.daemon._server import WsgiServer
 
 def application(environ, start_response):
+    try:
+        environ["wsgi.input"].read()
+    except Exception:
+        pass
     start_response("200 OK", [("Content-Length", "2")])
     return [b"ok"]
 
-server = WsgiServer("127.0.0.1:0", application, io_timeout_s=1.0)
+server = WsgiServer("127.0.0.1:0", application, io_timeout_s=1.0, **OPTIONS)
 server.start()
 print(server.port, flush=True)
 eventlet.sleep(30)
 """
 
 
-class TestSilentCallers(unittest.TestCase):
-    """Callers that connect and send nothing, or a part of a request."""
+class ServerTest(unittest.TestCase):
+    """Callers of a server in a process of its own, with ``options``."""
+
+    options: ClassVar[dict[str, float]] = {}
 
     def setUp(self):
+        script = SERVER.replace("OPTIONS", repr(self.options))
         self.process = subprocess.Popen(
-            [sys.executable, "-W", "ignore", "-c", SERVER], stdout=subprocess.PIPE
+            [sys.executable, "-W", "ignore", "-c", script], stdout=subprocess.PIPE
         )
         self.addCleanup(self.process.stdout.close)
         self.addCleanup(self.process.wait)
@@ -55,6 +67,10 @@
                 answer += data
         return answer
 
+
+class TestSilentCallers(ServerTest):
+    """Callers that connect and send nothing, or a part of a request."""
+
     def test_silent_connections_make_room(self):
         """Guards against silent callers that take all connections from the others."""
         for _ in range(SILENT_CALLERS):
@@ -70,3 +86,46 @@
                 sock.sendall(part)
                 # The end of the stream, or the time-out of the test.
                 self.assertEqual(sock.recv(65_536), b"")
+
+    def test_unfinished_requests_make_room(self):
+        """Guards against parts of requests that take all connections."""
+        first = self.connect()
+        for number in range(SILENT_CALLERS):
+            sock = first if number == 0 else self.connect()
+            sock.sendall(PART_OF_BODY)
+        self.assertTrue(self.ask().endswith(b"ok"))
+        self.assertTrue(first.recv(65_536).startswith(b"HTTP/1.1 503 "))
+
+
+class TestTricklingCallers(ServerTest):
+    """Callers that send a byte of a request from time to time."""
+
+    options: ClassVar[dict[str, float]] = {"request_timeout_s": REQUEST_TIMEOUT_S}
+
+    def test_request_has_a_deadline(self):
+        """Guards against single bytes that hold a connection for ever."""
+        for part in (b"GET /", b"GET / HTTP/1.1\r\nX-A: b", PART_OF_BODY):
+            with self.subTest(part):
+                sock = self.connect()
+                sock.sendall(part)
+                answer = self.trickle(sock)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 408 "), answer)
+
+    def test_deadline_counts_for_each_request(self):
+        """Guards against a deadline that ends a connection which is kept open."""
+        sock = self.connect()
+        ends_at = time.monotonic() + 2 * REQUEST_TIMEOUT_S
+        while time.monotonic() < ends_at:
+            sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            self.assertTrue(sock.recv(65_536).endswith(b"ok"))
+            time.sleep(TRICKLE_PERIOD_S)
+
+    def trickle(self, sock: socket.socket) -> bytes:
+        """Send bytes until an answer comes, and return it; b"" if none does."""
+        sock.settimeout(TRICKLE_PERIOD_S)
+        ends_at = time.monotonic() + ANSWER_TIMEOUT_S
+        while time.monotonic() < ends_at:
+            with contextlib.suppress(TimeoutError):
+                return sock.recv(65_536)
+            sock.sendall(b"a")
+        return b""
