Sum up the connections that cicadaleverd closes in a line a second

The daemon logged one warning for each idle connection that it closed for a new one, and no metric counted them.

DropReport counts each drop by server and cause (idle, unfinished, late) in connections_dropped_total and logs their sums at most once a second.

--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -45,6 +45,7 @@
 from ._baseline import RoundRobinSelector, SelfOwnership, baseline_features
 from ._configuration_synchronizer import ConfigurationSynchronizer
 from ._daemon import Daemon
+from ._drop_report import DropReport
 from ._membership_service import MembershipService
 from ._server import ADMIN_DESCRIPTOR_SHARE, WsgiServer
 from ._views import DaemonViews
@@ -158,7 +159,14 @@
         arrival_clock=ArrivalClock(time.monotonic()),
     )
     is_entry = "entry" in settings["roles"]
-    caller_server = WsgiServer(settings["caller_address"], caller) if is_entry else None
+    drops = DropReport(metrics)
+    caller_server = None
+    if is_entry:
+        caller_server = WsgiServer(
+            settings["caller_address"],
+            caller,
+            on_dropped=partial(drops.connection_dropped, "caller"),
+        )
     components = DaemonComponents(
         membership,
         synchronizer,
@@ -181,7 +189,10 @@
     synchronizer.on_change = daemon.configuration_changed
     admin = AdminApplication(DaemonViews(daemon))
     admin_server = WsgiServer(
-        settings["admin_address"], admin, max_descriptor_share=ADMIN_DESCRIPTOR_SHARE
+        settings["admin_address"],
+        admin,
+        max_descriptor_share=ADMIN_DESCRIPTOR_SHARE,
+        on_dropped=partial(drops.connection_dropped, "admin"),
     )
     return daemon, admin_server
 
--- a/cicadalever/daemon/_request_stream.py
+++ b/cicadalever/daemon/_request_stream.py
@@ -4,6 +4,7 @@
 import socket
 import time
 from collections.abc import Callable
+from enum import StrEnum
 from http import HTTPStatus
 from typing import Any
 
@@ -13,15 +14,34 @@
 MIN_WAIT_S = 0.1
 
 
+class DropCause(StrEnum):
+    """Why the server closes a connection.
+
+    - ``IDLE``, ``UNFINISHED``: to make room, without a request or with a part of one.
+    - ``LATE``: a request was not complete in time.
+    """
+
+    IDLE = "idle"
+    UNFINISHED = "unfinished"
+    LATE = "late"
+
+
+# Idle connections are closed without a response.
+STATUS_OF_CAUSE = {
+    DropCause.UNFINISHED: HTTPStatus.SERVICE_UNAVAILABLE,
+    DropCause.LATE: HTTPStatus.REQUEST_TIMEOUT,
+}
+
+
 class RequestRefused(BaseException):
-    """Ends a request that has not arrived, with ``status`` or without a response.
+    """Ends a request that has not arrived.
 
     It is no ``Exception``, because the application answers failed reads itself.
     """
 
-    def __init__(self, status: HTTPStatus | None):
-        super().__init__(status)
-        self.status = status
+    def __init__(self, cause: DropCause):
+        super().__init__(cause)
+        self.cause = cause
 
 
 class RequestStream(io.RawIOBase):
@@ -87,7 +107,7 @@
             self._is_reading = False
         if self._is_dropped:
             raise RequestRefused(
-                None if self.is_idle else HTTPStatus.SERVICE_UNAVAILABLE
+                DropCause.IDLE if self.is_idle else DropCause.UNFINISHED
             )
         if self._began_at is None:
             self._began_at = time.monotonic()
@@ -112,7 +132,7 @@
             self._connection.settimeout(left_s)
             return self._raw.readinto(buffer)
         except TimeoutError:
-            raise RequestRefused(HTTPStatus.REQUEST_TIMEOUT) from None
+            raise RequestRefused(DropCause.LATE) from None
         finally:
             # Responses are sent with the time-out of the server.
             self._connection.settimeout(io_timeout_s)
@@ -127,7 +147,8 @@
 class CallerProtocol(wsgi.HttpProtocol):
     """Eventlet's handler of a connection, which reads from a ``RequestStream``.
 
-    ``on_stream`` is called with the state of the connection and its stream.
+    ``on_stream`` is called with the state of the connection and its stream, and
+    ``on_dropped`` with the cause if the server ends the connection.
     """
 
     def __init__(
@@ -137,9 +158,11 @@
         *,
         request_timeout_s: float,
         on_stream: Callable[[list, RequestStream], None],
+        on_dropped: Callable[[DropCause], None],
     ):
         self._request_timeout_s = request_timeout_s
         self._on_stream = on_stream
+        self._on_dropped = on_dropped
         # Serves the connection until it ends.
         super().__init__(conn_state, server)
 
@@ -160,9 +183,11 @@
             super().handle_one_request()
         except RequestRefused as refusal:
             self.close_connection = True
-            if refusal.status is not None and not self._has_responded():
+            self._on_dropped(refusal.cause)
+            status = STATUS_OF_CAUSE.get(refusal.cause)
+            if status is not None and not self._has_responded():
                 self.wfile.write(
-                    f"HTTP/1.1 {refusal.status} {refusal.status.phrase}\r\n"
+                    f"HTTP/1.1 {status} {status.phrase}\r\n"
                     "Connection: close\r\nContent-Length: 0\r\n\r\n".encode()
                 )
 
--- a/cicadalever/daemon/_server.py
+++ b/cicadalever/daemon/_server.py
@@ -10,7 +10,7 @@
 from eventlet import wsgi
 from loguru import logger
 
-from ._request_stream import CallerProtocol, RequestStream
+from ._request_stream import CallerProtocol, DropCause, RequestStream
 
 LISTEN_BACKLOG = 1024
 # Time in seconds for which a caller may neither send nor take a byte.
@@ -34,7 +34,8 @@
     ``request_timeout_s`` seconds after its first byte is refused with 408. Connections
     may take the share ``max_descriptor_share`` of the descriptors of the process.
     Beyond that, the one that has waited longest for its caller makes room for a new
-    one; the part of a request that it has sent is refused with 503.
+    one; the part of a request that it has sent is refused with 503. ``on_dropped`` is
+    called with the cause of each connection that the server ends in these ways.
     """
 
     def __init__(
@@ -45,12 +46,14 @@
         io_timeout_s: float = IO_TIMEOUT_S,
         request_timeout_s: float = REQUEST_TIMEOUT_S,
         max_descriptor_share: float = CALLER_DESCRIPTOR_SHARE,
+        on_dropped: Callable[[DropCause], None] = lambda cause: None,
     ):
         self.address = address
         self.application = application
         self.io_timeout_s = io_timeout_s
         self.request_timeout_s = request_timeout_s
         self.max_descriptor_share = max_descriptor_share
+        self.on_dropped = on_dropped
         self._listener: Any = None
         self._thread: Any = None
 
@@ -89,6 +92,7 @@
                     CallerProtocol,
                     request_timeout_s=self.request_timeout_s,
                     on_stream=pool.watch,
+                    on_dropped=self.on_dropped,
                 ),
                 custom_pool=pool,
                 socket_timeout=self.io_timeout_s,
@@ -142,7 +146,6 @@
         for _, number in sorted(waiting):
             stream = self._streams[number]
             if stream.has_waited(now):
-                logger.warning("closed an idle connection for a new one")
                 stream.drop()
                 return
 
--- a/cicadalever/metrics/_metrics.py
+++ b/cicadalever/metrics/_metrics.py
@@ -176,6 +176,10 @@
         """Count an audit event."""
         self._audit_events.labels(kind).inc()
 
+    def connection_dropped(self, server: str, cause: str) -> None:
+        """Count a connection that a server, "caller" or "admin", has closed."""
+        self._connections_dropped.labels(server, cause).inc()
+
     def observe_loop_lag(self, seconds: float) -> None:
         """Observe by how much a timer of the event loop was late."""
         self._loop_lag.observe(seconds)
@@ -283,6 +287,12 @@
         self._audit_events = self._counter(
             "audit_events", "Audit events by kind.", "kind"
         )
+        self._connections_dropped = self._counter(
+            "connections_dropped",
+            "Connections closed to make room or for a late request.",
+            "server",
+            "cause",
+        )
         self._loop_lag = self._histogram(
             "event_loop_lag_seconds", "Lateness of the loop's timer.", LAG_BUCKETS_S
         )
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -12,6 +12,7 @@
 # More than the descriptors of the process.
 SILENT_CALLERS = 300
 ANSWER_TIMEOUT_S = 3.0
+LOG_PERIOD_S = 1.2
 REQUEST_TIMEOUT_S = 0.6
 TRICKLE_PERIOD_S = 0.1
 PART_OF_BODY = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{"
@@ -20,17 +21,27 @@
 resource.setrlimit(resource.RLIMIT_NOFILE, ({MAX_DESCRIPTORS}, {MAX_DESCRIPTORS}))
 import eventlet
 eventlet.monkey_patch()
+from functools import partial
+from cicadalever.daemon._drop_report import DropReport
 from cicadalever.daemon._server import WsgiServer
+from cicadalever.metrics import Metrics
 
 def application(environ, start_response):
     try:
         environ["wsgi.input"].read()
     except Exception:
         pass
+    if environ["PATH_INFO"] == "/metrics":
+        start_response("200 OK", [])
+        return [metrics.render()]
     start_response("200 OK", [("Content-Length", "2")])
     return [b"ok"]
 
-server = WsgiServer("127.0.0.1:0", application, io_timeout_s=1.0, **OPTIONS)
+metrics = Metrics()
+on_dropped = partial(DropReport(metrics).connection_dropped, "caller")
+server = WsgiServer(
+    "127.0.0.1:0", application, io_timeout_s=1.0, on_dropped=on_dropped, **OPTIONS
+)
 server.start()
 print(server.port, flush=True)
 eventlet.sleep(30)
@@ -45,8 +56,11 @@
     def setUp(self):
         script = SERVER.replace("OPTIONS", repr(self.options))
         self.process = subprocess.Popen(
-            [sys.executable, "-W", "ignore", "-c", script], stdout=subprocess.PIPE
+            [sys.executable, "-W", "ignore", "-c", script],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
         )
+        self.addCleanup(self.process.stderr.close)
         self.addCleanup(self.process.stdout.close)
         self.addCleanup(self.process.wait)
         self.addCleanup(self.process.kill)
@@ -57,12 +71,13 @@
         self.addCleanup(sock.close)
         return sock
 
-    def ask(self) -> bytes:
+    def ask(self, path: str = "/") -> bytes:
         """Return the answer to a request on a new connection, or what came of it."""
         sock = self.connect()
         answer = b""
         with contextlib.suppress(OSError):
-            sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            head = f"GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+            sock.sendall(head.encode())
             while data := sock.recv(65_536):
                 answer += data
         return answer
@@ -78,6 +93,22 @@
         for _ in range(3):
             self.assertTrue(self.ask().endswith(b"ok"))
 
+    def test_drops_are_summed_up(self):
+        """Guards against a log line for each of hundreds of connections."""
+        for _ in range(SILENT_CALLERS):
+            self.connect()
+        self.assertTrue(self.ask().endswith(b"ok"))
+        time.sleep(LOG_PERIOD_S)
+        text = self.ask("/metrics").decode()
+        series = 'connections_dropped_total{cause="idle",server="caller"} '
+        dropped = int(float(text.partition(series)[2].partition("\n")[0] or 0))
+        self.assertGreater(dropped, SILENT_CALLERS // 2)
+        self.process.kill()
+        lines = self.process.stderr.read().decode().splitlines()
+        counts = [line.rpartition("caller idle: ")[2] for line in lines]
+        self.assertLessEqual(len(counts), 4, lines)
+        self.assertEqual(sum(map(int, counts)), dropped)
+
     def test_unfinished_request_ends(self):
         """Guards against a part of a request that holds a connection for ever."""
         for part in (b"GET / HT", b"GET / HTTP/1.1\r\nX-A: b", b""):
