Give unfinished answers of upstreams one budget in cicadaleverd

Each answer of an upstream had a limit and the sum had none, so that the memory of the daemon grew with the number of answers that came at once.

Unfinished answers report their bytes to one MemoryBudget of 64 MiB or, if that is more, twice max_answer_bytes. What took most bytes for the longest time is dropped first: its bytes are freed at once, since bodies are kept in pieces, and the read ends as unknown, which accuses no request. Drops are counted in answers_dropped_total and logged in the summarising line; held_answer_bytes tells what is held.

--- a/cicadalever/daemon/_composition.py
+++ b/cicadalever/daemon/_composition.py
@@ -12,6 +12,7 @@
     encode_answer,
 )
 from cicadalever.audit import AuditTrail
+from cicadalever.budgets import DEFAULT_MAX_BYTES, MemoryBudget
 from cicadalever.configuration import ConfigurationHistory, HttpPlatformReader
 from cicadalever.membership import (
     Ack,
@@ -55,6 +56,8 @@
 INITIAL_ADMISSION_WINDOW = 8
 MAX_ADMISSION_WINDOW = 1024
 MAX_WAITING_QUERIES = 1024
+# Unfinished answers of upstreams may take the bytes of so many answers of full size.
+FULL_ANSWERS_HELD = 2
 # These apply until the first configuration is in force.
 INITIAL_HEDGE_QUANTILE = 0.95
 INITIAL_EXTRA_LOAD_RATIO = 0.05
@@ -80,6 +83,7 @@
     audit: AuditTrail
     metrics: Metrics
     quarantine: Quarantine
+    memory: MemoryBudget
 
 
 class _DaemonProxy:
@@ -105,6 +109,8 @@
     host = _build_host(settings)
     incarnation = time.time_ns() // 1_000_000
     metrics = Metrics()
+    drops = DropReport(metrics)
+    memory = _build_memory(settings, drops)
     audit = AuditTrail(
         host.id, settings["audit_capacity"], time.time, first_sequence=incarnation
     )
@@ -125,6 +131,7 @@
         proven,
         audit,
         metrics,
+        memory,
     )
     coordinator = _build_coordinator(
         settings,
@@ -159,7 +166,6 @@
         arrival_clock=ArrivalClock(time.monotonic()),
     )
     is_entry = "entry" in settings["roles"]
-    drops = DropReport(metrics)
     caller_server = None
     if is_entry:
         caller_server = WsgiServer(
@@ -179,6 +185,7 @@
         audit,
         metrics,
         quarantine,
+        memory,
     )
     daemon = daemon_proxy.daemon = Daemon(settings, components)
     membership.on_change = daemon.membership_changed
@@ -197,6 +204,13 @@
     return daemon, admin_server
 
 
+def _build_memory(settings: Settings, drops: DropReport) -> MemoryBudget:
+    max_bytes = FULL_ANSWERS_HELD * settings["max_answer_bytes"]
+    memory = MemoryBudget(max(DEFAULT_MAX_BYTES, max_bytes))
+    memory.on_dropped = drops.answer_dropped
+    return memory
+
+
 def _build_host(settings: Settings) -> Host:
     return Host(
         settings["host_id"],
@@ -242,7 +256,15 @@
 
 
 def _build_owner_service(
-    settings, membership, synchronizer, daemon_proxy, quarantine, proven, audit, metrics
+    settings,
+    membership,
+    synchronizer,
+    daemon_proxy,
+    quarantine,
+    proven,
+    audit,
+    metrics,
+    memory,
 ) -> OwnerService:
     def find_replica(replica_id: str):
         return (
@@ -275,6 +297,7 @@
         metrics,
         source_ip=settings["source_ip"],
         max_answer_bytes=settings["max_answer_bytes"],
+        memory=memory,
         is_baseline=settings["policy"] == "baseline",
     )
 
--- a/cicadalever/daemon/_daemon.py
+++ b/cicadalever/daemon/_daemon.py
@@ -55,6 +55,7 @@
         self.audit = components.audit
         self.metrics = components.metrics
         self.quarantine = components.quarantine
+        self.memory = components.memory
         self.started_at = time.monotonic()
         self._caller_server = components.caller_server
         self._admin_server = None
@@ -125,6 +126,7 @@
                 admission.running[rank],
                 admission.waiting[rank],
             )
+        metrics.set_held_answer_bytes(self.memory.held_bytes)
         metrics.set_extra_read_stock(self.coordinator.budget.stock)
         for replica_id, owned in self.owner_service.replicas.items():
             metrics.set_replica(
--- a/cicadalever/daemon/_drop_report.py
+++ b/cicadalever/daemon/_drop_report.py
@@ -5,6 +5,7 @@
 import eventlet
 from loguru import logger
 
+from cicadalever.budgets import Dropped
 from cicadalever.metrics import Metrics
 
 # Time over which drops are summed up in one log line, in seconds.
@@ -36,6 +37,11 @@
         self.metrics.connection_dropped(server, cause)
         self._add(f"{server} {cause}")
 
+    def answer_dropped(self, dropped: Dropped) -> None:
+        """Record an answer of an upstream that exceeded the budget of memory."""
+        self.metrics.answer_dropped()
+        self._add(f"{dropped.kind} of an upstream")
+
     def _add(self, kind: str) -> None:
         if not self._sums:
             eventlet.spawn_after(self.period_s, self._log)
--- a/cicadalever/http_client/_bounded_stream.py
+++ b/cicadalever/http_client/_bounded_stream.py
@@ -24,10 +24,17 @@
 class _TurnTakingStream(io.RawIOBase):
     """Reads from a socket, which never blocks while it has data, and yields between."""
 
-    def __init__(self, raw: io.RawIOBase, max_bytes: int, end_turn: Callable[[], None]):
+    def __init__(
+        self,
+        raw: io.RawIOBase,
+        max_bytes: int,
+        end_turn: Callable[[], None],
+        on_received: Callable[[int], None],
+    ):
         self._raw = raw
         self._max_bytes = max_bytes
         self._end_turn = end_turn
+        self._on_received = on_received
         self._bytes_left = max_bytes
         self._turn_ends_at = time.monotonic() + MAX_TURN_S
 
@@ -48,6 +55,7 @@
         self._bytes_left -= size or 0
         if self._bytes_left < 0:
             raise AnswerTooLargeError(f"answer exceeds {self._max_bytes} bytes")
+        self._on_received(self._max_bytes - self._bytes_left)
         return size
 
     def close(self) -> None:
@@ -61,10 +69,18 @@
     """Buffered stream of one answer with at most ``max_bytes`` bytes.
 
     What is read as lines, which is all but the body, has at most ``MAX_LINE_BYTES``.
+    ``on_received`` is called after each read from the socket with the number of bytes
+    of the answer so far; an exception that it raises ends the read.
     """
 
-    def __init__(self, raw: io.RawIOBase, max_bytes: int, end_turn: Callable[[], None]):
-        super().__init__(_TurnTakingStream(raw, max_bytes, end_turn))
+    def __init__(
+        self,
+        raw: io.RawIOBase,
+        max_bytes: int,
+        end_turn: Callable[[], None],
+        on_received: Callable[[int], None] = lambda size: None,
+    ):
+        super().__init__(_TurnTakingStream(raw, max_bytes, end_turn, on_received))
         self._max_bytes = max_bytes
         self._line_bytes_left = MAX_LINE_BYTES
 
--- a/cicadalever/http_client/_complete_head.py
+++ b/cicadalever/http_client/_complete_head.py
@@ -54,10 +54,13 @@
         *arguments: Any,
         max_answer_bytes: int,
         end_turn: Callable[[], None],
+        on_received: Callable[[int], None],
         **options: Any,
     ):
         super().__init__(*arguments, **options)
-        self.fp = BoundedStream(self.fp.detach(), max_answer_bytes, end_turn)
+        self.fp = BoundedStream(
+            self.fp.detach(), max_answer_bytes, end_turn, on_received
+        )
 
     def begin(self) -> None:
         """Read the head; raise ``http.client.IncompleteRead`` if it is cut off."""
@@ -79,7 +82,8 @@
 
     ``max_answer_bytes`` limits each of them, with its head and framing. A longer one
     raises ``AnswerTooLargeError``, an ``http.client.HTTPException``. ``end_turn`` is
-    called again and again while an answer is read without a wait.
+    called again and again while an answer is read without a wait, and ``on_received``
+    with the bytes of the answer so far.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         *arguments: Any,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
         end_turn: Callable[[], None] = end_turn,
+        on_received: Callable[[int], None] = lambda size: None,
         **options: Any,
     ):
         super().__init__(*arguments, **options)
@@ -94,6 +99,7 @@
             _CompleteHeadResponse,
             max_answer_bytes=max_answer_bytes,
             end_turn=end_turn,
+            on_received=on_received,
         )
 
 
--- a/cicadalever/metrics/_metrics.py
+++ b/cicadalever/metrics/_metrics.py
@@ -180,6 +180,14 @@
         """Count a connection that a server, "caller" or "admin", has closed."""
         self._connections_dropped.labels(server, cause).inc()
 
+    def answer_dropped(self) -> None:
+        """Count an unfinished answer that was dropped for the budget of memory."""
+        self._answers_dropped.inc()
+
+    def set_held_answer_bytes(self, size: int) -> None:
+        """Set the bytes of all answers of upstreams that are not complete."""
+        self._held_answer_bytes.set(size)
+
     def observe_loop_lag(self, seconds: float) -> None:
         """Observe by how much a timer of the event loop was late."""
         self._loop_lag.observe(seconds)
@@ -293,6 +301,12 @@
             "server",
             "cause",
         )
+        self._answers_dropped = self._counter(
+            "answers_dropped", "Unfinished answers of upstreams dropped for memory."
+        )
+        self._held_answer_bytes = self._gauge(
+            "held_answer_bytes", "Bytes of unfinished answers of upstreams."
+        )
         self._loop_lag = self._histogram(
             "event_loop_lag_seconds", "Lateness of the loop's timer.", LAG_BUCKETS_S
         )
--- a/cicadalever/owners/_service.py
+++ b/cicadalever/owners/_service.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from cicadalever.audit import AuditKind, AuditTrail
+from cicadalever.budgets import MemoryBudget
 from cicadalever.metrics import Metrics
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.quarantine import FingerprintState, ProvenFingerprints, Quarantine
@@ -79,6 +80,7 @@
         *,
         source_ip: str | None = None,
         max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
+        memory: MemoryBudget | None = None,
         is_baseline: bool = False,
     ):
         self.host = host
@@ -90,6 +92,7 @@
         self.metrics = metrics
         self.source_ip = source_ip
         self.max_answer_bytes = max_answer_bytes
+        self.memory = memory
         self.is_baseline = is_baseline
         self._replicas: dict[str, OwnedReplica] = {}
         self._pools: dict[str, ConnectionPool] = {}
@@ -298,6 +301,7 @@
                 quota,
                 source_ip=self.source_ip,
                 max_answer_bytes=self.max_answer_bytes,
+                memory=self.memory,
             )
             self.audit.record(AuditKind.OWNERSHIP_GAINED, 0, replica=replica_id)
         return owned
--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -10,6 +10,7 @@
 import msgspec
 import urllib3
 
+from cicadalever.budgets import HeldBytes, HeldKind, MemoryBudget
 from cicadalever.http_client import (
     MAX_LINE_BYTES,
     AnswerTooLargeError,
@@ -20,6 +21,9 @@
 CONNECT_TIMEOUT_S = 1.0
 # Most bytes of the body of an answer.
 DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# The body of an answer is read in pieces, since those can be freed while a green thread
+# waits for the rest.
+PIECE_BYTES = 64 * 1024
 # The upstream enforces the deadline too; with this margin its answer arrives first.
 DEADLINE_MARGIN_S = 0.05
 CANCEL_TIMEOUT_S = 1.0
@@ -46,6 +50,10 @@
     state: str
 
 
+class AnswerDroppedError(http.client.HTTPException):
+    """An answer was dropped, since the process held too many bytes of answers."""
+
+
 class UpstreamCall(NamedTuple):
     """One request to an upstream; ``remaining_s`` is the time to its deadline."""
 
@@ -74,7 +82,8 @@
     Failures tell whether the request can have run: ``unreachable`` says that it was
     never sent; ``lost`` and ``timeout`` say that it may have run. An answer whose body
     exceeds ``max_answer_bytes`` by more than a head may have is ``unknown``: the
-    upstream has not crashed, so that nothing accuses the request.
+    upstream has not crashed, so that nothing accuses the request. The same holds for
+    an answer that ``memory``, the budget of the process for unfinished answers, drops.
     """
 
     def __init__(
@@ -83,11 +92,16 @@
         *,
         source_ip: str | None = None,
         max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
+        memory: MemoryBudget | None = None,
     ):
         self.address = address
         self.source_ip = source_ip
         self.max_answer_bytes = max_answer_bytes
+        self.memory = memory
         self._connection: CompleteHeadConnection | None = None
+        self._held: HeldBytes | None = None
+        self._is_dropped = False
+        self._pieces: list[bytes] = []
 
     @property
     def is_open(self) -> bool:
@@ -127,11 +141,11 @@
             # Calls the base class: the method of urllib3 takes twice as long, and a
             # short answer needs nothing that it adds.
             response = http.client.HTTPConnection.getresponse(self._connection)
-            body = response.read()
+            body = self._read_body(response)
         except (TimeoutError, urllib3.exceptions.TimeoutError):
             self.close()
             return Failure(FailureCode.TIMEOUT, f"no answer from {self.address}")
-        except AnswerTooLargeError as error:
+        except (AnswerTooLargeError, AnswerDroppedError) as error:
             self.close()
             return Failure(FailureCode.UNKNOWN, f"{self.address}: {error}")
         except _LIBRARY_ERRORS as error:
@@ -139,6 +153,7 @@
             return Failure(FailureCode.LOST, f"{self.address}: {error}")
         finally:
             total.cancel()
+            self._release()
         if response.will_close:
             self.close()
         return _read_response(response, body, self.address)
@@ -155,6 +170,8 @@
         except (*_LIBRARY_ERRORS, msgspec.MsgspecError):
             self.close()
             return None
+        finally:
+            self._release()
         return health.state
 
     def cancel(self, request_id: str) -> None:
@@ -167,6 +184,8 @@
             _ = self._connection.getresponse().data
         except _LIBRARY_ERRORS:
             self.close()
+        finally:
+            self._release()
 
     def abort(self) -> None:
         """Make a call of another green thread fail as ``lost``."""
@@ -190,6 +209,7 @@
             source_address=source,
             max_answer_bytes=self.max_answer_bytes + MAX_LINE_BYTES,
             end_turn=eventlet.sleep,
+            on_received=self._hold,
         )
         try:
             connection.connect()
@@ -199,6 +219,39 @@
         self._connection = connection
         return None
 
+    def _read_body(self, response: http.client.HTTPResponse) -> bytes:
+        if (response.length or 0) > self.max_answer_bytes + MAX_LINE_BYTES:
+            raise AnswerTooLargeError(f"answer announces {response.length} bytes")
+        while piece := response.read(PIECE_BYTES):
+            self._pieces.append(piece)
+        if response.length:
+            raise http.client.IncompleteRead(b"", response.length)
+        return b"".join(self._pieces)
+
+    def _hold(self, size: int) -> None:
+        """Report the bytes of an answer; raise ``AnswerDroppedError`` if it must go."""
+        if self.memory is None:
+            return
+        if self._held is None:
+            self._held = HeldBytes(self.memory, HeldKind.ANSWER, self._drop)
+        if not self._is_dropped:
+            self._held.set(size)
+        if self._is_dropped:
+            raise AnswerDroppedError("too many bytes of answers are held")
+
+    def _drop(self) -> None:
+        self._is_dropped = True
+        self._pieces.clear()
+        # Wakes up the green thread that waits for the rest of the answer.
+        self.abort()
+
+    def _release(self) -> None:
+        if self._held is not None:
+            self._held.set(0)
+        self._held = None
+        self._is_dropped = False
+        self._pieces.clear()
+
     def _is_closed_by_upstream(self) -> bool:
         raw = self._connection.sock
         raw.setblocking(False)
--- a/cicadalever/upstreams/_connection_pool.py
+++ b/cicadalever/upstreams/_connection_pool.py
@@ -1,5 +1,7 @@
 """Bounded set of connections to one upstream."""
 
+from cicadalever.budgets import MemoryBudget
+
 from ._connection import DEFAULT_MAX_ANSWER_BYTES, UpstreamConnection
 
 
@@ -16,11 +18,13 @@
         *,
         source_ip: str | None = None,
         max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
+        memory: MemoryBudget | None = None,
     ):
         self.address = address
         self.max_connections = max_connections
         self.source_ip = source_ip
         self.max_answer_bytes = max_answer_bytes
+        self.memory = memory
         self._idle: list[UpstreamConnection] = []
         self._in_use = 0
 
@@ -40,6 +44,7 @@
             self.address,
             source_ip=self.source_ip,
             max_answer_bytes=self.max_answer_bytes,
+            memory=self.memory,
         )
 
     def release(self, connection: UpstreamConnection) -> None:
--- /dev/null
+++ b/tests/test_drop_report.py
@@ -0,0 +1,50 @@
+"""Tests of what a daemon tells about what it had to drop."""
+
+import unittest
+
+import eventlet
+from loguru import logger
+
+from cicadalever.budgets import DEFAULT_MAX_BYTES, HeldKind
+from cicadalever.daemon._composition import build_daemon
+from cicadalever.daemon._drop_report import DropReport
+from cicadalever.metrics import Metrics
+from cicadalever.settings import check_settings
+
+SETTINGS = {
+    **{"host_id": "h1", "data_centre": "dc1", "region": "r"},
+    "caller_address": "127.0.0.1:1",
+    "admin_address": "127.0.0.1:2",
+    "peer_address": "127.0.0.1:3",
+    "platform_url": "http://127.0.0.1:4",
+}
+
+
+class TestDropReport(unittest.TestCase):
+    """Log lines and metrics about drops."""
+
+    def test_answers_of_upstreams(self):
+        """Guards against a daemon without a budget, or with one that tells nothing."""
+        daemon, _ = build_daemon(check_settings(SETTINGS | {"max_answer_bytes": 1024}))
+        memory = daemon.owner_service.memory
+        self.assertEqual(memory.max_bytes, DEFAULT_MAX_BYTES)
+        for holder in ("a", "b"):
+            memory.hold(holder, HeldKind.ANSWER, 40_000_000, lambda: None)
+        daemon.refresh_metrics()
+        text = daemon.metrics.render().decode()
+        self.assertIn("cicadalever_answers_dropped_total 1.0\n", text)
+        self.assertIn("cicadalever_held_answer_bytes 4e+07\n", text)
+
+    def test_one_line_a_period(self):
+        """Guards against a line for each drop, and against drops in no line."""
+        lines = []
+        self.addCleanup(logger.remove, logger.add(lines.append, format="{message}"))
+        report = DropReport(Metrics(), period_s=0.1)
+        for cause in ("idle", "late", "idle"):
+            report.connection_dropped("caller", cause)
+        eventlet.sleep(0.2)
+        report.connection_dropped("admin", "idle")
+        eventlet.sleep(0.2)
+        self.assertEqual(len(lines), 2)
+        self.assertIn("caller idle: 2, caller late: 1", lines[0])
+        self.assertIn("late: admin idle: 1", lines[1])
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -33,6 +33,58 @@
 print(getattr(result, "code", "answered"), time.monotonic() - started_at)
 """
 
+# Calls upstreams that stop in the middle of long bodies, and one that answers at once.
+STOPPING_UPSTREAMS = """
+import eventlet
+eventlet.monkey_patch()
+import resource
+from collections import Counter
+from cicadalever.budgets import MemoryBudget
+from cicadalever.upstreams import UpstreamCall, UpstreamConnection
+
+HEAD = b"HTTP/1.1 200 OK\\r\\nX-Snapshot: 41\\r\\nContent-Length: %d\\r\\n\\r\\n"
+PIECE = b" " * 100_000
+
+def stop(sock, address):
+    sock.recv(65536)
+    try:
+        sock.sendall(HEAD % 8_000_000)
+        for _ in range(70):
+            sock.sendall(PIECE)
+        eventlet.sleep(10)
+    except OSError:
+        pass
+
+def answer(sock, address):
+    while sock.recv(65536):
+        sock.sendall(HEAD % 2 + b"[]")
+
+def connect(handler):
+    listener = eventlet.listen(("127.0.0.1", 0))
+    eventlet.spawn(eventlet.serve, listener, handler)
+    address = "127.0.0.1:%d" % listener.getsockname()[1]
+    return UpstreamConnection(address, memory=memory)
+
+def call(connection):
+    result = connection.call(UpstreamCall("read", "r1", "s/s00", 41, b"{}", 2.0))
+    return str(getattr(result, "code", "answered"))
+
+def peak_mb():
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000
+
+memory = MemoryBudget(20_000_000)
+sound = connect(answer)
+calls = Counter([call(sound)])
+before = peak_mb()
+stopping = [eventlet.spawn(call, connect(stop)) for _ in range(16)]
+for _ in range(15):
+    eventlet.sleep(0.1)
+    calls[call(sound)] += 1
+ends = Counter(thread.wait() for thread in stopping)
+print(calls["answered"], ends["unknown"], ends["timeout"], memory.held_bytes,
+      peak_mb() - before)
+"""
+
 
 class SlowHandler(BaseHTTPRequestHandler):
     """Answers later than the connect timeout."""
@@ -74,3 +126,16 @@
         code, seconds = script.stdout.split()
         self.assertEqual(code, "timeout")
         self.assertLess(float(seconds), 1.0)
+
+    def test_unfinished_answers_have_a_common_limit(self):
+        """Guards against memory that grows with the number of unfinished answers."""
+        script = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", STOPPING_UPSTREAMS],
+            capture_output=True, text=True, timeout=30.0, check=True,
+        )  # fmt: skip
+        answered, dropped, timed_out, held, growth_mb = script.stdout.split()
+        self.assertEqual(int(answered), 16)
+        self.assertGreater(int(dropped), 8)
+        self.assertEqual(int(dropped) + int(timed_out), 16)
+        self.assertEqual(int(held), 0)
+        self.assertLess(float(growth_mb), 45.0)
