Limit the number of batches in an answer of another host

An answer to a poll is limited in its bytes, before and after decompression, but an empty batch adds nothing to the latter: 1.6 million of them fit into 16 MB, which an answer may have. Hosts send at most 32 batches; more than 1,024 are invalid now, and their sender is rejected as a source.

--- a/cicadalever/peers/_changes.py
+++ b/cicadalever/peers/_changes.py
@@ -23,6 +23,9 @@
 MAX_BATCH_BYTES = 16 * 1024 * 1024
 # Most bytes of all batches of one answer of another host, before compression.
 MAX_CHANGES_BYTES = 32 * 1024 * 1024
+# Most batches of such an answer; hosts send at most ``MAX_BATCHES``. Each costs time
+# and memory, even without a byte.
+MAX_CHANGES_BATCHES = 1024
 # Greatest times that another host can name. A grace period without end would keep
 # replicas that have left.
 MAX_AGE_S = 1e9
@@ -49,7 +52,7 @@
     revision: Number
     age_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_AGE_S)]
     grace_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_GRACE_S)]
-    batches: list[bytes]
+    batches: Annotated[list[bytes], msgspec.Meta(max_length=MAX_CHANGES_BATCHES)]
     held_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_AGE_S)] | None = None
 
     def add_transit(self, elapsed_s: float, longest_hold_s: float) -> "RelayedChanges":
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -491,6 +491,12 @@
             changes = RelayedChanges(1, 7, 0.5, 0.0, [batch])
             self.assertIsInstance(decode_changes(encode_changes(changes)), Failure)
 
+    def test_many_empty_batches_are_a_failure(self):
+        """Guards against an answer that holds the loop although its bytes are few."""
+        batches = [zlib.compress(b"")] * 100_000
+        data = encode_changes(RelayedChanges(1, 7, 0.5, 0.0, batches))
+        self.assertIs(type(decode_changes(data)), Failure)
+
 
 class TwoGatewaysTestCase(unittest.TestCase):
     """Starts two gateway processes, of which the larger can gather for the other."""
