--- a/tests/test_floods_of_peers.py
+++ b/tests/test_floods_of_peers.py
@@ -225,6 +225,22 @@
         """Guards against informational responses without end."""
         self.play("replica-interim")
 
+    def test_items_without_end(self):
+        """Guards against many small items, which take many times their bytes."""
+        body = b'{"events":[%s1],"AsOf":9}' % (b"1," * 7_500_000)
+        head = b"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n"
+        answers = []
+
+        def answer(sock, start_line, headers, received):
+            answers.append(start_line)
+            sock.sendall(head % len(body) + body)
+
+        self.store.answer = answer
+        # Ends the watch that waits.
+        self.store.put("servers/i-one0", self.replicas[0].entry(Seq=2))
+        wait_for(lambda: answers, "a call of the gateway")
+        self.assert_innocent_requests_served(FLOOD_S)
+
 
 if __name__ == "__main__":
     unittest.main()
