Let cicadaleverd's HTTP server outlast a time without descriptors

Cause: callers of cicadaleverd are bounded by a share of the descriptors, but upstreams, peers and the platform can take the rest. eventlet's server then ends at the error of accept, the listener is closed, and the process lives on without an address for callers or operators.

Change: while there is no descriptor, the connection that has waited longest for its caller makes room, as it does when the server is full, and accept is tried again.

--- a/cicadalever/daemon/_server.py
+++ b/cicadalever/daemon/_server.py
@@ -1,5 +1,6 @@
 """An HTTP server that completes running requests before it stops."""
 
+import errno
 import resource
 import time
 from collections.abc import Callable
@@ -24,6 +25,9 @@
 ADMIN_DESCRIPTOR_SHARE = 0.125
 # Time between two searches for a connection that makes room.
 POLL_S = 0.001
+# Errors of accept that end when descriptors or memory are free again.
+FULL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+FULL_PAUSE_S = 0.05
 
 
 class WsgiServer:
@@ -84,7 +88,7 @@
         pool = _ConnectionPool(_max_connections(self.max_descriptor_share))
         try:
             wsgi.server(
-                self._listener,
+                _Listener(self._listener, pool.make_room),
                 self.application,
                 log=_Log(),
                 log_output=False,
@@ -109,6 +113,32 @@
     return max(1, min(MAX_CONNECTIONS, int(soft_limit * descriptor_share)))
 
 
+class _Listener:
+    """Listening socket that outlasts times without a free descriptor.
+
+    eventlet's server ends at the error of such a time. ``make_room`` is called until
+    the next connection can be accepted.
+    """
+
+    def __init__(self, sock: Any, make_room: Callable[[], None]):
+        self._sock = sock
+        self._make_room = make_room
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+    def accept(self) -> tuple[Any, Any]:
+        """Wait for a connection and return its socket and address."""
+        while True:
+            try:
+                return self._sock.accept()
+            except OSError as error:
+                if error.errno not in FULL_ERRORS:
+                    raise
+            self._make_room()
+            eventlet.sleep(FULL_PAUSE_S)
+
+
 class _ConnectionPool(eventlet.GreenPool):
     """Green threads of connections, of which one makes room when the pool is full."""
 
@@ -122,7 +152,7 @@
         ``parts`` is the state of a connection as eventlet's server keeps it.
         """
         while self.free() <= 0:
-            self._drop_longest_waiting()
+            self.make_room()
             eventlet.sleep(POLL_S)
         return super().spawn(self._serve, function, parts)
 
@@ -130,13 +160,8 @@
         """Remember the stream of a connection that is served."""
         self._streams[id(parts)] = stream
 
-    def _serve(self, function: Callable[[list], None], parts: list) -> None:
-        try:
-            function(parts)
-        finally:
-            self._streams.pop(id(parts), None)
-
-    def _drop_longest_waiting(self) -> None:
+    def make_room(self) -> None:
+        """Drop the connection that has waited longest for its caller, if any."""
         now = time.monotonic()
         waiting = [
             (stream.waits_since, number)
@@ -149,6 +174,12 @@
                 stream.drop()
                 return
 
+    def _serve(self, function: Callable[[list], None], parts: list) -> None:
+        try:
+            function(parts)
+        finally:
+            self._streams.pop(id(parts), None)
+
 
 class _Log:
     """File-like object that passes the messages of eventlet's server to the log."""
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -31,12 +31,21 @@
         environ["wsgi.input"].read()
     except Exception:
         pass
+    if environ["PATH_INFO"] == "/take":
+        while True:
+            try:
+                files.append(open("/dev/null"))
+            except OSError:
+                break
+    if environ["PATH_INFO"] == "/free":
+        files.clear()
     if environ["PATH_INFO"] == "/metrics":
         start_response("200 OK", [])
         return [metrics.render()]
     start_response("200 OK", [("Content-Length", "2")])
     return [b"ok"]
 
+files = []
 metrics = Metrics()
 on_dropped = partial(DropReport(metrics).connection_dropped, "caller")
 server = WsgiServer("127.0.0.1:0", application, on_dropped=on_dropped, **OPTIONS)
@@ -115,6 +124,15 @@
         self.assertTrue(self.ask().endswith(b"ok"))
         self.assertTrue(first.recv(65_536).startswith(b"HTTP/1.1 503 "))
 
+    def test_server_outlasts_a_time_without_descriptors(self):
+        """Guards against a process that lives on and accepts no connection any more."""
+        kept = self.connect()
+        kept.sendall(b"GET /take HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertTrue(kept.recv(65_536).endswith(b"ok"))
+        # The connection without a request makes room for it.
+        self.assertTrue(self.ask("/free").endswith(b"ok"))
+        self.assertTrue(self.ask().endswith(b"ok"))
+
     def test_drops_are_summed_up(self):
         """Guards against a log line for each of hundreds of connections."""
         started_at = time.monotonic()
