Wait for the log line of a daemon before the next test records lines

The test before it builds a daemon that drops an answer; the line about it comes a second later, and on a busy machine falls into the time in which the next test records the log.

Change: the test before waits for its line, and checks it. The other test checks the same as before.

--- a/tests/test_drop_report.py
+++ b/tests/test_drop_report.py
@@ -10,6 +10,7 @@
 from cicadalever.daemon._drop_report import DropReport
 from cicadalever.metrics import Metrics
 from cicadalever.settings import check_settings
+from tests.platform_standins import wait_for
 
 SETTINGS = {
     **{"host_id": "h1", "data_centre": "dc1", "region": "r"},
@@ -27,6 +28,7 @@
         """Guards against a daemon without a budget, or with one that tells nothing."""
         daemon, _ = build_daemon(check_settings(SETTINGS | {"max_answer_bytes": 1024}))
         memory = daemon.owner_service.memory
+        lines = self.record_lines()
         self.assertEqual(memory.max_bytes, DEFAULT_MAX_BYTES)
         for holder in ("a", "b"):
             memory.hold(holder, HeldKind.ANSWER, 40_000_000, lambda: None)
@@ -34,11 +36,19 @@
         text = daemon.metrics.render().decode()
         self.assertIn("cicadalever_answers_dropped_total 1.0\n", text)
         self.assertIn("cicadalever_held_answer_bytes 4e+07\n", text)
+        # No line of this daemon is left for another test.
+        wait_for(lambda: lines, "the log line")
+        self.assertIn("answer of an upstream: 1", lines[0])
 
-    def test_one_line_a_period(self):
-        """Guards against a line for each drop, and against drops in no line."""
+    def record_lines(self):
+        """Return the list to which each line of the log is added."""
         lines = []
         self.addCleanup(logger.remove, logger.add(lines.append, format="{message}"))
+        return lines
+
+    def test_one_line_a_period(self):
+        """Guards against a line for each drop, and against drops in no line."""
+        lines = self.record_lines()
         report = DropReport(Metrics(), period_s=0.1)
         for cause in ("idle", "late", "idle"):
             report.connection_dropped("caller", cause)
