Explain why a young wait drops no connection of cicadaleverd

Cause: the comment named idle connections only; the time also protects requests that have begun. Found by a reviewer.

Change: the comment.

--- a/cicadalever/daemon/_request_stream.py
+++ b/cicadalever/daemon/_request_stream.py
@@ -10,7 +10,8 @@
 
 from eventlet import wsgi
 
-# A connection that is younger, in seconds, may not have sent its request yet.
+# A caller may still be sending a request for which the server has waited less, in
+# seconds.
 MIN_WAIT_S = 0.1
 
 
