Wait for the outage that a test began, not for an earlier one

The test waited until the log of the gateway had platform_lost. A watch call that was late before, as on a busy machine, leaves that event too; the test then removed the entry and let the store answer before it had refused a single call. No outage, no grace period, nothing held. Three more waits of this kind were found: two for platform_lost or platform_back, one for platform_back after a lost connection.

Change: GatewayTestCase.lose_store returns after the store has refused two new calls, regain_store after a new platform_back. The other checks stay; the test of serving during an outage still wants platform_lost in the log. The stand-in needed no change.

--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -104,6 +104,25 @@
         known = {e["replica"] for e in self.gateway.events("replica_changed")}
         return known >= set(self.replicas)
 
+    def lose_store(self):
+        """Let the store refuse all calls; return when the gateway has noticed it.
+
+        A gateway may have missed an answer before, so that an event in its log would
+        not prove it.
+        """
+        self.store.is_down = True
+        # The gateway makes the second of these calls after the first was refused.
+        refused = self.store.calls.total() + 2
+        wait_for(lambda: self.store.calls.total() >= refused, "refused calls")
+
+    def regain_store(self):
+        """Let the store answer again; return when the gateway has noticed it."""
+        returns = len(self.gateway.events("platform_back"))
+        self.store.is_down = False
+        wait_for(
+            lambda: len(self.gateway.events("platform_back")) > returns, "the return"
+        )
+
     def replicas_of(self, service):
         """Return the replicas of a service."""
         return [r for r in self.replicas.values() if r.service == service]
@@ -424,12 +443,11 @@
 
     def test_serves_while_the_platform_is_unreachable(self):
         """Guards against depending on the platform for each request."""
-        self.store.is_down = True
-        wait_for(lambda: self.gateway.events("platform_lost"), "the loss")
+        self.lose_store()
+        self.assertTrue(self.gateway.events("platform_lost"))
         self.assertEqual(self.gateway.ask("/search/q")[0], 200)
         self.assertTrue(self.gateway.is_ready())
-        self.store.is_down = False
-        wait_for(lambda: self.gateway.events("platform_back"), "the return")
+        self.regain_store()
 
 
 class TestCrashingRequest(GatewayTestCase):
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -301,8 +301,7 @@
     def test_notice_outlasts_a_removal_that_was_held(self):
         """Guards against a notice that ends with the grace period of its entry."""
         told_at = self.leave(self.leaving)
-        self.store.is_down = True
-        wait_for(lambda: self.gateway.events("platform_lost"), "the silence")
+        self.lose_store()
         self.store.delete(f"servers/{self.leaving.id}")
         self.store.is_down = False
         wait_for(lambda: self.gateway.events("removal_held"), "the grace period")
@@ -339,13 +338,11 @@
 
     def test_process_that_is_not_listed_yet(self):
         """Guards against a process that is read again when its entry arrives."""
-        self.store.is_down = True
-        wait_for(lambda: self.gateway.events("platform_lost"), "the silence")
+        self.lose_store()
         self.leaving.restart()
         told_at = self.leave(self.leaving)
-        self.store.is_down = False
         self.store.put(f"servers/{self.leaving.id}", self.leaving.entry())
-        wait_for(lambda: self.gateway.events("platform_back"), "the entry")
+        self.regain_store()
         eventlet.sleep(max(0.5, told_at + self.DRAIN_S - time.monotonic()))
         self.staying.delay_s = 0.1
         self.assertEqual(self.ask_at_once(12), {200})
--- a/tests/test_removed_replicas.py
+++ b/tests/test_removed_replicas.py
@@ -213,9 +213,10 @@
     def test_removal_while_the_grace_runs(self):
         """Guards against a grace for what was removed long after the outage."""
         self.wait_for_watch()
+        returns = len(self.gateway.events("platform_back"))
         self.proxy.silence_open()
         lost_at = time.monotonic()
-        wait_for(lambda: self.gateway.events("platform_back"), "contact")
+        wait_for(lambda: len(self.gateway.events("platform_back")) > returns, "contact")
         removed_at = self.remove(self.leaving)
         bound = max(lost_at + CONTACT_S, removed_at + 1.0)
         self.check_not_used_from(bound)
