Count the bytes of replicas that wait for their turn in the budget of memory

Cause: a connection whose answer came in many small pieces waits for its next turn and keeps what it has read, up to 64 KiB. Callers reported these bytes to the budget, connections to replicas and peers did not: with 4,100 descriptors, senders of small pieces could hold some 100 MB that no limit saw.

Change: ReplicaConnection reports them as a part of an unfinished answer. Once dropped, the answer ends as any other that the budget drops.

--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -11,7 +11,7 @@
 from ._headers import HeaderNames
 from ._loop import EventLoop
 from ._message import NOTHING, AnswerFault, ReplicaAnswer
-from ._paced_reader import PacedReader
+from ._paced_reader import MAX_PIECES, PacedReader
 
 # Bytes that the kernel may receive ahead on one connection; without a bound, it takes
 # megabytes from each sender that is faster than this host.
@@ -73,6 +73,8 @@
         self._is_unreachable = False
         self._unsent = NOTHING
         self._held_request = HeldBytes(memory, HeldKind.REQUEST, self._request_dropped)
+        # Bytes that were read and are not parsed yet.
+        self._held_rest = HeldBytes(memory, HeldKind.ANSWER, self._answer_dropped)
         self._sent = False
         self._on_answer: OnAnswer | None = None
         self._timer = None
@@ -204,6 +206,11 @@
         parser = self._parser
         pieces = parser.pieces
         parser.feed(data)
+        pieces = parser.pieces - pieces
+        if self._closed:
+            return pieces
+        # The next slice follows at once, unless the reader has to wait for its turn.
+        self._held_rest.set(self._reader.rest_bytes if pieces > MAX_PIECES else 0)
         if parser.fault_detail is not None:
             self._fail(AnswerFault.GARBLED, parser.fault_detail)
         elif parser.answer is not None:
@@ -215,7 +222,7 @@
                 self._fail(AnswerFault.GARBLED, "connection cannot be reused")
             elif not self._closed:
                 self._become_idle()
-        return parser.pieces - pieces
+        return pieces
 
     def _request_dropped(self) -> None:
         self.loop.call_later(0.0, self._fail, AnswerFault.ABANDONED, DROPPED_DETAIL)
@@ -258,6 +265,7 @@
         self._parser.close()
         self._unsent = NOTHING
         self._held_request.set(0)
+        self._held_rest.set(0)
         self.loop.run_guarded(self.on_closed, self, detail)
         if fault is AnswerFault.LOST and not self._sent:
             fault = AnswerFault.UNREACHABLE
--- a/tests/test_paced_reader.py
+++ b/tests/test_paced_reader.py
@@ -5,6 +5,8 @@
 
 import eventlet
 
+from cicadalever.budgets import MemoryBudget
+from cicadalever.budgets._held_bytes import MIN_REPORTED_BYTES
 from cicadalever.wire import AnswerFault, EventLoop, Exchange, ReplicaPool
 from cicadalever.wire._paced_reader import (
     FIRST_SLICE_BYTES,
@@ -217,3 +219,27 @@
         self.assertIsNot(whole.fault, AnswerFault.LOST)
         self.assertIsNone(whole.fault)
         self.assertEqual(whole.body, bytes(97 + each % 26 for each in range(30_000)))
+
+    def test_bytes_that_wait_for_a_turn_are_counted(self):
+        """Guards against memory beside the budget of the process."""
+        head = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        replica = ScriptedReplica(head + b"1\r\na\r\n" * 10_000 + b"0\r\n\r\n")
+        self.addCleanup(replica.stop)
+        loop, memory = EventLoop(), MemoryBudget()
+        pool = ReplicaPool(loop, NAMES, replica.address, 1, memory=memory)
+        self.addCleanup(pool.close)
+        counted = []
+        take_turn = loop.take_turn
+
+        def count(callback):
+            reader = callback.__self__
+            counted.append((memory.held_bytes, reader.rest_bytes))
+            take_turn(callback)
+
+        with mock.patch.object(loop, "take_turn", count):
+            (whole,) = self.read(pool, 1)
+        self.assertEqual(whole.body, b"a" * 10_000)
+        self.assertEqual(memory.held_bytes, 0)
+        large = [(held, rest) for held, rest in counted if rest >= MIN_REPORTED_BYTES]
+        self.assertTrue(large)
+        self.assertEqual([each for each in large if each[0] < each[1]], [])
