Count the answers that a query keeps while it waits for others

Cause: the answer of a shard left the budget of memory when it was complete, although the query keeps it until the other shards have answered: up to eight times the records that the route asks for, and a signature of any length that a head can have. What a host of another data centre answered for a group of shards was kept whole, whatever its size. Neither could be dropped, so that many queries over large answers took memory that no limit saw.

Change: a query reports what it keeps, in steps of 16 KiB, and ends with 502 (no_memory) when the budget drops it; it may have run, so that 503 would be wrong. Answers of groups are shortened like those of shards.

--- a/cicadalever/cli/_gateway_status.py
+++ b/cicadalever/cli/_gateway_status.py
@@ -38,7 +38,15 @@
 )
 # Ends of requests that callers got neither whole nor in time.
 _BAD_ENDS = frozenset(
-    ("enough_late", "too_few", "timed_out", "outcome_unknown", "no_budget", "not_run")
+    (
+        "enough_late",
+        "too_few",
+        "timed_out",
+        "outcome_unknown",
+        "no_budget",
+        "no_memory",
+        "not_run",
+    )
 )
 
 
--- a/cicadalever/explain/_explanation.py
+++ b/cicadalever/explain/_explanation.py
@@ -53,6 +53,7 @@
     "no_request_id": "refused: the request has no id",
     "no_attempts": "failed: another host did not answer and may have used all attempts",
     "no_budget": "failed: another host did not answer and the retry budget is used up",
+    "no_memory": "failed: its answers were dropped, since the host held too many bytes",
     "cut_off": "refused: the host cannot reach enough shards",
     "crashes_replicas": "refused: replicas did not survive this request before",
 }
--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Collection, Sequence
 from functools import partial
 
+from cicadalever.budgets import HeldBytes, HeldKind
 from cicadalever.crashes import Admission, AdmissionKind, CanaryReads, CanaryStep
 from cicadalever.discovery import ReplicaEntry
 from cicadalever.gather import (
@@ -29,6 +30,9 @@
 MIN_SILENT_READS = 4
 # Time between attempts to read a shard again while the retry budget is used up.
 BUDGET_RETRY_S = 0.02
+# Growth of the held answers that is reported to the budget of memory. Most queries hold
+# less until they end.
+REPORT_STEP_BYTES = 16 * 1024
 
 
 class GatherCall(Call):
@@ -56,6 +60,10 @@
         # Whether a read since the last report was not the first one of its shard.
         self._has_extra_attempt = False
         self._groups: set[ShardGroup] = set()
+        self._held = HeldBytes(self.runner.memory, HeldKind.ANSWER, self._on_dropped)
+        # Bytes of the answers that wait for the others, and those last reported.
+        self._answer_bytes = 0
+        self._reported_bytes = 0
 
     @property
     def attempts(self) -> list[int]:
@@ -85,7 +93,7 @@
         self._unread: set[int] = set()
         # Replicas that were chosen for the first reads when the groups were formed.
         self._chosen_replicas: dict[int, ReplicaEntry] = {}
-        self._group_answers: list[tuple[list[bytes], bytes]] = []
+        self._group_answers: list[tuple[list[bytes], ShardAnswer]] = []
         self._may_have_run = is_repeat
         # Result of a read that ends before ``ReadRunner.start`` returns.
         self._synchronous_result: ReadResult | None = None
@@ -294,7 +302,9 @@
         now = self.loop.now()
         self._groups.discard(group)
         self._may_have_run = True
-        self._group_answers.append((signatures, records))
+        answer = shorten_answer(ShardAnswer("", "", records), self.route.top_records)
+        self._group_answers.append((signatures, answer))
+        self._hold(len(answer.records) + sum(map(len, signatures)))
         lacking = set(missing)
         for shard in group.shards:
             if shard in lacking:
@@ -502,13 +512,30 @@
         self._awaiting.pop(shard, None)
         signature = result.answer.header(self.runner.names.signature).decode("latin-1")
         answer = ShardAnswer(self.route.shards[shard], signature, result.answer.body)
-        self._shard_answers[shard] = shorten_answer(answer, self.route.top_records)
+        answer = shorten_answer(answer, self.route.top_records)
+        self._shard_answers[shard] = answer
+        self._hold(len(answer.records) + len(signature))
+
+    def _hold(self, size: int) -> None:
+        """Count an answer that waits for those of other shards."""
+        self._answer_bytes += size
+        if self._answer_bytes - self._reported_bytes >= REPORT_STEP_BYTES:
+            self._reported_bytes = self._answer_bytes
+            self._held.set(self._answer_bytes)
+
+    def _on_dropped(self) -> None:
+        # Called while another holder receives.
+        self.loop.call_later(0.0, self.run_or_abort, self._end_dropped)
+
+    def _end_dropped(self) -> None:
+        self._end(error_response(502), "no_memory", answer_bytes=self._answer_bytes)
 
     def _on_timer(self) -> None:
         self._advance(self.loop.now())
 
     def _close(self, detail: str) -> None:
         super()._close(detail)
+        self._held.set(0)
         for group in self._groups:
             group.cancel(detail)
         self._groups.clear()
@@ -594,9 +621,9 @@
         names = self.runner.names
         answers = list(self._shard_answers.values())
         signatures = [answer.signature.encode("latin-1") for answer in answers]
-        for group_signatures, records in self._group_answers:
+        for group_signatures, answer in self._group_answers:
             signatures += group_signatures
-            answers.append(ShardAnswer("", "", records))
+            answers.append(answer)
         headers = [
             (names.request_id, self.outbound.request_id),
             (names.missing_shards, b"%d" % missing),
--- a/cicadalever/report/_aggregate.py
+++ b/cicadalever/report/_aggregate.py
@@ -52,6 +52,7 @@
     "outcome_unknown": Outcome.FAILED,
     "no_attempts": Outcome.FAILED,
     "no_budget": Outcome.FAILED,
+    "no_memory": Outcome.FAILED,
     "not_run": Outcome.REFUSED,
     "no_replica": Outcome.REFUSED,
     "no_configuration": Outcome.REFUSED,
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -7,6 +7,7 @@
 
 from bench.fleet import Fleet, FleetSite, Policy
 from bench.fleet._host import HEADER_NAMES
+from cicadalever.budgets import MemoryBudget
 from cicadalever.crashes import MIN_CANARY_CRASHES, MIN_CRASHES
 from cicadalever.discovery import ReplicaState, UpstreamDirectory
 from cicadalever.gateway._answers import AnswerKind
@@ -159,6 +160,53 @@
         self.assertEqual(ledger.get(fingerprint).canaries(ledger.host), [])
 
 
+class TestAnswersThatWait(CallTestCase):
+    """Answers of shards that are kept until those of the others have come."""
+
+    BODY = bytes(64 * 1024)
+
+    def start(self, max_bytes):
+        """Start a query of which one shard does not answer; return its call."""
+        memory = self.host.runner.memory = MemoryBudget(max_bytes)
+        self.dropped = []
+        memory.on_dropped = self.dropped.append
+        request, route, *others = self.call_arguments()
+        for replica in self.fleet.replicas.values():
+            if replica.entry.service == route.shards[0]:
+                replica.receive = lambda read: None
+        route = route._replace(top_records=4096, min_shard_share=1.0)
+        call = GatherCall(request, route, *others, on_late=lambda late_s: None)
+        with mock.patch("bench.fleet._replica.RECORD", self.BODY):
+            call.start(1.0)
+            self.loop.run_until(0.5)
+        return call, memory
+
+    def test_answers_count_in_the_budget_until_the_end(self):
+        """Guards against queries whose answers take memory beside the budget."""
+        call, memory = self.start(max_bytes=2**20)
+        self.assertGreaterEqual(memory.held_bytes, (SITE.shards - 1) * len(self.BODY))
+        call.cancel()
+        self.assertEqual(memory.held_bytes, 0)
+
+    def test_dropped_answers_end_the_query_at_once(self):
+        """Guards against a query that waits although it cannot be answered."""
+        _, memory = self.start(max_bytes=len(self.BODY))
+        [(_, response)] = self.responses
+        self.assertEqual((response.status, memory.held_bytes), (502, 0))
+        self.assertEqual(len(self.dropped), 1)
+
+    def test_answer_of_a_group_is_shortened(self):
+        """Guards against a peer that sends more records than the query asks for."""
+        call, memory = self.start(max_bytes=2**30)
+        held = memory.held_bytes
+        records = bytes(64 * len(self.BODY))
+        group = mock.Mock(shards=[0])
+        call._state.delegate([0])
+        with mock.patch.object(call, "_advance"):
+            call.group_ended(group, [b"s"], [], records)
+        self.assertEqual(memory.held_bytes - held, len(self.BODY) + 1)
+
+
 class TestCancelledBeforeStart(CallTestCase):
     """A peer that closes its connection while its query is acknowledged."""
 
