Leave connections for queries of peers on hosts with few descriptors

Cause: up to 64 polls for changes could wait whatever the number of descriptors. With 1,024 descriptors or fewer, peers can always have 57 connections or fewer, so that waiting polls could take all of them and queries of other hosts would depend on what callers and replicas left.

Change: half of the guaranteed connections at most, as on hosts with more descriptors.

Measured: the new test failed (64 polls, 4 connections with 350 descriptors) and passes for 350 to 4,100. TestAppliedSettings, TestChangeRelay and TestFloodsOfPolls: 9 passed.

--- a/cicadalever/gateway/_composition.py
+++ b/cicadalever/gateway/_composition.py
@@ -27,7 +27,7 @@
 from ._peers import PeerLink
 from ._readiness import Readiness
 from ._reads import ReadRunner
-from ._relay import MIN_WAITING_POLLS, RELAY_PATH, ChangeRelay
+from ._relay import RELAY_PATH, ChangeRelay, limit_waiting_polls
 from ._service import GatewayService
 from ._upstream_contact import UpstreamContact
 
@@ -36,9 +36,6 @@
 HELD_MEMORY_SHARE = 0.25
 # Share of a host's descriptors for connections in advance; callers need the others.
 ADVANCE_DESCRIPTOR_SHARE = 0.5
-# Share of the guaranteed connections of peers on which polls may wait; the others are
-# for queries.
-WAITING_POLL_SHARE = 0.5
 
 
 def build_gateway(
@@ -117,7 +114,6 @@
     )
     service = GatewayService(runner, events, link, contact)
     timing = WatchTiming.plan(settings.contact_s, settings.apply_s, settings.drain_s)
-    max_waiting = WAITING_POLL_SHARE * descriptors.guaranteed(DescriptorKind.PEER)
     relay = ChangeRelay(
         loop,
         link,
@@ -125,7 +121,7 @@
         age_s=lambda: daemon.follower.data_age_s,
         grace_s=lambda: directory.remaining_grace_s(loop.now()),
         on_first_follower=lambda: daemon.follower.restart(),
-        max_waiting=max(MIN_WAITING_POLLS, int(max_waiting)),
+        max_waiting=limit_waiting_polls(descriptors.guaranteed(DescriptorKind.PEER)),
         on_refused=lambda: drops.record(DescriptorKind.PEER, "polls"),
     )
 
--- a/cicadalever/gateway/_relay.py
+++ b/cicadalever/gateway/_relay.py
@@ -38,12 +38,23 @@
 RELAY_RANK = -1
 # Longest time for which a host of an older version holds a poll.
 FORMER_LONG_POLL_S = 0.8
-# Polls that can wait at a time on a host with few descriptors.
-MIN_WAITING_POLLS = 64
+# Share of the guaranteed connections of peers on which polls may wait; the others are
+# for queries.
+WAITING_POLL_SHARE = 0.5
+DEFAULT_MAX_WAITING = 64
 # Most digits of an era or a revision, which have at most 64 bits.
 MAX_POSITION_DIGITS = 20
 
 
+def limit_waiting_polls(guaranteed: int) -> int:
+    """Return how many polls may wait if peers can always have so many connections.
+
+    >>> limit_waiting_polls(57)
+    28
+    """
+    return max(1, int(WAITING_POLL_SHARE * guaranteed))
+
+
 class _Follower(NamedTuple):
     """A waiting poll for the changes after the position ``after``."""
 
@@ -74,7 +85,7 @@
         age_s: Callable[[], float],
         grace_s: Callable[[], float],
         on_first_follower: Callable[[], None],
-        max_waiting: int = MIN_WAITING_POLLS,
+        max_waiting: int = DEFAULT_MAX_WAITING,
         on_refused: Callable[[], None] = lambda: None,
     ):
         self.loop = loop
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -16,6 +16,7 @@
 
 import eventlet
 
+from cicadalever.budgets import DescriptorBudget, DescriptorKind
 from cicadalever.gateway import HostSettings, RetryLimits, UnfinishedSettings
 from cicadalever.gateway._composition import build_gateway
 from cicadalever.gateway._follower import WatchTiming
@@ -520,6 +521,15 @@
             self.adapter.connect.return_value
         )
 
+    def test_few_descriptors_leave_connections_for_queries_of_peers(self):
+        """Guards against polls on all connections that peers can always have."""
+        for number in (350, 512, 1024, 4100):
+            settings = self.settings._replace(max_descriptors=number)
+            daemon = build_gateway(settings, self.adapter, Random(1))
+            guaranteed = DescriptorBudget(number).guaranteed(DescriptorKind.PEER)
+            max_waiting = daemon.follower.relay.max_waiting
+            self.assertLess(max_waiting, guaranteed, f"{number} descriptors")
+
     def test_settings_that_need_a_restart_are_named(self):
         """Guards against a change without effect that looks applied."""
         change = self.apply(caller_address=("127.0.0.1", 1), memory_bytes=10**9)
