Leave hosts that send no answers alone for longer

Cause: a host that failed to gather a query got none for 1 s, whatever the cause. One whose bytes are no answer (a body or head without end, thousands of fields) sends heartbeats as before, so that it got a query each second and callers a 502 for it: the host may have read all shards as often as the route allows.

Change: the pause is 10 s if what the host sent was no answer. Hosts that are lost, silent or restart are treated as before, so that a restart costs nothing more.

--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -6,6 +6,7 @@
 from cicadalever.gather import decode_attempts
 from cicadalever.peers import Peer
 from cicadalever.wire import (
+    AnswerFault,
     CallerResponse,
     Exchange,
     Header,
@@ -132,7 +133,9 @@
             return
         if answer.fault is not None:
             self._handle_peer_failure(
-                answer.detail, may_have_begun=self._exchange.was_sent
+                answer.detail,
+                may_have_begun=self._exchange.was_sent,
+                is_faulty=answer.fault is AnswerFault.GARBLED,
             )
         elif self._is_refusal(answer, STATUS_DECLINED):
             self._fall_back("declined", may_have_begun=False)
@@ -190,8 +193,12 @@
                 "not acknowledged", may_have_begun=self._exchange.was_sent
             )
 
-    def _handle_peer_failure(self, reason: str, *, may_have_begun: bool) -> None:
-        self._link.peer_table.record_failure(self._peer, self.loop.now())
+    def _handle_peer_failure(
+        self, reason: str, *, may_have_begun: bool, is_faulty: bool = False
+    ) -> None:
+        self._link.peer_table.record_failure(
+            self._peer, self.loop.now(), is_faulty=is_faulty
+        )
         self._link.close_idle(self._peer.address)
         self._fall_back(reason, may_have_begun=may_have_begun)
 
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -41,6 +41,9 @@
 GATHERER_LIST_S = 1.0
 # Time for which a host gets no queries after it failed to gather one.
 FAILURE_PAUSE_S = 1.0
+# The same for a host that sent bytes which are no answer. It is alive, so that the next
+# query would mostly fare no better.
+FAULTY_PAUSE_S = 10.0
 
 
 class HostCount(NamedTuple):
@@ -216,9 +219,15 @@
         ] or available
         return min(candidates, key=lambda peer: (peer.in_flight, rng.random()))
 
-    def record_failure(self, peer: Peer, now: float) -> None:
-        """Record that a peer failed to gather a query, and pause queries to it."""
-        peer.no_queries_until = now + FAILURE_PAUSE_S
+    def record_failure(
+        self, peer: Peer, now: float, *, is_faulty: bool = False
+    ) -> None:
+        """Record that a peer failed to gather a query, and pause queries to it.
+
+        The pause is longer if the peer ``is_faulty``: what it sent was no answer.
+        """
+        pause_s = FAULTY_PAUSE_S if is_faulty else FAILURE_PAUSE_S
+        peer.no_queries_until = max(peer.no_queries_until, now + pause_s)
 
     def gatherers_for(self, heartbeat: Heartbeat, now: float) -> list[Address]:
         """Return the addresses of hosts that may gather for a heartbeat's sender."""
--- a/tests/test_floods_of_peers.py
+++ b/tests/test_floods_of_peers.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from cicadalever.peers import Heartbeat, encode_heartbeat
+from cicadalever.peers._table import FAULTY_PAUSE_S
 from tests.floods import Flood
 from tests.platform_standins import ReplicaStandIn, free_port, wait_for
 from tests.test_gateway_process import configuration
@@ -162,7 +163,8 @@
         thread = eventlet.spawn(change)
         self.addCleanup(thread.kill)
 
-    def play(self, kind):
+    def play(self, kind, *, is_recognized=True):
+        """Play a flood, of bytes that are found to be no answer if it is recognized."""
         addresses = [("127.0.0.4", free_port()) for _ in range(FLOODING_PEERS)]
         flood = self.flood(kind, addresses)
         self.announce(addresses)
@@ -173,17 +175,29 @@
         searches.kill()
         served = statuses.count(200)
         print(f"{self.id()}: {served} of {len(statuses)} searches answered")
-        self.assertGreater(len(self.gateway.events("gatherer_failed")), 0)
+        failures = self.gateway.events("gatherer_failed")
+        self.assertGreater(len(failures), 0)
+        if is_recognized:
+            self.check_pauses(failures)
         flood.stop()
         self.assertLessEqual({"search", "changes"}, flood.requested)
 
+    def check_pauses(self, failures):
+        """Check that no query was sent to a host whose bytes were no answer before."""
+        first_at = {}
+        for failure in failures:
+            failed_at = first_at.setdefault(failure["gatherer"], failure["time"])
+            sent_at = failure["time"] - failure["ms"] / 1000.0
+            is_paused = failed_at < sent_at < failed_at + FAULTY_PAUSE_S
+            self.assertFalse(is_paused, failure)
+
     def test_body_after_acknowledgement(self):
         """Guards against answers without end of hosts that count as alive."""
         self.play("peer-body")
 
     def test_chunks_of_one_byte(self):
         """Guards against peers whose answers take the processor from callers."""
-        self.play("replica-small-chunks")
+        self.play("replica-small-chunks", is_recognized=False)
 
     def test_header_line(self):
         """Guards against copies of a header line that grows."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -40,6 +40,7 @@
     MAX_KEPT_BATCH_BYTES,
     MAX_LOG_BYTES,
 )
+from cicadalever.peers._table import FAULTY_PAUSE_S
 from cicadalever.routing import Limits, RoutingTable
 from cicadalever.wire import CallerRequest, EventLoop, Exchange
 from tests.platform_standins import (
@@ -169,6 +170,15 @@
         self.assertIsNone(self.choose(now=0.5))
         self.assertEqual(self.choose(now=1.1), LARGE)
 
+    def test_host_that_sends_no_answers_is_left_alone_for_longer(self):
+        """Guards against losing a query a second at a host that floods others."""
+        self.table.record_heartbeat(heartbeat(), 0.0)
+        self.table.record_failure(self.table.get(LARGE), 0.0, is_faulty=True)
+        self.table.record_failure(self.table.get(LARGE), 0.5)
+        self.table.record_heartbeat(heartbeat(), FAULTY_PAUSE_S)
+        self.assertIsNone(self.choose(now=FAULTY_PAUSE_S - 0.1))
+        self.assertEqual(self.choose(now=FAULTY_PAUSE_S + 0.1), LARGE)
+
     def test_queries_are_divided_between_gatherers(self):
         """Guards against one large host that gathers all queries."""
         other = ("10.0.0.3", 7000)
