Follow the signature of record_failure in tests and in the fleet

Cause: gave PeerTable.record_failure the argument is_faulty; the stand-in of tests.test_calls and the simulated hosts of bench.fleet did not have it, so that three tests of silent gatherers ended with TypeError.

Change: both take it.

--- a/bench/fleet/_host.py
+++ b/bench/fleet/_host.py
@@ -252,7 +252,9 @@
         key = lambda peer: (peer.in_flight, self.rng.random())  # noqa: E731
         return min(candidates, key=key, default=None)
 
-    def record_failure(self, peer: SimulatedPeer, now: float) -> None:
+    def record_failure(
+        self, peer: SimulatedPeer, now: float, *, is_faulty: bool = False
+    ) -> None:
         """Do not hand requests to a peer before its next report."""
         self._reported_at.pop(peer, None)
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -253,7 +253,7 @@
         self.sent, self.fallbacks = [], []
         self.failures = 0
 
-        def record_failure(peer, now):
+        def record_failure(peer, now, *, is_faulty):
             self.failures += 1
 
         def send(address, exchange):
