Free the place and the body of a request whose caller has left the queue

Cause: a request that waited for a connection to a replica was withdrawn 0.3 s after its caller had gone, and stayed in the queue of the pool until its turn. There it kept its body, which no budget counted, and one of 64 places. With all places taken by callers who had gone, the next caller got 503 and the replica counted as unreachable, although it was sound.

Change: a request that was not sent is withdrawn at once. An ended exchange refers to nothing of its request, and a full queue drops the ended ones first. A read that was sent keeps the id and fingerprint of its request only.

--- a/cicadalever/gateway/_reads.py
+++ b/cicadalever/gateway/_reads.py
@@ -87,6 +87,13 @@
     wait_s: float
 
 
+class _RequestIdentity(NamedTuple):
+    """What tells requests apart; a read that was sent keeps no body for it."""
+
+    request_id: bytes
+    fingerprint: int
+
+
 class ReadResult(NamedTuple):
     """How a read ended; ``is_lost`` tells that the replica may have crashed."""
 
@@ -345,8 +352,10 @@
         self.limits.record_read(replica.id)
         pool = self._pool_for(replica, table)
 
+        identity = _RequestIdentity(outbound.request_id, outbound.fingerprint)
+
         def finish(answer: ReplicaAnswer) -> None:
-            self._finish(read, route, outbound, answer)
+            self._finish(read, route, identity, answer)
 
         def encode() -> bytes:
             return outbound.encode(replica.id, self.loop.now())
@@ -387,9 +396,13 @@
     ) -> None:
         """Cancel a read after ``ABANDON_GRACE_S``, unless it ends before.
 
-        ``on_end`` replaces what was to be called at its end.
+        One that was not sent is cancelled at once. ``on_end`` replaces what was to be
+        called at the end; it should not refer to the request.
         """
         read.on_end = on_end
+        if read.exchange.is_waiting:
+            read.exchange.cancel(detail)
+            return
         self.loop.call_later(ABANDON_GRACE_S, read.exchange.cancel, detail)
 
     @property
@@ -526,20 +539,20 @@
             self.selector.health(change.replica_id).reset()
 
     def _finish(
-        self, read: Read, route: Route, outbound: OutboundRequest, answer
+        self, read: Read, route: Route, identity: _RequestIdentity, answer
     ) -> None:
         kind = classify_answer(answer, self.names)
-        self.loop.run_guarded(self._record_end, read, route, outbound, answer, kind)
+        self.loop.run_guarded(self._record_end, read, route, identity, answer, kind)
         on_end, read.on_end = read.on_end, None
         # A replica that asks for a pause has survived the request.
         is_lost = answer.fault is AnswerFault.LOST and answer.retry_after is None
         if is_lost:
             self.guard.record_loss(
-                outbound.fingerprint, read.replica, is_canary=read.is_canary
+                identity.fingerprint, read.replica, is_canary=read.is_canary
             )
         elif self.guard.ledger and shows_survival(answer, kind, self.names):
             self.guard.record_survival(
-                outbound.fingerprint,
+                identity.fingerprint,
                 read.replica.service,
                 read.started_at,
                 is_canary=read.is_canary,
@@ -552,7 +565,7 @@
         self,
         read: Read,
         route: Route,
-        outbound: OutboundRequest,
+        identity: _RequestIdentity,
         answer: ReplicaAnswer,
         kind: AnswerKind,
     ) -> None:
@@ -578,7 +591,7 @@
         if kind is not AnswerKind.SUCCESS:
             self.events.emit_detail(
                 "read_failed",
-                id=outbound.request_id,
+                id=identity.request_id,
                 replica=replica.id,
                 service=replica.service,
                 kind=kind,
--- a/cicadalever/wire/_replica_pool.py
+++ b/cicadalever/wire/_replica_pool.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from functools import partial
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 from typing import NamedTuple
 
@@ -33,6 +33,10 @@
     exchange: "Exchange"
 
 
+def _ignore(message: object) -> None:
+    """Do nothing with an answer, or with the headers before it."""
+
+
 class Exchange:
     """One request to a replica, from queueing to its answer.
 
@@ -57,16 +61,31 @@
         self.connection: ReplicaConnection | None = None
         self.is_ended = False
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the request waits for a connection."""
+        return self.connection is None and not self.is_ended
+
     @property
     def was_sent(self) -> bool:
         """Whether a byte of the request may have reached the replica."""
         return self.connection is not None and self.connection.was_sent
 
+    def take_request(self) -> bytes:
+        """Return the bytes to send, and keep nothing that refers to them."""
+        encode, self.encode = self.encode, bytes
+        return encode()
+
     def end(self, answer: ReplicaAnswer) -> None:
         """Pass the answer to ``on_answer``, unless one was passed before."""
         if not self.is_ended:
             self.is_ended = True
-            self.on_answer(answer)
+            on_answer = self.on_answer
+            # They refer to the request, which the queue would keep with the exchange.
+            self.encode, self.on_answer = bytes, _ignore
+            if self.on_interim is not None:
+                self.on_interim = _ignore
+            on_answer(answer)
 
     def cancel(self, detail: str) -> None:
         """Cancel the request; closing its connection makes the replica stop it."""
@@ -136,7 +155,7 @@
             self._start(self._idle.pop(), exchange)
         elif self._may_start() and self._may_connect():
             self._start(self._connect(), exchange)
-        elif self._connections and len(self._waiting) < MAX_WAITING:
+        elif self._connections and self._may_wait():
             item = _QueuedExchange(exchange.rank, next(self._order_numbers), exchange)
             heappush(self._waiting, item)
         else:
@@ -198,6 +217,15 @@
         in_progress = len(self._connections) - len(self._idle)
         return self._max_requests is None or in_progress < self._max_requests
 
+    def _may_wait(self) -> bool:
+        if len(self._waiting) >= MAX_WAITING:
+            # Those that were withdrawn leave the queue only in their turn.
+            self._waiting = [
+                each for each in self._waiting if not each.exchange.is_ended
+            ]
+            heapify(self._waiting)
+        return len(self._waiting) < MAX_WAITING
+
     def _may_connect(self) -> bool:
         if len(self._connections) >= self.max_connections:
             return False
@@ -233,7 +261,7 @@
 
     def _send(self, connection: ReplicaConnection, exchange: Exchange) -> None:
         connection.send(
-            exchange.encode(),
+            exchange.take_request(),
             exchange.request_id,
             exchange.end,
             exchange.on_interim,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -18,6 +18,7 @@
     ServerLimits,
 )
 from cicadalever.wire._replica_connection import RESET_ON_CLOSE
+from cicadalever.wire._replica_pool import MAX_WAITING
 
 NAMES = HeaderNames(
     b"x-id",
@@ -321,6 +322,18 @@
         waiting.cancel("caller left")
         self.assertEqual([each.fault for each in answers], [AnswerFault.WITHDRAWN])
 
+    def test_callers_that_leave_the_queue_keep_no_place(self):
+        """Guards against a sound replica that counts as unreachable (ejection)."""
+        _, pool = self.start(answer(b"1"), answer(b"1"))
+        pool.max_connections = 1
+        answers = []
+        _, *gone = self.send(pool, 1 + MAX_WAITING, answers)
+        for exchange in gone:
+            exchange.cancel("caller left")
+        self.send(pool, 1, answers)
+        wait_for(lambda: len(answers) == MAX_WAITING + 2)
+        self.assertEqual([each.status for each in answers[-2:]], [200, 200])
+
     def test_withdrawn_requests_were_not_sent(self):
         """Guards against counting a replica as failed that was not asked."""
         replica, pool = self.start()
