Free a request when its call ends, not at the next collection of cycles

Cause: a call referred to callbacks that refer to the call. Such a cycle stays until the collector runs, which counts objects (20,000) and not bytes: the body of each request, served or not, was kept beside the budget of memory for hundreds of requests more. Callers with bodies of 260 kB who leave let the resident memory grow by some 50 MB for every 500 of them, to the limit of the host (300 MB); the process then ends for all. A process that was asked to collect freed 45 MB at once, and no object referred to a body after it.

Change: a call drops its callbacks when it has ended, was cancelled or handed over. This needs no collection, so that the threshold can stay.

--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -57,7 +57,7 @@
         # whether one does. None: it stays here.
         self.hand_over: Callable[[list[int]], bool] | None = None
         # Called after an unexpected error, to end the request.
-        self.on_error: Callable[[], None] = lambda: None
+        self.on_error: Callable[[], None] = _do_nothing
         # Called when a replica beyond the first may have got the request for a shard.
         self.on_extra_attempt: Callable[[], None] | None = None
 
@@ -92,6 +92,7 @@
         if self.is_ended or self.hand_over is None or not self.hand_over(attempts):
             return False
         self._close("handed over")
+        self._forget_callbacks()
         return True
 
     def cancel(self) -> None:
@@ -99,6 +100,7 @@
         if not self.is_ended:
             self._close("caller disconnected")
             self._log_end("cancelled", {})
+            self._forget_callbacks()
 
     def _end(self, response: CallerResponse, end: str, **fields) -> None:
         if self.is_ended:
@@ -106,6 +108,17 @@
         self._close("call ended")
         self._log_end(end, fields, response.status)
         self.on_end(response, fields)
+        self._forget_callbacks()
+
+    def _forget_callbacks(self) -> None:
+        """Drop what refers to the call, and so keeps its request for a while.
+
+        The request would stay until the next collection of reference cycles, which
+        counts objects and not bytes.
+        """
+        self.hand_over = self.on_extra_attempt = None
+        self.on_end = _ignore_response
+        self.on_error = _do_nothing
 
     def _refusal(self, refusal: ReadRefusal | None = None) -> CallerResponse:
         """Return the response to a request that has not run and will not run.
@@ -175,9 +188,6 @@
             fingerprint=f"{self.outbound.fingerprint:016x}",
         )
 
-    def _on_abandoned_end(self, read: Read, result: ReadResult) -> None:
-        """Do nothing: the runner has recorded whether the replica survived."""
-
     def _close(self, detail: str) -> None:
         self.is_ended = True
         if self._timer is not None:
@@ -186,7 +196,7 @@
         while self._canaries_at:
             self._end_canary()
         for read in self._reads:
-            self.runner.abandon(read, detail, self._on_abandoned_end)
+            self.runner.abandon(read, detail, _ignore_end)
         self._reads.clear()
 
     def _set_timer(self, when: float) -> None:
@@ -198,6 +208,18 @@
         raise NotImplementedError
 
 
+def _ignore_response(response: CallerResponse, fields: dict) -> None:
+    """Do nothing: the call has ended before."""
+
+
+def _do_nothing() -> None:
+    """Do nothing after an error, since the request has ended."""
+
+
+def _ignore_end(read: Read, result: ReadResult) -> None:
+    """Do nothing: the runner has recorded whether the replica survived."""
+
+
 def error_response(status: int, retry_after_s: float | None = None) -> CallerResponse:
     """Return a response without a body; ``retry_after_s`` adds a Retry-After header."""
     if retry_after_s is None:
--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -214,6 +214,7 @@
             extra_attempts=sum(count > 1 for count in attempts or ()),
         )
         self._call_fall_back(attempts)
+        self._forget_callbacks()
 
     def _close(self, detail: str) -> None:
         super()._close(detail)
--- a/tests/test_memory_of_messages.py
+++ b/tests/test_memory_of_messages.py
@@ -193,6 +193,25 @@
                 thread.wait()
         self.assert_alive()
 
+    def test_bodies_of_callers_who_leave(self):
+        """Guards against requests that stay in queues when their callers have gone."""
+        self.start_bad_replicas(20, b"1" * 16, "hang")
+        body = b"b" * 260_000
+
+        def ask(number):
+            with contextlib.suppress(OSError):
+                sock = self.connect()
+                head = self.head(b"GET", b"/bad/x", number)
+                sock.sendall(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+                eventlet.sleep(0.1)
+                sock.close()
+
+        callers = eventlet.GreenPool(60)
+        for number in range(6000):
+            callers.spawn(ask, number)
+        callers.waitall()
+        self.assert_alive()
+
     def test_small_fields_of_pipelined_requests(self):
         """Guards against heads of waiting requests that are not counted."""
         self.start_bad_replicas(8, b"1" * 16, "hang")
