Accuse no replica, and end no later request, when an answer is dropped

Cause: an answer that the budget of memory dropped counted as garbled if its own bytes had exceeded the budget. If the connection had completed no answer before, the requests that waited for it ended as unreachable and the replica was ejected, although only this host held too much. A drop was also scheduled for the connection and not for its request: when the answer completed first, the drop ended the next request on the connection.

Change: a dropped answer is abandoned in both cases, its connection does not count as failed, so that waiting requests get a new one, and a drop holds for the request that it was decided for.

--- a/cicadalever/wire/_answer_parser.py
+++ b/cicadalever/wire/_answer_parser.py
@@ -59,6 +59,8 @@
         self.memory = memory
         self.answer: ReplicaAnswer | None = None
         self.fault_detail: str | None = None
+        # Whether the answer was dropped to free memory.
+        self.is_dropped = False
         self.must_close = False
         # Messages, header fields and parts of bodies since the connection was opened.
         self.pieces = 0
@@ -199,6 +201,7 @@
 
     def _drop(self) -> None:
         self._is_holding = False
+        self.is_dropped = True
         self._fail(DROPPED_DETAIL)
         self._reset_message()
         self.on_dropped()
--- a/cicadalever/wire/_replica_connection.py
+++ b/cicadalever/wire/_replica_connection.py
@@ -72,14 +72,17 @@
         self._closed = False
         self._is_unreachable = False
         self._unsent = NOTHING
-        self._held_request = HeldBytes(memory, HeldKind.REQUEST, self._request_dropped)
+        self._held_request = HeldBytes(memory, HeldKind.REQUEST, self._schedule_drop)
         # Bytes that were read and are not parsed yet.
-        self._held_rest = HeldBytes(memory, HeldKind.ANSWER, self._answer_dropped)
+        self._held_rest = HeldBytes(memory, HeldKind.ANSWER, self._schedule_drop)
         self._sent = False
         self._on_answer: OnAnswer | None = None
+        # Number of the request in progress.
+        self._request_number = 0
+        self._is_dropped = False
         self._timer = None
         self._parser = AnswerParser(names, memory)
-        self._parser.on_dropped = self._answer_dropped
+        self._parser.on_dropped = self._schedule_drop
 
     @property
     def was_sent(self) -> bool:
@@ -96,6 +99,11 @@
         """Whether the handshake has failed, rather than been given up."""
         return self._is_unreachable
 
+    @property
+    def is_dropped(self) -> bool:
+        """Whether this host has closed the connection to free memory."""
+        return self._is_dropped
+
     def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Start to connect; the handshake fails after ``timeout_s`` seconds."""
         self.started_at = self.loop.now()
@@ -135,6 +143,7 @@
         if self._on_answer is not None:
             raise RuntimeError("the connection is in use")
         self._on_answer = on_answer
+        self._request_number += 1
         has_body = not request.startswith(b"HEAD ")
         self._parser.begin(request_id, on_interim, has_body=has_body)
         self._sent = False
@@ -211,7 +220,9 @@
             return pieces
         # The next slice follows at once, unless the reader has to wait for its turn.
         self._held_rest.set(self._reader.rest_bytes if pieces > MAX_PIECES else 0)
-        if parser.fault_detail is not None:
+        if parser.is_dropped:
+            self._drop(self._request_number)
+        elif parser.fault_detail is not None:
             self._fail(AnswerFault.GARBLED, parser.fault_detail)
         elif parser.answer is not None:
             # The replica would read the rest of an unsent request as the next one, and
@@ -224,12 +235,15 @@
                 self._become_idle()
         return pieces
 
-    def _request_dropped(self) -> None:
-        self.loop.call_later(0.0, self._fail, AnswerFault.ABANDONED, DROPPED_DETAIL)
-
-    def _answer_dropped(self) -> None:
+    def _schedule_drop(self) -> None:
         # Called while the answer to another request is received.
-        self.loop.call_later(0.0, self._fail, AnswerFault.ABANDONED, DROPPED_DETAIL)
+        self.loop.call_later(0.0, self._drop, self._request_number)
+
+    def _drop(self, request_number: int) -> None:
+        """Close the connection to free memory, unless that request has ended."""
+        if self._on_answer is not None and request_number == self._request_number:
+            self._is_dropped = True
+            self._fail(AnswerFault.ABANDONED, DROPPED_DETAIL)
 
     def _end_of_stream(self) -> None:
         self._parser.end_of_stream()
--- a/cicadalever/wire/_replica_pool.py
+++ b/cicadalever/wire/_replica_pool.py
@@ -281,9 +281,11 @@
             self._idle.remove(connection)
         if connection.is_unreachable:
             self.loop.run_guarded(self.on_handshake, connection)
-        if connection.answers_received == 0:
+        # What this host has dropped tells nothing about the replica.
+        is_failure = connection.answers_received == 0 and not connection.is_dropped
+        if is_failure:
             self._no_connect_before = self.loop.now() + RESET_BACKOFF_S
-        has_failed = not self._connections and connection.answers_received == 0
+        has_failed = not self._connections and is_failure
         if has_failed or self._is_closing:
             self._end_waiting(AnswerFault.UNREACHABLE, detail)
         else:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,6 +7,7 @@
 
 import eventlet
 
+from cicadalever.budgets import HeldKind, MemoryBudget
 from cicadalever.wire import (
     AnswerFault,
     CallerResponse,
@@ -334,6 +335,40 @@
         wait_for(lambda: len(answers) == MAX_WAITING + 2)
         self.assertEqual([each.status for each in answers[-2:]], [200, 200])
 
+    def check_dropped_answer(self, fill_at):
+        """Drop an answer when its connection holds as much; a request waits for it."""
+        head = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 200000\r\n\r\n"
+        _, pool = self.start(head + b"a" * 90_000, answer(b"1"))
+        pool.max_connections, answers = 1, []
+        memory = pool.memory = MemoryBudget(400_000)
+        self.send(pool, 2, answers)
+        wait_for(lambda: memory.held_bytes >= fill_at)
+        for number in range(29):
+            memory.hold(number, HeldKind.UPLOAD, 13_000, lambda: None)
+        wait_for(lambda: len(answers) == 2)
+        faults = [each.fault for each in answers]
+        self.assertEqual(faults, [AnswerFault.ABANDONED, None])
+
+    def test_dropped_answer_accuses_no_replica(self):
+        """Guards against a sound replica that is ejected since others flood."""
+        self.check_dropped_answer(fill_at=0)
+
+    def test_answer_dropped_for_another_accuses_no_replica(self):
+        """Guards against the same when the answer of another replica is received."""
+        self.check_dropped_answer(fill_at=65_536)
+
+    def test_drop_ends_no_later_request(self):
+        """Guards against a request that is lost for the memory of the one before."""
+        _, pool = self.start(answer(b"1"), answer(b"1"))
+        answers = []
+        self.send(pool, 1, answers)
+        wait_for(lambda: answers)
+        (connection,) = pool._connections
+        connection._parser.on_dropped()
+        self.send(pool, 1, answers)
+        wait_for(lambda: len(answers) == 2)
+        self.assertIsNone(answers[1].fault)
+
     def test_withdrawn_requests_were_not_sent(self):
         """Guards against counting a replica as failed that was not asked."""
         replica, pool = self.start()
