Tell answers without end from answers that are refused or damaged

Cause: the pause of 10 s for a host that gathers queries followed from the fault "garbled". That is also an answer without a request id, with which a sound host refuses a request that is too large for it or for which it has no memory. A review saw no delegated query for 10 s after one body of 1.1 MB.

Change: an answer with more bytes, or fields, than one may have has a fault of its own, "oversized", and only that one pauses a gatherer for 10 s.

Measured: the new test of tests.test_calls failed and passes.

--- a/cicadalever/gateway/_answers.py
+++ b/cicadalever/gateway/_answers.py
@@ -33,6 +33,7 @@
     AnswerFault.UNREACHABLE: AnswerKind.NOT_SENT,
     AnswerFault.LOST: AnswerKind.UNKNOWN,
     AnswerFault.GARBLED: AnswerKind.UNKNOWN,
+    AnswerFault.OVERSIZED: AnswerKind.UNKNOWN,
     AnswerFault.ABANDONED: AnswerKind.UNKNOWN,
     AnswerFault.WITHDRAWN: AnswerKind.NOT_SENT,
 }
@@ -40,6 +41,7 @@
     AnswerFault.UNREACHABLE: ReadOutcome.UNREACHABLE,
     AnswerFault.LOST: ReadOutcome.FAILED,
     AnswerFault.GARBLED: ReadOutcome.FAILED,
+    AnswerFault.OVERSIZED: ReadOutcome.FAILED,
     AnswerFault.ABANDONED: ReadOutcome.OVERDUE,
     AnswerFault.WITHDRAWN: ReadOutcome.DEFERRED,
 }
--- a/cicadalever/gateway/_delegated_call.py
+++ b/cicadalever/gateway/_delegated_call.py
@@ -135,7 +135,7 @@
             self._handle_peer_failure(
                 answer.detail,
                 may_have_begun=self._exchange.was_sent,
-                is_faulty=answer.fault is AnswerFault.GARBLED,
+                is_faulty=answer.fault is AnswerFault.OVERSIZED,
             )
         elif self._is_refusal(answer, STATUS_DECLINED):
             self._fall_back("declined", may_have_begun=False)
--- a/cicadalever/peers/_table.py
+++ b/cicadalever/peers/_table.py
@@ -41,8 +41,8 @@
 GATHERER_LIST_S = 1.0
 # Time for which a host gets no queries after it failed to gather one.
 FAILURE_PAUSE_S = 1.0
-# The same for a host that sent bytes which are no answer. It is alive, so that the next
-# query would mostly fare no better.
+# The same for a host whose answer had more bytes than one may have. It is alive, so
+# that the next query would mostly fare no better.
 FAULTY_PAUSE_S = 10.0
 
 
@@ -224,7 +224,7 @@
     ) -> None:
         """Record that a peer failed to gather a query, and pause queries to it.
 
-        The pause is longer if the peer ``is_faulty``: what it sent was no answer.
+        The pause is longer if the peer ``is_faulty``: it sends without end.
         """
         pause_s = FAULTY_PAUSE_S if is_faulty else FAILURE_PAUSE_S
         peer.no_queries_until = max(peer.no_queries_until, now + pause_s)
--- a/cicadalever/wire/_message.py
+++ b/cicadalever/wire/_message.py
@@ -78,6 +78,7 @@
     - ``UNREACHABLE``: no byte of the request was sent.
     - ``LOST``: the connection ended after a part of the request was sent.
     - ``GARBLED``: the replica sent bytes that are not the answer to the request.
+    - ``OVERSIZED``: it sent more bytes, or fields, than an answer may have.
     - ``ABANDONED``: this host closed the connection.
     - ``WITHDRAWN``: this host took the request back before a byte was sent.
     """
@@ -85,6 +86,7 @@
     UNREACHABLE = "unreachable"
     LOST = "lost"
     GARBLED = "garbled"
+    OVERSIZED = "oversized"
     ABANDONED = "abandoned"
     WITHDRAWN = "withdrawn"
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -255,6 +255,7 @@
 
         def record_failure(peer, now, *, is_faulty):
             self.failures += 1
+            self.is_faulty = is_faulty
 
         def send(address, exchange):
             exchange.connection = SimpleNamespace(
@@ -320,6 +321,17 @@
         self.loop.run_until(1.5)
         self.assertEqual(self.fallbacks, [])
 
+    def test_only_an_oversized_answer_shows_a_faulty_gatherer(self):
+        """Guards against a long pause of a sound host that refuses a query."""
+        for fault in (
+            AnswerFault.GARBLED,
+            AnswerFault.ABANDONED,
+            AnswerFault.OVERSIZED,
+        ):
+            exchange = self.delegate(lambda now: True)
+            exchange.end(ReplicaAnswer(0, [], b"", fault))
+            self.assertIs(self.is_faulty, fault is AnswerFault.OVERSIZED, fault)
+
     def test_query_that_was_never_sent_has_not_begun(self):
         """Guards against a budget that is spent for reads that nobody sent."""
         exchange = self.delegate(lambda now: True)
