Accept from peers what the configuration lets callers send

Cause: a new configuration set the limits of the address for callers only. The address for peers kept the defaults (64 KiB of head, 1 MiB of body): where the configuration allows more, a larger host refused such a request and counted as failed, so that the other host gathered this and the next queries itself.

Change: the limits for peers follow the configuration, with 16 KiB more for what hosts add to a head, and are never below the defaults.

Measured: a body of 1.9 MB with MaxBodyBytes of 2 MiB was gathered by the small host (new test failed) and is delegated now.

--- a/cicadalever/gateway/_daemon.py
+++ b/cicadalever/gateway/_daemon.py
@@ -25,7 +25,7 @@
 from ._events import EventLog
 from ._follower import PlatformFollower
 from ._metrics import GatewayMetrics
-from ._peers import PeerLink
+from ._peers import PeerLink, plan_peer_limits
 from ._readiness import Readiness
 from ._reads import ReadRunner
 from ._service import GatewayService
@@ -286,6 +286,7 @@
         runner.named_services = table.service_names.union(table.services)
         limits = table.limits
         self.components.caller_server.limits = ServerLimits(*limits)
+        self.components.link.server.limits = plan_peer_limits(limits)
         self.components.events.emit(
             "configuration_in_force",
             version=table.version,
--- a/cicadalever/gateway/_peers.py
+++ b/cicadalever/gateway/_peers.py
@@ -45,12 +45,14 @@
     encode_observation,
 )
 from cicadalever.ratelimits import LimitNews
+from cicadalever.routing import Limits
 from cicadalever.wire import (
     CallerServer,
     EventLoop,
     Exchange,
     HeaderNames,
     ReplicaPool,
+    ServerLimits,
 )
 
 from ._events import EventLog
@@ -69,6 +71,8 @@
 # Most requests that a host sends to one peer at a time. Further queries wait for a
 # connection, and the host gathers them itself when the acknowledgement is overdue.
 MAX_CONNECTIONS_PER_PEER = 32
+# What a host may add to the head of a caller's request for another host.
+PEER_HEADER_BYTES = 16 * 1024
 # Largest datagram that is received, and most datagrams per callback of the socket.
 MAX_HEARTBEAT_BYTES = 2048
 MAX_HEARTBEATS_PER_READ = 64
@@ -80,6 +84,22 @@
 UNKNOWN_COUNT = HostCount(0, 0)
 
 
+def plan_peer_limits(limits: Limits) -> ServerLimits:
+    """Return the limits on requests of peers, which carry those of callers.
+
+    >>> plan_peer_limits(Limits(max_body_bytes=2**21)).max_body_bytes
+    2097152
+    """
+    default = Limits()
+    head_bytes = limits.max_header_bytes + PEER_HEADER_BYTES
+    return ServerLimits(
+        max(default.max_header_bytes, head_bytes),
+        max(default.max_body_bytes, limits.max_body_bytes),
+        default.header_timeout_s,
+        default.idle_timeout_s,
+    )
+
+
 class PeerLink:
     """Sends and receives the heartbeats and requests between this host and its peers.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -623,6 +623,23 @@
         self.assertEqual(self.large.events("stopped")[0]["busy"], 0)
 
 
+class TestLargeRequests(TwoGatewaysTestCase):
+    """Requests that the configuration allows, and that another host processes."""
+
+    BODY = b"b" * 1_900_000
+
+    def configuration(self, version):
+        limits = {"MaxBodyBytes": 2 * 1024 * 1024}
+        document = super().configuration(version)
+        return document | {"Limits": document["Limits"] | limits}
+
+    def test_gatherer_takes_what_callers_may_send(self):
+        """Guards against a gatherer that refuses a body and counts as failed."""
+        status, _, _ = self.small.ask("/search/q", request_id="big", body=self.BODY)
+        self.assertEqual((status, self.ends("big")), (200, ["delegated"]))
+        self.assertEqual(self.small.events("gatherer_failed"), [])
+
+
 class TestRelay(TwoGatewaysTestCase):
     """Changes of the platform that one host relays to another."""
 
