Wake up a dropped answer after which the connection closes

Cause: http.client hands the socket to the response if it says Connection: close or has no length. abort() found no socket then, so that a dropped or abandoned call waited for its deadline and ended as timeout.

Change: the connection keeps the socket of the request that runs and shuts down that one. An aborted answer without a length, whose end is the end of the stream, is lost and not taken for the whole.

Measured: the new tests, three cases with a deadline of 2 s, ended as timeout before; now unknown (dropped) and lost (aborted). test_upstreams, test_upstream_answers: 17 passed.

--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -99,6 +99,10 @@
         self.max_answer_bytes = max_answer_bytes
         self.memory = memory
         self._connection: CompleteHeadConnection | None = None
+        # Socket of the request that runs. The library takes it from its connection
+        # if the answer is the last one.
+        self._socket: socket.socket | None = None
+        self._is_aborted = False
         self._held: HeldBytes | None = None
         self._is_dropped = False
         self._pieces: list[bytes] = []
@@ -121,12 +125,14 @@
                 return failure
         call = call._replace(remaining_s=deadline - time.monotonic())
         timeout_s = max(call.remaining_s, 0) + DEADLINE_MARGIN_S
-        self._connection.sock.settimeout(timeout_s)
+        self._socket = self._connection.sock
+        self._socket.settimeout(timeout_s)
         try:
             self._put_head(call)
         except ValueError as error:
             # The connection holds a part of this head, so no other request may use it.
             self.close()
+            self._release()
             return Failure(FailureCode.INVALID, f"request head: {error}")
         # The time-out of the socket starts anew with each piece of an answer.
         total = eventlet.Timeout(timeout_s, TimeoutError())
@@ -165,6 +171,7 @@
         self._connection.timeout = PROBE_TIMEOUT_S
         try:
             self._connection.request("GET", "/v1/health")
+            self._socket = self._connection.sock
             response = self._connection.getresponse()
             health = msgspec.json.decode(response.data, type=_Health)
         except (*_LIBRARY_ERRORS, msgspec.MsgspecError):
@@ -181,6 +188,7 @@
         self._connection.timeout = CANCEL_TIMEOUT_S
         try:
             self._connection.request("DELETE", f"/v1/requests/{request_id}")
+            self._socket = self._connection.sock
             _ = self._connection.getresponse().data
         except _LIBRARY_ERRORS:
             self.close()
@@ -189,9 +197,10 @@
 
     def abort(self) -> None:
         """Make a call of another green thread fail as ``lost``."""
-        if self._connection is not None and self._connection.sock is not None:
+        if self._socket is not None:
+            self._is_aborted = True
             with contextlib.suppress(OSError):
-                self._connection.sock.shutdown(socket.SHUT_RDWR)
+                self._socket.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -226,6 +235,9 @@
             self._pieces.append(piece)
         if response.length:
             raise http.client.IncompleteRead(b"", response.length)
+        if self._is_aborted:
+            # An answer without a length ends with its stream.
+            raise http.client.IncompleteRead(b"")
         return b"".join(self._pieces)
 
     def _hold(self, size: int) -> None:
@@ -249,6 +261,8 @@
         if self._held is not None:
             self._held.set(0)
         self._held = None
+        self._socket = None
+        self._is_aborted = False
         self._is_dropped = False
         self._pieces.clear()
 
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+from cicadalever.budgets import HeldKind, MemoryBudget
 from cicadalever.outcomes import Failure, FailureCode
 from cicadalever.upstreams import UpstreamAnswer, UpstreamCall, UpstreamConnection
 
@@ -160,6 +161,43 @@
         self.assertTrue(self.call(answer).draining)
 
 
+class TestLastAnswers(unittest.TestCase):
+    """Answers after which the upstream closes the connection."""
+
+    def call_for(self, end, answer: bytes, memory: MemoryBudget | None = None):
+        """Call ``end`` with the connection while it waits for the rest of an answer."""
+        upstream = CannedUpstream(answer, b"")
+        self.addCleanup(upstream.close)
+        connection = UpstreamConnection(upstream.address, memory=memory)
+        self.addCleanup(connection.close)
+        timer = threading.Timer(PAUSE_S, end, [connection])
+        timer.start()
+        self.addCleanup(timer.join)
+        call = UpstreamCall("read", "r1", "storefront/s00", 41, b"{}", 2.0)
+        return connection.call(call).code
+
+    def test_dropped_answer_ends_at_once(self):
+        """Guards against a drop that waits for the deadline and ends as timeout."""
+        memory = MemoryBudget(10_000)
+        head = HEAD_OK + b"Connection: close\r\nContent-Length: 9999\r\n\r\n"
+        code = self.call_for(
+            lambda connection: memory.pin("other", HeldKind.REQUEST, 5000),
+            head + b" " * 9000,
+            memory,
+        )
+        self.assertIs(code, FailureCode.UNKNOWN)
+        self.assertEqual(memory.held_bytes, 5000)
+
+    def test_aborted_answer_is_lost(self):
+        """Guards against a part of an answer without a length that counts as whole."""
+        for head in (b"", b"Connection: close\r\nContent-Length: 9\r\n"):
+            with self.subTest(head):
+                code = self.call_for(
+                    UpstreamConnection.abort, HEAD_OK + head + b"\r\n["
+                )
+                self.assertIs(code, FailureCode.LOST)
+
+
 class TestEndlessAnswers(unittest.TestCase):
     """Answers of an upstream that have more bytes than an answer may have."""
 
