Limit the whole time of a probe and of a cancellation

Cause: both set the time-out of the socket only, which starts anew with each piece of an answer. An upstream that sent a byte every 0.1 s kept a probe for 6 s.

Change: one time-out for the whole exchange, 0.25 s and 1 s, cancelled in any case; connecting keeps its own limit of the same length. Both are in the doc comments.

--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -165,35 +165,32 @@
         return _read_response(response, body, self.address)
 
     def probe(self) -> str | None:
-        """Return the state from the health endpoint, or None without a valid answer."""
+        """Return the state from the health endpoint, or None without a valid answer.
+
+        It has 0.25 s to connect, if the connection is not open, and 0.25 s for the
+        whole answer.
+        """
         if self._connection is None and self._connect(PROBE_TIMEOUT_S) is not None:
             return None
-        self._connection.timeout = PROBE_TIMEOUT_S
         try:
-            self._connection.request("GET", "/v1/health")
-            self._socket = self._connection.sock
-            response = self._connection.getresponse()
-            health = msgspec.json.decode(response.data, type=_Health)
+            body = self._ask("GET", "/v1/health", PROBE_TIMEOUT_S)
+            return msgspec.json.decode(body, type=_Health).state
         except (*_LIBRARY_ERRORS, msgspec.MsgspecError):
             self.close()
             return None
-        finally:
-            self._release()
-        return health.state
 
     def cancel(self, request_id: str) -> None:
-        """Ask the upstream to stop a request; failures are ignored."""
+        """Ask the upstream to stop a request; failures are ignored.
+
+        It has 1 s to connect, if the connection is not open, and 1 s for the whole
+        answer.
+        """
         if self._connection is None and self._connect(CANCEL_TIMEOUT_S) is not None:
             return
-        self._connection.timeout = CANCEL_TIMEOUT_S
         try:
-            self._connection.request("DELETE", f"/v1/requests/{request_id}")
-            self._socket = self._connection.sock
-            _ = self._connection.getresponse().data
+            self._ask("DELETE", f"/v1/requests/{request_id}", CANCEL_TIMEOUT_S)
         except _LIBRARY_ERRORS:
             self.close()
-        finally:
-            self._release()
 
     def abort(self) -> None:
         """Make a call of another green thread fail as ``lost``."""
@@ -208,6 +205,19 @@
             self._connection.close()
             self._connection = None
 
+    def _ask(self, method: str, path: str, timeout_s: float) -> bytes:
+        """Return the body of an answer; raise one of ``_LIBRARY_ERRORS`` without it."""
+        self._connection.timeout = timeout_s
+        # The time-out of the socket starts anew with each piece of an answer.
+        total = eventlet.Timeout(timeout_s, TimeoutError())
+        try:
+            self._connection.request(method, path)
+            self._socket = self._connection.sock
+            return self._connection.getresponse().data
+        finally:
+            total.cancel()
+            self._release()
+
     def _connect(self, remaining_s: float) -> Failure | None:
         host, _, port = self.address.rpartition(":")
         source = (self.source_ip, 0) if self.source_ip else None
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -29,8 +29,10 @@
 eventlet.spawn(eventlet.serve, listener, serve)
 connection = UpstreamConnection("127.0.0.1:%d" % listener.getsockname()[1])
 started_at = time.monotonic()
-result = connection.call(UpstreamCall("read", "r1", "s/s00", 41, b"{}", 0.2))
-print(getattr(result, "code", "answered"), time.monotonic() - started_at)
+call = UpstreamCall("read", "r1", "s/s00", 41, b"{}", 0.2)
+result = connection.REQUEST
+seconds = time.monotonic() - started_at
+print(getattr(result, "code", result), seconds)
 """
 
 # Calls upstreams that stop in the middle of long bodies, and one that answers at once.
@@ -119,13 +121,20 @@
 
     def test_answer_that_trickles_ends_with_the_deadline(self):
         """Guards against a slot that is held while bytes arrive now and then."""
-        script = subprocess.run(
-            [sys.executable, "-W", "ignore", "-c", TRICKLING_UPSTREAM],
-            capture_output=True, text=True, timeout=30.0, check=True,
-        )  # fmt: skip
-        code, seconds = script.stdout.split()
-        self.assertEqual(code, "timeout")
-        self.assertLess(float(seconds), 1.0)
+        for request, end, limit_s in (
+            ("call(call)", "timeout", 1.0),
+            ("probe()", "None", 1.0),
+            ("cancel('r1')", "None", 2.0),
+        ):
+            with self.subTest(request):
+                source = TRICKLING_UPSTREAM.replace("REQUEST", request)
+                script = subprocess.run(
+                    [sys.executable, "-W", "ignore", "-c", source],
+                    capture_output=True, text=True, timeout=30.0, check=True,
+                )  # fmt: skip
+                code, seconds = script.stdout.split()
+                self.assertEqual(code, end)
+                self.assertLess(float(seconds), limit_s)
 
     def test_unfinished_answers_have_a_common_limit(self):
         """Guards against memory that grows with the number of unfinished answers."""
