Open a new connection after a probe whose answer was the last one

Cause: after an answer with Connection: close to a probe or a cancellation, the connection had no socket but counted as open. The next call raised AttributeError, which the executor answers as outcome_unknown.

Change: the connection is closed after such an answer, as a call does.

Measured: the new test ended with AttributeError before and passes now. test_upstreams, test_upstream_answers: 18 passed.

--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -213,10 +213,14 @@
         try:
             self._connection.request(method, path)
             self._socket = self._connection.sock
-            return self._connection.getresponse().data
+            body = self._connection.getresponse().data
         finally:
             total.cancel()
             self._release()
+        if self._connection.sock is None:
+            # The upstream closes the connection after this answer.
+            self.close()
+        return body
 
     def _connect(self, remaining_s: float) -> Failure | None:
         host, _, port = self.address.rpartition(":")
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -176,6 +176,18 @@
         call = UpstreamCall("read", "r1", "storefront/s00", 41, b"{}", 2.0)
         return connection.call(call).code
 
+    def test_call_after_the_last_answer(self):
+        """Guards against a probe that leaves a connection without a socket."""
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 17\r\n\r\n"
+        upstream = EndlessUpstream(head + b'{"state":"ready"}', b" ")
+        self.addCleanup(upstream.close)
+        connection = UpstreamConnection(upstream.address)
+        self.addCleanup(connection.close)
+        self.assertEqual(connection.probe(), "ready")
+        # It connects again; nobody answers there.
+        call = UpstreamCall("read", "r1", "storefront/s00", 41, b"{}", 0.2)
+        self.assertIs(connection.call(call).code, FailureCode.TIMEOUT)
+
     def test_dropped_answer_ends_at_once(self):
         """Guards against a drop that waits for the deadline and ends as timeout."""
         memory = MemoryBudget(10_000)
