Count a buffered part of a pipelined request as its beginning

Cause: a part of the next request that was read together with the last one stayed in the buffer. The stream saw no byte of it: the connection counted as idle, was closed without 503 to make room, and had the I/O time-out before its deadline began.

Change: the stream tells how many bytes were read. If fewer are consumed when the next request is expected, that one has begun. Nothing is read for it.

Measured: three new cases failed before (closed without 503, no 408 within 3 s) and pass now. test_caller_connections, test_drop_report: 11 passed.

--- a/cicadalever/daemon/_request_stream.py
+++ b/cicadalever/daemon/_request_stream.py
@@ -59,6 +59,7 @@
         self._connection = connection
         self._idle_since = time.monotonic()
         self._began_at: float | None = None
+        self._position = 0
         self._is_reading = False
         self._is_dropped = False
 
@@ -74,10 +75,10 @@
             return None
         return self._idle_since if self._began_at is None else self._began_at
 
-    def begin_request(self) -> None:
-        """Expect the next request of the connection."""
+    def begin_request(self, has_begun: bool) -> None:
+        """Expect the next request of the connection, or the rest of it."""
         self._idle_since = time.monotonic()
-        self._began_at = None
+        self._began_at = self._idle_since if has_begun else None
 
     def has_waited(self, now: float) -> bool:
         """Return whether the connection may make room for another."""
@@ -99,6 +100,10 @@
         """Return True."""
         return True
 
+    def tell(self) -> int:
+        """Return the number of bytes that were read; ``seek`` is not supported."""
+        return self._position
+
     def readinto(self, buffer) -> int | None:
         """Read some bytes; raise ``RequestRefused`` if the request may not go on."""
         self._is_reading = True
@@ -112,6 +117,7 @@
             )
         if self._began_at is None:
             self._began_at = time.monotonic()
+        self._position += size or 0
         return size
 
     def close(self) -> None:
@@ -178,7 +184,10 @@
 
     def handle_one_request(self) -> None:
         """Serve one request, or refuse it if it does not arrive."""
-        self._stream.begin_request()
+        # A caller may send requests without waiting for responses, so that a part of
+        # the next one was read with the last.
+        is_buffered = not self.rfile.closed and self.rfile.tell() < self._stream.tell()
+        self._stream.begin_request(has_begun=is_buffered)
         self.environ = None
         try:
             super().handle_one_request()
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -16,6 +16,7 @@
 LOG_TIMEOUT_S = 10.0
 REQUEST_TIMEOUT_S = 0.6
 TRICKLE_PERIOD_S = 0.1
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 PART_OF_BODY = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{"
 SERVER = f"""
 import resource
@@ -125,6 +126,16 @@
         self.assertTrue(self.ask().endswith(b"ok"))
         self.assertTrue(first.recv(65_536).startswith(b"HTTP/1.1 503 "))
 
+    def test_part_of_a_pipelined_request(self):
+        """Guards against a request that counts as none since its part was read."""
+        first = self.connect()
+        first.sendall(REQUEST + PART_OF_BODY)
+        self.assertTrue(first.recv(65_536).endswith(b"ok"))
+        for _ in range(SILENT_CALLERS):
+            self.connect()
+        self.assertTrue(self.ask().endswith(b"ok"))
+        self.assertTrue(first.recv(65_536).startswith(b"HTTP/1.1 503 "))
+
     def test_server_outlasts_a_time_without_descriptors(self):
         """Guards against a process that lives on and accepts no connection any more."""
         kept = self.connect()
@@ -180,12 +191,21 @@
                 answer = self.trickle(sock)
                 self.assertTrue(answer.startswith(b"HTTP/1.1 408 "), answer)
 
+    def test_pipelined_request_has_a_deadline(self):
+        """Guards against a part of a request that has the time of a silent caller."""
+        for part in (b"GET /", PART_OF_BODY):
+            with self.subTest(part):
+                sock = self.connect()
+                sock.sendall(REQUEST + part)
+                self.assertTrue(sock.recv(65_536).endswith(b"ok"))
+                self.assertTrue(sock.recv(65_536).startswith(b"HTTP/1.1 408 "))
+
     def test_deadline_counts_for_each_request(self):
         """Guards against a deadline that ends a connection which is kept open."""
         sock = self.connect()
         ends_at = time.monotonic() + 2 * REQUEST_TIMEOUT_S
         while time.monotonic() < ends_at:
-            sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            sock.sendall(REQUEST)
             self.assertTrue(sock.recv(65_536).endswith(b"ok"))
             time.sleep(TRICKLE_PERIOD_S)
 
