Read a body that arrived during a pause of the process

Cause: the deadline of a request is checked before the read. A process that was stopped or busy until then answered 408, although the rest of the body was there.

Change: when the time has ended, the bytes that have arrived by then are counted and still read, without a wait; the next read is refused. The socket is read directly, since the stream of the standard library refuses every read after a time-out. What did not fit into the receive buffer of the kernel has not arrived.

--- a/cicadalever/daemon/_request_stream.py
+++ b/cicadalever/daemon/_request_stream.py
@@ -1,7 +1,10 @@
 """Requests of callers: a deadline for a whole request, and an end to make room."""
 
+import fcntl
 import io
 import socket
+import sys
+import termios
 import time
 from collections.abc import Callable
 from enum import StrEnum
@@ -49,7 +52,8 @@
     """Reads the requests of a connection, each of which may take ``timeout_s`` seconds.
 
     The time counts from the first byte of a request. A read after it, or of a stream
-    that was dropped, raises ``RequestRefused``. The time-out of ``connection``, the
+    that was dropped, raises ``RequestRefused``. What has arrived by then is still read,
+    as the process may have been paused meanwhile. The time-out of ``connection``, the
     socket below ``raw``, still limits each single read.
     """
 
@@ -59,6 +63,8 @@
         self._connection = connection
         self._idle_since = time.monotonic()
         self._began_at: float | None = None
+        # Bytes that had arrived when the time ended.
+        self._late_bytes: int | None = None
         self._position = 0
         self._is_reading = False
         self._is_dropped = False
@@ -79,6 +85,7 @@
         """Expect the next request of the connection, or the rest of it."""
         self._idle_since = time.monotonic()
         self._began_at = self._idle_since if has_begun else None
+        self._late_bytes = None
 
     def has_waited(self, now: float) -> bool:
         """Return whether the connection may make room for another."""
@@ -127,23 +134,36 @@
         super().close()
 
     def _read(self, buffer) -> int | None:
+        # The stream of the library refuses to read on after a time-out.
+        read = self._connection.recv_into
         if self._began_at is None or self._is_dropped:
-            return self._raw.readinto(buffer)
+            return read(buffer)
         left_s = self._began_at + self.timeout_s - time.monotonic()
         io_timeout_s = self._connection.gettimeout()
-        if left_s > 0 and io_timeout_s is not None and io_timeout_s <= left_s:
-            return self._raw.readinto(buffer)
+        if left_s <= 0:
+            return self._read_late(buffer)
+        if io_timeout_s is not None and io_timeout_s <= left_s:
+            return read(buffer)
         try:
-            if left_s <= 0:
-                raise TimeoutError
             self._connection.settimeout(left_s)
-            return self._raw.readinto(buffer)
+            return read(buffer)
         except TimeoutError:
-            raise RequestRefused(DropCause.LATE) from None
+            return self._read_late(buffer)
         finally:
             # Responses are sent with the time-out of the server.
             self._connection.settimeout(io_timeout_s)
 
+    def _read_late(self, buffer) -> int:
+        """Read some of the bytes that had arrived in time, without waiting."""
+        if self._late_bytes is None:
+            count = fcntl.ioctl(self._connection.fileno(), termios.FIONREAD, bytes(4))
+            self._late_bytes = int.from_bytes(count, sys.byteorder)
+        if not self._late_bytes:
+            raise RequestRefused(DropCause.LATE)
+        size = self._connection.recv_into(buffer, min(len(buffer), self._late_bytes))
+        self._late_bytes -= size
+        return size
+
     def _has_bytes(self) -> bool:
         try:
             return bool(self._connection.fd.recv(1, socket.MSG_PEEK))
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -209,6 +210,19 @@
             self.assertTrue(sock.recv(65_536).endswith(b"ok"))
             time.sleep(TRICKLE_PERIOD_S)
 
+    def test_body_that_arrived_during_a_pause(self):
+        """Guards against 408 for a body that a paused process could have read."""
+        sock = self.connect()
+        for _ in range(2):
+            sock.sendall(PART_OF_BODY)
+            time.sleep(TRICKLE_PERIOD_S)
+            self.process.send_signal(signal.SIGSTOP)
+            sock.sendall(b"a" * 99)
+            time.sleep(REQUEST_TIMEOUT_S)
+            self.process.send_signal(signal.SIGCONT)
+            answer = sock.recv(65_536)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+
     def trickle(self, sock: socket.socket) -> bytes:
         """Send bytes until an answer comes, and return it; b"" if none does."""
         sock.settimeout(TRICKLE_PERIOD_S)
