Count no unfinished request when an answered one is dropped

Cause: a server that has answered before it read the whole request discards the rest. A connection that made room meanwhile counted as unfinished, as if a caller had got no answer.

Change: it counts as idle, since no request waits on it.

--- a/cicadalever/daemon/_request_stream.py
+++ b/cicadalever/daemon/_request_stream.py
@@ -22,6 +22,7 @@
     """Why the server closes a connection.
 
     - ``IDLE``, ``UNFINISHED``: to make room, without a request or with a part of one.
+      What is left of a request that was answered is no request.
     - ``LATE``: a request was not complete in time.
     """
 
@@ -213,9 +214,13 @@
             super().handle_one_request()
         except RequestRefused as refusal:
             self.close_connection = True
-            self._on_dropped(refusal.cause)
-            status = STATUS_OF_CAUSE.get(refusal.cause)
-            if status is not None and not self._has_responded():
+            has_responded = self._has_responded()
+            cause = refusal.cause
+            if has_responded and cause is DropCause.UNFINISHED:
+                cause = DropCause.IDLE
+            self._on_dropped(cause)
+            status = STATUS_OF_CAUSE.get(cause)
+            if status is not None and not has_responded:
                 self.wfile.write(
                     f"HTTP/1.1 {status} {status.phrase}\r\n"
                     "Connection: close\r\nContent-Length: 0\r\n\r\n".encode()
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -31,7 +31,8 @@
 
 def application(environ, start_response):
     try:
-        environ["wsgi.input"].read()
+        if environ["PATH_INFO"] != "/refused":
+            environ["wsgi.input"].read()
     except Exception:
         pass
     if environ["PATH_INFO"] == "/take":
@@ -152,15 +153,28 @@
         for _ in range(SILENT_CALLERS):
             self.connect()
         self.assertTrue(self.ask().endswith(b"ok"))
-        text = self.ask("/metrics").decode()
-        series = 'connections_dropped_total{cause="idle",server="caller"} '
-        dropped = int(float(text.partition(series)[2].partition("\n")[0] or 0))
+        dropped = self.count_drops("idle")
         self.assertGreater(dropped, SILENT_CALLERS // 2)
         counts = self.read_counts(dropped)
         periods = time.monotonic() - started_at
         self.assertLessEqual(len(counts), periods)
         self.assertEqual(sum(counts), dropped)
 
+    def test_rest_of_an_answered_request(self):
+        """Guards against drops that count a request which was answered."""
+        for _ in range(SILENT_CALLERS):
+            sock = self.connect()
+            sock.sendall(PART_OF_BODY.replace(b"/", b"/refused", 1))
+            self.assertTrue(sock.recv(65_536).endswith(b"ok"))
+        self.assertGreater(self.count_drops("idle"), SILENT_CALLERS // 2)
+        self.assertEqual(self.count_drops("unfinished"), 0)
+
+    def count_drops(self, cause: str) -> int:
+        """Return how many connections the server has dropped for a cause."""
+        text = self.ask("/metrics").decode()
+        series = f'connections_dropped_total{{cause="{cause}",server="caller"}} '
+        return int(float(text.partition(series)[2].partition("\n")[0] or 0))
+
     def read_counts(self, total: int) -> list[int]:
         """Return the numbers of idle connections in the log, up to a sum."""
         counts: list[int] = []
