--- a/cicadalever/daemon/_request_stream.py
+++ b/cicadalever/daemon/_request_stream.py
@@ -1,7 +1,10 @@
 """Requests of callers: a deadline for a whole request, and an end to make room."""
 
+import fcntl
 import io
 import socket
+import sys
+import termios
 import time
 from collections.abc import Callable
 from enum import StrEnum
@@ -19,6 +22,7 @@
     """Why the server closes a connection.
 
     - ``IDLE``, ``UNFINISHED``: to make room, without a request or with a part of one.
+      What is left of a request that was answered is no request.
     - ``LATE``: a request was not complete in time.
     """
 
@@ -49,7 +53,8 @@
     """Reads the requests of a connection, each of which may take ``timeout_s`` seconds.
 
     The time counts from the first byte of a request. A read after it, or of a stream
-    that was dropped, raises ``RequestRefused``. The time-out of ``connection``, the
+    that was dropped, raises ``RequestRefused``. What has arrived by then is still read,
+    as the process may have been paused meanwhile. The time-out of ``connection``, the
     socket below ``raw``, still limits each single read.
     """
 
@@ -59,6 +64,9 @@
         self._connection = connection
         self._idle_since = time.monotonic()
         self._began_at: float | None = None
+        # Bytes that had arrived when the time ended.
+        self._late_bytes: int | None = None
+        self._position = 0
         self._is_reading = False
         self._is_dropped = False
 
@@ -74,10 +82,11 @@
             return None
         return self._idle_since if self._began_at is None else self._began_at
 
-    def begin_request(self) -> None:
-        """Expect the next request of the connection."""
+    def begin_request(self, has_begun: bool) -> None:
+        """Expect the next request of the connection, or the rest of it."""
         self._idle_since = time.monotonic()
-        self._began_at = None
+        self._began_at = self._idle_since if has_begun else None
+        self._late_bytes = None
 
     def has_waited(self, now: float) -> bool:
         """Return whether the connection may make room for another."""
@@ -99,6 +108,10 @@
         """Return True."""
         return True
 
+    def tell(self) -> int:
+        """Return the number of bytes that were read; ``seek`` is not supported."""
+        return self._position
+
     def readinto(self, buffer) -> int | None:
         """Read some bytes; raise ``RequestRefused`` if the request may not go on."""
         self._is_reading = True
@@ -112,6 +125,7 @@
             )
         if self._began_at is None:
             self._began_at = time.monotonic()
+        self._position += size or 0
         return size
 
     def close(self) -> None:
@@ -121,23 +135,36 @@
         super().close()
 
     def _read(self, buffer) -> int | None:
+        # The stream of the library refuses to read on after a time-out.
+        read = self._connection.recv_into
         if self._began_at is None or self._is_dropped:
-            return self._raw.readinto(buffer)
+            return read(buffer)
         left_s = self._began_at + self.timeout_s - time.monotonic()
         io_timeout_s = self._connection.gettimeout()
-        if left_s > 0 and io_timeout_s is not None and io_timeout_s <= left_s:
-            return self._raw.readinto(buffer)
+        if left_s <= 0:
+            return self._read_late(buffer)
+        if io_timeout_s is not None and io_timeout_s <= left_s:
+            return read(buffer)
         try:
-            if left_s <= 0:
-                raise TimeoutError
             self._connection.settimeout(left_s)
-            return self._raw.readinto(buffer)
+            return read(buffer)
         except TimeoutError:
-            raise RequestRefused(DropCause.LATE) from None
+            return self._read_late(buffer)
         finally:
             # Responses are sent with the time-out of the server.
             self._connection.settimeout(io_timeout_s)
 
+    def _read_late(self, buffer) -> int:
+        """Read some of the bytes that had arrived in time, without waiting."""
+        if self._late_bytes is None:
+            count = fcntl.ioctl(self._connection.fileno(), termios.FIONREAD, bytes(4))
+            self._late_bytes = int.from_bytes(count, sys.byteorder)
+        if not self._late_bytes:
+            raise RequestRefused(DropCause.LATE)
+        size = self._connection.recv_into(buffer, min(len(buffer), self._late_bytes))
+        self._late_bytes -= size
+        return size
+
     def _has_bytes(self) -> bool:
         try:
             return bool(self._connection.fd.recv(1, socket.MSG_PEEK))
@@ -178,15 +205,22 @@
 
     def handle_one_request(self) -> None:
         """Serve one request, or refuse it if it does not arrive."""
-        self._stream.begin_request()
+        # A caller may send requests without waiting for responses, so that a part of
+        # the next one was read with the last.
+        is_buffered = not self.rfile.closed and self.rfile.tell() < self._stream.tell()
+        self._stream.begin_request(has_begun=is_buffered)
         self.environ = None
         try:
             super().handle_one_request()
         except RequestRefused as refusal:
             self.close_connection = True
-            self._on_dropped(refusal.cause)
-            status = STATUS_OF_CAUSE.get(refusal.cause)
-            if status is not None and not self._has_responded():
+            has_responded = self._has_responded()
+            cause = refusal.cause
+            if has_responded and cause is DropCause.UNFINISHED:
+                cause = DropCause.IDLE
+            self._on_dropped(cause)
+            status = STATUS_OF_CAUSE.get(cause)
+            if status is not None and not has_responded:
                 self.wfile.write(
                     f"HTTP/1.1 {status} {status.phrase}\r\n"
                     "Connection: close\r\nContent-Length: 0\r\n\r\n".encode()
--- a/cicadalever/upstreams/_connection.py
+++ b/cicadalever/upstreams/_connection.py
@@ -99,6 +99,10 @@
         self.max_answer_bytes = max_answer_bytes
         self.memory = memory
         self._connection: CompleteHeadConnection | None = None
+        # Socket of the request that runs. The library takes it from its connection
+        # if the answer is the last one.
+        self._socket: socket.socket | None = None
+        self._is_aborted = False
         self._held: HeldBytes | None = None
         self._is_dropped = False
         self._pieces: list[bytes] = []
@@ -121,12 +125,14 @@
                 return failure
         call = call._replace(remaining_s=deadline - time.monotonic())
         timeout_s = max(call.remaining_s, 0) + DEADLINE_MARGIN_S
-        self._connection.sock.settimeout(timeout_s)
+        self._socket = self._connection.sock
+        self._socket.settimeout(timeout_s)
         try:
             self._put_head(call)
         except ValueError as error:
             # The connection holds a part of this head, so no other request may use it.
             self.close()
+            self._release()
             return Failure(FailureCode.INVALID, f"request head: {error}")
         # The time-out of the socket starts anew with each piece of an answer.
         total = eventlet.Timeout(timeout_s, TimeoutError())
@@ -159,39 +165,39 @@
         return _read_response(response, body, self.address)
 
     def probe(self) -> str | None:
-        """Return the state from the health endpoint, or None without a valid answer."""
+        """Return the state from the health endpoint, or None without a valid answer.
+
+        It has 0.25 s to connect, if the connection is not open, and 0.25 s for the
+        whole answer.
+        """
         if self._connection is None and self._connect(PROBE_TIMEOUT_S) is not None:
             return None
-        self._connection.timeout = PROBE_TIMEOUT_S
         try:
-            self._connection.request("GET", "/v1/health")
-            response = self._connection.getresponse()
-            health = msgspec.json.decode(response.data, type=_Health)
+            body = self._ask("GET", "/v1/health", PROBE_TIMEOUT_S)
+            return msgspec.json.decode(body, type=_Health).state
         except (*_LIBRARY_ERRORS, msgspec.MsgspecError):
             self.close()
             return None
-        finally:
-            self._release()
-        return health.state
 
     def cancel(self, request_id: str) -> None:
-        """Ask the upstream to stop a request; failures are ignored."""
+        """Ask the upstream to stop a request; failures are ignored.
+
+        It has 1 s to connect, if the connection is not open, and 1 s for the whole
+        answer.
+        """
         if self._connection is None and self._connect(CANCEL_TIMEOUT_S) is not None:
             return
-        self._connection.timeout = CANCEL_TIMEOUT_S
         try:
-            self._connection.request("DELETE", f"/v1/requests/{request_id}")
-            _ = self._connection.getresponse().data
+            self._ask("DELETE", f"/v1/requests/{request_id}", CANCEL_TIMEOUT_S)
         except _LIBRARY_ERRORS:
             self.close()
-        finally:
-            self._release()
 
     def abort(self) -> None:
         """Make a call of another green thread fail as ``lost``."""
-        if self._connection is not None and self._connection.sock is not None:
+        if self._socket is not None:
+            self._is_aborted = True
             with contextlib.suppress(OSError):
-                self._connection.sock.shutdown(socket.SHUT_RDWR)
+                self._socket.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -199,6 +205,23 @@
             self._connection.close()
             self._connection = None
 
+    def _ask(self, method: str, path: str, timeout_s: float) -> bytes:
+        """Return the body of an answer; raise one of ``_LIBRARY_ERRORS`` without it."""
+        self._connection.timeout = timeout_s
+        # The time-out of the socket starts anew with each piece of an answer.
+        total = eventlet.Timeout(timeout_s, TimeoutError())
+        try:
+            self._connection.request(method, path)
+            self._socket = self._connection.sock
+            body = self._connection.getresponse().data
+        finally:
+            total.cancel()
+            self._release()
+        if self._connection.sock is None:
+            # The upstream closes the connection after this answer.
+            self.close()
+        return body
+
     def _connect(self, remaining_s: float) -> Failure | None:
         host, _, port = self.address.rpartition(":")
         source = (self.source_ip, 0) if self.source_ip else None
@@ -226,6 +249,9 @@
             self._pieces.append(piece)
         if response.length:
             raise http.client.IncompleteRead(b"", response.length)
+        if self._is_aborted:
+            # An answer without a length ends with its stream.
+            raise http.client.IncompleteRead(b"")
         return b"".join(self._pieces)
 
     def _hold(self, size: int) -> None:
@@ -249,6 +275,8 @@
         if self._held is not None:
             self._held.set(0)
         self._held = None
+        self._socket = None
+        self._is_aborted = False
         self._is_dropped = False
         self._pieces.clear()
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -16,6 +17,7 @@
 LOG_TIMEOUT_S = 10.0
 REQUEST_TIMEOUT_S = 0.6
 TRICKLE_PERIOD_S = 0.1
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 PART_OF_BODY = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{"
 SERVER = f"""
 import resource
@@ -29,7 +31,8 @@
 
 def application(environ, start_response):
     try:
-        environ["wsgi.input"].read()
+        if environ["PATH_INFO"] != "/refused":
+            environ["wsgi.input"].read()
     except Exception:
         pass
     if environ["PATH_INFO"] == "/take":
@@ -125,6 +128,16 @@
         self.assertTrue(self.ask().endswith(b"ok"))
         self.assertTrue(first.recv(65_536).startswith(b"HTTP/1.1 503 "))
 
+    def test_part_of_a_pipelined_request(self):
+        """Guards against a request that counts as none since its part was read."""
+        first = self.connect()
+        first.sendall(REQUEST + PART_OF_BODY)
+        self.assertTrue(first.recv(65_536).endswith(b"ok"))
+        for _ in range(SILENT_CALLERS):
+            self.connect()
+        self.assertTrue(self.ask().endswith(b"ok"))
+        self.assertTrue(first.recv(65_536).startswith(b"HTTP/1.1 503 "))
+
     def test_server_outlasts_a_time_without_descriptors(self):
         """Guards against a process that lives on and accepts no connection any more."""
         kept = self.connect()
@@ -140,15 +153,28 @@
         for _ in range(SILENT_CALLERS):
             self.connect()
         self.assertTrue(self.ask().endswith(b"ok"))
-        text = self.ask("/metrics").decode()
-        series = 'connections_dropped_total{cause="idle",server="caller"} '
-        dropped = int(float(text.partition(series)[2].partition("\n")[0] or 0))
+        dropped = self.count_drops("idle")
         self.assertGreater(dropped, SILENT_CALLERS // 2)
         counts = self.read_counts(dropped)
         periods = time.monotonic() - started_at
         self.assertLessEqual(len(counts), periods)
         self.assertEqual(sum(counts), dropped)
 
+    def test_rest_of_an_answered_request(self):
+        """Guards against drops that count a request which was answered."""
+        for _ in range(SILENT_CALLERS):
+            sock = self.connect()
+            sock.sendall(PART_OF_BODY.replace(b"/", b"/refused", 1))
+            self.assertTrue(sock.recv(65_536).endswith(b"ok"))
+        self.assertGreater(self.count_drops("idle"), SILENT_CALLERS // 2)
+        self.assertEqual(self.count_drops("unfinished"), 0)
+
+    def count_drops(self, cause: str) -> int:
+        """Return how many connections the server has dropped for a cause."""
+        text = self.ask("/metrics").decode()
+        series = f'connections_dropped_total{{cause="{cause}",server="caller"}} '
+        return int(float(text.partition(series)[2].partition("\n")[0] or 0))
+
     def read_counts(self, total: int) -> list[int]:
         """Return the numbers of idle connections in the log, up to a sum."""
         counts: list[int] = []
@@ -180,15 +206,37 @@
                 answer = self.trickle(sock)
                 self.assertTrue(answer.startswith(b"HTTP/1.1 408 "), answer)
 
+    def test_pipelined_request_has_a_deadline(self):
+        """Guards against a part of a request that has the time of a silent caller."""
+        for part in (b"GET /", PART_OF_BODY):
+            with self.subTest(part):
+                sock = self.connect()
+                sock.sendall(REQUEST + part)
+                self.assertTrue(sock.recv(65_536).endswith(b"ok"))
+                self.assertTrue(sock.recv(65_536).startswith(b"HTTP/1.1 408 "))
+
     def test_deadline_counts_for_each_request(self):
         """Guards against a deadline that ends a connection which is kept open."""
         sock = self.connect()
         ends_at = time.monotonic() + 2 * REQUEST_TIMEOUT_S
         while time.monotonic() < ends_at:
-            sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            sock.sendall(REQUEST)
             self.assertTrue(sock.recv(65_536).endswith(b"ok"))
             time.sleep(TRICKLE_PERIOD_S)
 
+    def test_body_that_arrived_during_a_pause(self):
+        """Guards against 408 for a body that a paused process could have read."""
+        sock = self.connect()
+        for _ in range(2):
+            sock.sendall(PART_OF_BODY)
+            time.sleep(TRICKLE_PERIOD_S)
+            self.process.send_signal(signal.SIGSTOP)
+            sock.sendall(b"a" * 99)
+            time.sleep(REQUEST_TIMEOUT_S)
+            self.process.send_signal(signal.SIGCONT)
+            answer = sock.recv(65_536)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+
     def trickle(self, sock: socket.socket) -> bytes:
         """Send bytes until an answer comes, and return it; b"" if none does."""
         sock.settimeout(TRICKLE_PERIOD_S)
