Free gathered queries and the receivers of acknowledgements at their end

The parser of a connection to a peer kept the receiver of the last acknowledgements, and with it the last query, while the connection was idle or after it was closed.

Change: a query drops its holder when it ends, and a parser the receiver with the answer.

--- a/cicadalever/gateway/_gather_call.py
+++ b/cicadalever/gateway/_gather_call.py
@@ -544,6 +544,8 @@
         self._shard_answers.clear()
         self._group_answers.clear()
         self._held.set(0)
+        # The former one refers to the call, so that it would keep the request.
+        self._held = HeldBytes(self.runner.memory, HeldKind.ANSWER)
         for group in self._groups:
             group.cancel(detail)
         self._groups.clear()
--- a/cicadalever/wire/_answer_parser.py
+++ b/cicadalever/wire/_answer_parser.py
@@ -149,6 +149,7 @@
     def forget(self) -> None:
         """Free the answer, which has been passed on."""
         self.answer = None
+        self._on_interim = None
         self._reset_message()
 
     def close(self) -> None:
@@ -159,6 +160,7 @@
         """
         self.release()
         self._is_closed = True
+        self._on_interim = None
         self._in_message = False
         self._reset_message()
         self._parser = None
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,6 +1,8 @@
 """Tests of the gateway's calls in virtual time, with simulated hosts and replicas."""
 
+import gc
 import unittest
+import weakref
 from random import Random
 from types import SimpleNamespace
 from unittest import mock
@@ -210,6 +212,19 @@
         call.cancel()
         self.assertEqual(kept, {})
 
+    def test_ended_query_is_freed_without_a_collection(self):
+        """Guards against requests that stay until the next collection of cycles."""
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        call, _ = self.start(max_bytes=2**20)
+        call.hand_over = lambda attempts, call=call: False
+        freed = weakref.ref(call)
+        call.cancel()
+        del call
+        self.loop.run_until(2.0)
+        self.assertIsNone(freed())
+
     def test_answer_of_a_group_is_shortened(self):
         """Guards against a peer that sends more records than the query asks for."""
         call, memory = self.start(max_bytes=2**30)
--- a/tests/test_memory_of_messages.py
+++ b/tests/test_memory_of_messages.py
@@ -4,6 +4,7 @@
 import gc
 import tracemalloc
 import unittest
+import weakref
 
 import eventlet
 
@@ -26,7 +27,7 @@
 class TestIdleReplicaConnections(unittest.TestCase):
     """A connection without an exchange holds nothing of the one before."""
 
-    def exchange(self, request, answer):
+    def exchange(self, request, answer, on_interim=None):
         """Return the memory in use after an exchange, on an idle connection."""
         listener = eventlet.listen(("127.0.0.1", 0))
         self.addCleanup(listener.close)
@@ -49,7 +50,13 @@
         before, _ = tracemalloc.get_traced_memory()
         encode = lambda: request[:-1] + request[-1:]  # noqa: E731
         pool.send(
-            Exchange(encode, b"1", 0, lambda answer: statuses.append(answer.status))
+            Exchange(
+                encode,
+                b"1",
+                0,
+                lambda answer: statuses.append(answer.status),
+                on_interim,
+            )
         )
         wait_for(lambda: statuses)
         eventlet.sleep(0.05)
@@ -73,6 +80,18 @@
         answer = HEAD + b"Content-Length: 0\r\n\r\n"
         self.assertLess(self.exchange(request % (len(body), body), answer), IDLE_BYTES)
 
+    def test_receiver_of_acknowledgements_is_freed(self):
+        """Guards against connections to peers that keep the last query."""
+
+        def ignore(headers):
+            pass
+
+        freed = weakref.ref(ignore)
+        request = b"GET / HTTP/1.1\r\nX-Id: 1\r\n\r\n"
+        self.exchange(request, HEAD + b"Content-Length: 0\r\n\r\n", ignore)
+        del ignore
+        self.assertIsNone(freed())
+
 
 class TestAnswerHeads(unittest.TestCase):
     """The head of an unfinished answer is counted with what its fields take."""
