Explain why ended calls and exchanges drop their callbacks

Cause: three comments named neither the cycle nor what the replaced callback returns, so that a reader had to look for the reason.

Change: comments and doc comments only.

--- a/cicadalever/gateway/_call.py
+++ b/cicadalever/gateway/_call.py
@@ -111,10 +111,10 @@
         self._forget_callbacks()
 
     def _forget_callbacks(self) -> None:
-        """Drop what refers to the call, and so keeps its request for a while.
+        """Break the reference cycles between the call and its callbacks.
 
-        The request would stay until the next collection of reference cycles, which
-        counts objects and not bytes.
+        They would keep the request, with its body, until the next collection of cycles,
+        which is due after a number of objects and not of bytes.
         """
         self.hand_over = self.on_extra_attempt = None
         self.on_end = _ignore_response
--- a/cicadalever/wire/_replica_pool.py
+++ b/cicadalever/wire/_replica_pool.py
@@ -72,7 +72,10 @@
         return self.connection is not None and self.connection.was_sent
 
     def take_request(self) -> bytes:
-        """Return the bytes to send, and keep nothing that refers to them."""
+        """Return the bytes to send, and keep nothing that refers to them.
+
+        It may be called once; a later call returns no bytes.
+        """
         encode, self.encode = self.encode, bytes
         return encode()
 
@@ -81,7 +84,8 @@
         if not self.is_ended:
             self.is_ended = True
             on_answer = self.on_answer
-            # They refer to the request, which the queue would keep with the exchange.
+            # The callbacks refer to the request, which would stay in memory with an
+            # exchange that is still queued. ``bytes()`` stands for no request.
             self.encode, self.on_answer = bytes, _ignore
             if self.on_interim is not None:
                 self.on_interim = _ignore
