--- a/review/standins2.py
+++ b/review/standins2.py
@@ -233,6 +233,74 @@
                 await asyncio.wait_for(changed.wait(), left_s)
 
 
+class Link(_Server):
+    """A way of one gateway to one replica, which passes all bytes on.
+
+    While it refuses, open connections live on and new ones are refused.
+    """
+
+    def __init__(self, target_port):
+        super().__init__()
+        self._target_port = target_port
+
+    def refuse(self):
+        """Refuse new connections."""
+        self._server.close()
+        self._server = None
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            ends = await asyncio.open_connection("127.0.0.1", self._target_port)
+            await asyncio.gather(_pass_on(reader, ends[1]), _pass_on(ends[0], writer))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+async def _pass_on(reader, writer):
+    try:
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+    finally:
+        writer.close()
+
+
+class StoreView(Store):
+    """A store at another address, which names other addresses of the replicas.
+
+    ``addresses`` maps names of replicas to these.
+    """
+
+    def __init__(self, store, addresses):
+        super().__init__()
+        self._store = store
+        self._addresses = addresses
+
+    def _change(self, content):
+        for name in ("items", "events"):
+            if name in content:
+                content[name] = [self._replace(item) for item in content[name]]
+        return content
+
+    def _replace(self, item):
+        address = self._addresses.get(item["Key"].removeprefix("servers/"))
+        if address is None:
+            return item
+        entry = json.loads(base64.b64decode(item["Value"])) | {"Address": address}
+        data = base64.b64encode(json.dumps(entry).encode()).decode()
+        return item | {"Value": data}
+
+    def _range(self, query):
+        return self._change(self._store._range(query))
+
+    async def _watch(self, query):
+        return self._change(await self._store._watch(query))
+
+
 class Arrival:
     """A request that a replica has received."""
 
@@ -340,6 +408,10 @@
         # Monotonic time at which the process was last started.
         self.started_at = 0.0
 
+    def use_store(self, store):
+        """Have the process read another store, from its next start on."""
+        self._fields["store"] = store.address
+
     async def start(self, *, is_first=True):
         """Start the process with the command of the deploy file."""
         fields = self._fields | {"bootstrap": str(is_first).lower()}
@@ -503,3 +575,21 @@
         """Start all gateways and wait until they are ready."""
         await asyncio.gather(*(each.start() for each in self.gateways))
         await asyncio.gather(*(each.wait_ready() for each in self.gateways))
+
+
+def run_case(main):
+    """Run a case and return its exit code, 2 if it could not run.
+
+    SIGTERM, which a time limit sends, ends the processes of the case as well.
+    """
+
+    async def run():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await main()
+
+    try:
+        return asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:
+        print(f"the case could not run: {error!r}")
+        return 2
