--- a/review/8/case.py
+++ b/review/8/case.py
@@ -15,6 +15,7 @@
     Record,
     configuration,
     route,
+    run_case,
 )
 
 HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
@@ -115,9 +116,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        code = asyncio.run(main())
-    except Exception as error:
-        print(f"the case could not run: {error!r}")
-        code = 2
-    sys.exit(code)
+    sys.exit(run_case(main))
